--- /dev/null
+++ b/internal/simhost/simhost.go
@@ -0,0 +1,72 @@
+// Package simhost hosts the decision module on the simulator's wire: one policy.Balancer for each instance,
+// none of which can see another.
+package simhost
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"lapisshelf/internal/simwire"
+	"lapisshelf/policy"
+)
+
+// Run answers batches from in on out until the input ends. Malformed input is an error; the batch that
+// holds it gets no reply at all.
+func Run(in io.Reader, out io.Writer) error {
+	r, w := simwire.NewReader(in), simwire.NewWriter(out)
+	nodes := map[string]*policy.Balancer{}
+	for {
+		batch, err := r.Read()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for i, e := range batch.Events {
+			if err := deliver(nodes, w, batch.Now, e); err != nil {
+				return fmt.Errorf("batch %d, event %d: %w", batch.Number, i+1, err)
+			}
+		}
+		if err := w.Close(batch.Number); err != nil {
+			return err
+		}
+	}
+}
+
+// deliver hands one event to its instance. A panic of the module is reported as that instance's crash.
+func deliver(nodes map[string]*policy.Balancer, w *simwire.Writer, now time.Duration, e simwire.Event) error {
+	actor := simwire.Actor{W: w, Instance: e.Instance}
+	defer func() {
+		if p := recover(); p != nil {
+			actor.Crash(fmt.Sprint("the decision module failed: ", p))
+		}
+	}()
+	if e.Kind == simwire.Start {
+		nodes[e.Instance] = policy.New(now, e.Settings, e.Seed, actor)
+		return nil
+	}
+	b := nodes[e.Instance]
+	if b == nil {
+		return fmt.Errorf("event for instance %q, which has not started", e.Instance)
+	}
+	switch e.Kind {
+	case simwire.Stop:
+		delete(nodes, e.Instance)
+	case simwire.List:
+		b.Members(now, e.ListKind, e.Entries)
+	case simwire.Request:
+		b.Request(now, e.Request)
+	case simwire.FirstByte:
+		b.Begun(now, e.ID, e.N)
+	case simwire.Result:
+		b.Result(now, e.Result)
+	case simwire.Abandoned:
+		b.Abandoned(now, e.ID)
+	case simwire.Timer:
+		b.Timer(now, e.Token)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/simwire/settings.go
@@ -0,0 +1,92 @@
+package simwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+// wireSettings is the settings object of a starting instance; what the module does not use is left out.
+type wireSettings struct {
+	Az             string
+	Balancers      int
+	Models         []string
+	MembershipMode string
+	Tick           int64
+	Weights        string
+	OverShareWorth float64
+	Classes        []struct {
+		Name, Effect, DedupScope string
+		Aim, Deadline, KeyTtl    int64
+		Worth, LateShare         float64
+	}
+	Tenants []struct {
+		Name      string
+		QuotaPerS float64
+	}
+	FamilyInfo struct {
+		Mode       string
+		OriginKind *int
+	}
+	Guarantees struct {
+		AskWithin, DrainGrace, WarmUp, OverloadFor int64
+		ColdFrom, FallMultiple                     float64
+	}
+	Limits struct {
+		Cancel, MayTell, ParallelTries, Probes, RetryAfter bool
+		MaxRetryAfter, ConnectTimeout                      int64
+		SendCap                                            int
+	}
+}
+
+// settings turns the wire's settings into the module's and says plainly what makes no sense in them.
+func settings(text json.RawMessage) (policy.Settings, error) {
+	var w wireSettings
+	if err := json.Unmarshal(text, &w); err != nil {
+		return policy.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	g, l := w.Guarantees, w.Limits
+	s := policy.Settings{
+		Zone: w.Az, Balancers: w.Balancers, MustAsk: w.MembershipMode == "subscribe",
+		AskWithin: time.Duration(g.AskWithin), Tick: time.Duration(w.Tick),
+		MaxAttempts: l.SendCap, Parallel: l.ParallelTries, MayCancel: l.Cancel, MayProbe: l.Probes,
+		MayTell: l.MayTell, Advice: l.RetryAfter, MaxAdvice: time.Duration(l.MaxRetryAfter),
+		DrainGrace: time.Duration(g.DrainGrace), ColdFrom: g.ColdFrom, WarmUp: time.Duration(g.WarmUp),
+		FallMultiple: g.FallMultiple, FallWindow: time.Duration(g.OverloadFor),
+		OverShare: w.OverShareWorth, Weighted: w.Weights != "off",
+		ConnectWithin: time.Duration(l.ConnectTimeout),
+	}
+	if w.FamilyInfo.Mode == "aside" {
+		s.Mode = policy.Aside
+	}
+	if k := w.FamilyInfo.OriginKind; k != nil && *k >= 0 && *k < len(w.Models) {
+		s.OriginKind = w.Models[*k]
+	}
+	effects := map[string]policy.Effect{"retryable": policy.Safe, "dedup": policy.Keyed, "fragile": policy.Unsafe}
+	scopes := map[string]policy.Scope{"all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
+	for _, c := range w.Classes {
+		effect, ok := effects[c.Effect]
+		if !ok {
+			return s, fmt.Errorf("settings: class %q: unknown effect %q", c.Name, c.Effect)
+		}
+		if c.Aim <= 0 || c.Deadline <= 0 || c.KeyTtl < 0 {
+			return s, fmt.Errorf("settings: class %q: times must be positive", c.Name)
+		}
+		scope, ok := scopes[c.DedupScope]
+		if !ok {
+			scope = policy.ScopeCell // the narrowest: never wrong
+		}
+		s.Classes = append(s.Classes, policy.Class{Name: c.Name, Aim: time.Duration(c.Aim),
+			Deadline: time.Duration(c.Deadline), Worth: c.Worth, LateShare: c.LateShare, Effect: effect,
+			Scope: scope, Window: time.Duration(c.KeyTtl)})
+	}
+	if len(s.Classes) == 0 {
+		return s, fmt.Errorf("settings: no request class")
+	}
+	for _, t := range w.Tenants {
+		s.Tenants = append(s.Tenants, policy.Tenant{Name: t.Name, Quota: t.QuotaPerS})
+	}
+	return s, nil
+}
--- /dev/null
+++ b/policy/api.go
@@ -0,0 +1,184 @@
+// Package policy decides, for one balancer, where each request goes and how it ends.
+//
+// This file is the module's whole interface: the settings it starts from, the events it is told and the
+// actions it may take. The decisions are in policy.go. Nothing here does I/O or reads a clock: the caller
+// passes the time (since any fixed zero) with each event and carries out what the Actions are called with.
+package policy
+
+import "time"
+
+// Effect says what repeating a request of a class may do.
+type Effect int
+
+// The effects, from the freest to the strictest.
+const (
+	Safe   Effect = iota // may be repeated at will
+	Keyed                // servers of its dedup group drop a repeat for a while
+	Unsafe               // may be repeated only when it provably never ran
+)
+
+// Scope is the set of servers that drop repeats of a keyed request together.
+type Scope int
+
+// The scopes.
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Outcome is how an attempt ended.
+type Outcome int
+
+// The outcomes.
+const (
+	OK Outcome = iota
+	Miss
+	Errored
+	Full
+	TimedOut
+	ConnectFailed
+	Reset
+	Cancelled
+	Moot
+)
+
+// NeverRan reports whether the outcome proves that the attempt had no effect.
+func (o Outcome) NeverRan() bool { return o == Miss || o == Full || o == ConnectFailed || o == Moot }
+
+// Class holds what is known of a request class.
+type Class struct {
+	Name      string
+	Aim       time.Duration // answers within it earn the full worth
+	Deadline  time.Duration // the client's patience over all its tries
+	Worth     float64       // worth of one request
+	LateShare float64       // part of the worth left after the aim
+	Effect    Effect
+	Scope     Scope         // dedup group, for Keyed
+	Window    time.Duration // how long the group remembers, for Keyed
+}
+
+// Tenant is one of those who share the service.
+type Tenant struct {
+	Name  string
+	Quota float64 // requests a second, over all balancers, that count in full
+}
+
+// Mode says who fetches what a cache lacks.
+type Mode int
+
+// The modes.
+const (
+	Through Mode = iota // the cache fetches from the origin itself
+	Aside               // the cache answers Miss and the balancer asks the origin
+)
+
+// Settings are what a balancer is told at its start.
+type Settings struct {
+	Classes       []Class
+	Tenants       []Tenant
+	Mode          Mode
+	OriginKind    string // kind of the list entry that is the origin; empty when it is not listed
+	Zone          string
+	Balancers     int // balancers in the fleet, this one included
+	MustAsk       bool
+	AskWithin     time.Duration // with MustAsk: longest spell without asking
+	Tick          time.Duration // events come at most this often
+	MaxAttempts   int
+	Parallel      bool // a request may have two attempts out
+	MayCancel     bool
+	MayProbe      bool
+	MayTell       bool
+	Advice        bool          // clients are told when to return
+	MaxAdvice     time.Duration // longest advice that clients follow
+	DrainGrace    time.Duration
+	ColdFrom      float64 // part of its capacity that a starting server has at least
+	WarmUp        time.Duration
+	FallMultiple  float64 // times its present capacity that pushes a cold server over
+	FallWindow    time.Duration
+	OverShare     float64 // part of its worth that a request beyond its tenant's quota keeps
+	Weighted      bool    // the list carries weights
+	ConnectWithin time.Duration
+}
+
+// State is where a listed server is in its life.
+type State int
+
+// The states.
+const (
+	Ready State = iota
+	Draining
+	Gone
+)
+
+// Server is one entry of the server list.
+type Server struct {
+	ID      string
+	Zone    string
+	Kind    string
+	Cell    int
+	State   State
+	Weight  float64       // listed weight; negative when none is listed
+	Started time.Duration // last start on the event clock; 0 for long ago
+}
+
+// ListKind says how a Members event relates to the list held before.
+type ListKind int
+
+// The kinds of list news.
+const (
+	ListChanges ListKind = iota // only what changed
+	ListWhole                   // replaces the list
+	ListSaved                   // the list as it was last held, perhaps stale
+	ListFailed                  // asking failed or the subscription broke
+)
+
+// Request is a request that the balancer has taken.
+type Request struct {
+	ID     string
+	Class  string
+	Tenant string
+	Key    string        // empty when it has none
+	Left   time.Duration // until this try of the client is given up
+	Hint   time.Duration // rough work, 0 when unknown
+	Retry  bool          // the client marks a repeat
+	Write  bool
+}
+
+// Load is what a server reports of itself; a value that it does not report is negative.
+type Load struct{ Busy, Queue float64 }
+
+// Note says what a cache did for a read, where caches tell.
+type Note int
+
+// The notes.
+const (
+	NoNote Note = iota
+	NoteHit
+	NoteMiss
+	NoteFetching // a miss while another fetch of the key is out
+)
+
+// Result is the end of one attempt.
+type Result struct {
+	ID      string
+	N       int // which attempt, in the order of the sends
+	Server  string
+	Outcome Outcome
+	Note    Note
+	Final   bool // nothing more is owed for the request
+	Took    time.Duration
+	Load    Load
+}
+
+// Actions is what a balancer may do. Each call takes effect at the time of the event being handled.
+type Actions interface {
+	Send(id, server string, wait time.Duration) // wait 0: as long as the client waits
+	Refuse(id string, comeBack time.Duration)
+	Fail(id string)
+	Cancel(id string, n int)
+	Probe(server string)
+	Timer(after time.Duration, token string)
+	Subscribe()
+	Log(text string)
+}
--- /dev/null
+++ b/policy/policy.go
@@ -0,0 +1,674 @@
+package policy
+
+// All decisions of lapisshelf. The types, events and actions stand in api.go.
+//
+// The ordinary path: the ready caches are ranked for the request's key by weighted highest-random-weight
+// score (rank); the top one gets the request; a further try, where may allows it, goes to the next one down.
+// In aside mode a read that misses, and every write, goes to the origin.
+//
+// The departures, in the order in which pick and the handlers apply them:
+//   1. slow start: a starting server's weight is cut to the capacity it is sure to have (warmth), and no
+//      node sends it more than its part of what would push it over (coldRoom);
+//   2. skipping: a server with straight failures, or silent far beyond the usual, is passed over (fit);
+//   3. spill: a top server far more loaded than its share passes the request to the next (crowded);
+//   4. one fetch a key: reads of a key that is being fetched wait for it (fetch, release);
+//   5. the origin's limit: no more fetches out than it answers in its usual time (gate);
+//   6. hedges: a late safe request gets a second copy, within a budget (sweep);
+//   7. giving up: what can no longer be worth anything is refused or failed at once (giveUp).
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash"
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+
+	"golang.org/x/crypto/blake2b"
+)
+
+const (
+	failsToSkip = 3               // straight failures that skip a server (design page)
+	skipSpell   = 5 * time.Second // how long, before one trial (design page)
+	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
+	spillFloor  = 2               // never crowded with this few out (design page)
+	hedgeShare  = 0.05            // hedges per first try: what doubling the slowest twentieth costs
+	hedgeBurst  = 10              // hedges that may be saved up
+	lateQuant   = 0.95            // the quantile of answer times that counts as late
+	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
+)
+
+type server struct {
+	Server
+	weight    float64    // listed, or the mean where none is listed
+	score     float64    // of the ranking being made
+	sent      []*attempt // out now, oldest first
+	fails     int        // straight failures
+	skipUntil time.Duration
+	heard     time.Duration // last sign of life
+	heat      float64       // own sends lately, fading over the fall window
+	heatAt    time.Duration
+}
+
+type attempt struct {
+	n     int
+	req   *request
+	srv   *server
+	at    time.Duration
+	done  bool
+	clean bool // proven never to have run
+}
+
+type request struct {
+	Request
+	class    *Class
+	at       time.Duration
+	aim, end time.Duration // when the worth falls, when this try of the client is over
+	tries    []*attempt
+	out      int
+	ended    bool
+	queued   bool // waits for a place at the origin
+}
+
+// fetch is a read of a key at the origin and the reads that wait for it.
+type fetch struct {
+	leader  *request
+	waiting []*request
+}
+
+// Balancer decides for one node. It is not safe for concurrent use.
+type Balancer struct {
+	set     Settings
+	act     Actions
+	rng     *rand.Rand
+	now     time.Duration
+	classes map[string]*Class
+	servers map[string]*server
+	caches  []*server // ready, by id
+	weights float64   // their sum
+	origin  *server
+	open    map[string]*request
+	order   []*request // open requests by arrival
+	fetches map[string]*fetch
+	queue   []*request // waiting for a place at the origin
+	hash    hash.Hash
+	scratch []byte
+	ranked  []*server
+	out     int           // attempts out at caches
+	late    float64       // quantile lateQuant of answer times, ns
+	usual   float64       // mean of answer times, ns
+	budget  float64       // hedges that may be sent
+	limit   float64       // attempts allowed out at the origin
+	origLat float64       // recent answer time of the origin, ns
+	origMin float64       // its answer time at rest, ns
+	cutAt   time.Duration // last cut of limit
+	askWait time.Duration
+}
+
+// New starts a balancer without memory.
+func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
+	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
+		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
+		fetches: map[string]*fetch{}, limit: 4, askWait: set.AskWithin / 16}
+	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
+	shortest := time.Duration(math.MaxInt64)
+	for i := range set.Classes {
+		c := &b.set.Classes[i]
+		b.classes[c.Name] = c
+		shortest = min(shortest, c.Aim)
+	}
+	b.late, b.usual = float64(shortest)/2, float64(shortest)/4 // until answers tell
+	act.Timer(b.period(), "sweep")
+	if set.MustAsk {
+		act.Subscribe()
+	}
+	return b
+}
+
+func (b *Balancer) period() time.Duration { return max(2*b.set.Tick, time.Millisecond) }
+
+// ---- the list -------------------------------------------------------------------------------------
+
+// Members takes news of the server list.
+func (b *Balancer) Members(now time.Duration, kind ListKind, list []Server) {
+	b.now = now
+	if kind == ListFailed {
+		// Growing waits with jitter, well inside AskWithin: a failing list service is not stormed.
+		b.askWait = min(2*b.askWait, b.set.AskWithin/4)
+		b.act.Timer(b.askWait/2+time.Duration(b.rng.Float64()*float64(b.askWait/2)), "list")
+		return
+	}
+	if kind != ListSaved {
+		b.askWait = b.set.AskWithin / 16
+	}
+	if kind != ListChanges {
+		for _, s := range b.servers {
+			s.State = Gone // unless the list names it
+		}
+	}
+	for _, e := range list {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{}
+			b.servers[e.ID] = s
+		}
+		if e.Started != s.Started { // a restart: what was learned of the old process is void
+			s.fails, s.skipUntil = 0, 0
+		}
+		s.Server = e
+	}
+	b.caches, b.origin, b.weights = b.caches[:0], nil, 0
+	listed := 0
+	for _, s := range b.servers {
+		switch {
+		case s.State != Ready:
+		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
+			if b.origin == nil || s.ID < b.origin.ID {
+				b.origin = s
+			}
+		default:
+			b.caches = append(b.caches, s)
+		}
+	}
+	slices.SortFunc(b.caches, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
+	for _, s := range b.caches {
+		if s.Weight >= 0 && b.set.Weighted {
+			b.weights += s.Weight
+			listed++
+		}
+	}
+	mean := 1.0
+	if listed > 0 && b.weights > 0 {
+		mean = b.weights / float64(listed)
+	}
+	b.weights = 0
+	for _, s := range b.caches {
+		if s.weight = mean; s.Weight >= 0 && b.set.Weighted {
+			s.weight = s.Weight
+		}
+		b.weights += s.weight
+	}
+}
+
+// ---- the ranking ----------------------------------------------------------------------------------
+
+// hrw is the shared score of a server for a key: blake2b, 8 bytes, over id, a zero byte and key.
+func (b *Balancer) hrw(id, key string) uint64 {
+	b.scratch = append(append(append(b.scratch[:0], id...), 0), key...)
+	b.hash.Reset()
+	b.hash.Write(b.scratch)
+	return binary.BigEndian.Uint64(b.hash.Sum(b.scratch[:0]))
+}
+
+// race turns a score into the weighted race, higher wins; u stays strictly between 0 and 1.
+func race(h uint64, weight float64) float64 {
+	u := (float64(h>>12) + 0.5) / (1 << 52)
+	return -weight / math.Log(u)
+}
+
+// rank orders the ready caches for a key, best first. The slice is good until the next call.
+func (b *Balancer) rank(key string) []*server {
+	b.ranked = b.ranked[:0]
+	for _, s := range b.caches {
+		if w := s.weight * b.warmth(s); w > 0 {
+			s.score = race(b.hrw(s.ID, key), w)
+			b.ranked = append(b.ranked, s)
+		}
+	}
+	slices.SortFunc(b.ranked, func(x, y *server) int {
+		switch {
+		case x.score > y.score:
+			return -1
+		case x.score < y.score:
+			return 1
+		}
+		return strings.Compare(y.ID, x.ID)
+	})
+	return b.ranked
+}
+
+// warmth is the part of its capacity that a server is sure to have by now. It rises evenly, so that keys
+// move to a starting server a few at a time and its misses never reach the origin in a burst.
+func (b *Balancer) warmth(s *server) float64 {
+	age := b.now - s.Started
+	if s.Started == 0 || age >= b.set.WarmUp {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
+}
+
+// ---- where a request may go -----------------------------------------------------------------------
+
+// may holds rules 1 to 3: whether the request may be sent to s now. Every send passes through it.
+func (b *Balancer) may(r *request, s *server) bool {
+	if r.ended || b.now >= r.end || s.State != Ready || len(r.tries) >= b.set.MaxAttempts {
+		return false
+	}
+	if r.out > 0 && (r.class.Effect != Safe || !b.set.Parallel) {
+		return false
+	}
+	for _, a := range r.tries {
+		if r.class.Effect == Safe || a.done && a.clean {
+			continue
+		}
+		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window {
+			return false
+		}
+		if r.class.Scope != ScopeAll && (a.srv.Zone != s.Zone || r.class.Scope == ScopeCell && a.srv.Cell != s.Cell) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayRefuse reports whether a refusal, which promises that a retry is harmless, is true.
+func (r *request) mayRefuse() bool {
+	return r.class.Effect == Safe || !slices.ContainsFunc(r.tries, func(a *attempt) bool { return !a.clean })
+}
+
+// coldRoom holds rule 4: a warming server gets at most this node's part of the load that would push it
+// over, told from what warm servers bear from this node, so that nodes need no agreement.
+func (b *Balancer) coldRoom(s *server) bool {
+	if b.warmth(s) == 1 {
+		return true
+	}
+	heat, weight := 0.0, 0.0
+	for _, w := range b.caches {
+		if b.warmth(w) == 1 {
+			heat, weight = heat+b.cool(w), weight+w.weight
+		}
+	}
+	if weight == 0 {
+		return true
+	}
+	return b.cool(s)+1 <= max(1, coldSafety*b.set.FallMultiple*b.warmth(s)*s.weight*heat/weight)
+}
+
+// cool fades a server's heat to now and returns it.
+func (b *Balancer) cool(s *server) float64 {
+	if b.set.FallWindow > 0 {
+		s.heat *= math.Exp(-float64(b.now-s.heatAt) / float64(b.set.FallWindow))
+	}
+	s.heatAt = b.now
+	return s.heat
+}
+
+// fit reports whether a server is trusted with a request.
+func (b *Balancer) fit(s *server) bool {
+	if s.fails >= failsToSkip {
+		return b.now >= s.skipUntil && len(s.sent) == 0 // one trial
+	}
+	// Guards against sending into a frozen server: silent since long before its oldest attempt should
+	// have been answered.
+	return len(s.sent) == 0 || s.heard > s.sent[0].at || float64(b.now-s.sent[0].at) < 2*b.late
+}
+
+// crowded reports whether a server holds far more of this node's requests than its share.
+func (b *Balancer) crowded(s *server) bool {
+	share := float64(b.out) * s.weight * b.warmth(s) / b.weights
+	return float64(len(s.sent)) > max(spillFloor, spillFactor*share)
+}
+
+// pick walks down the ranking to the first server that may and should get the request.
+func (b *Balancer) pick(r *request) *server {
+	key := r.Key
+	if key == "" {
+		key = r.ID // no key: any steady, spread choice will do
+	}
+	var stands, top *server
+	for _, s := range b.rank(key) {
+		tried := slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.srv == s })
+		if tried || !b.may(r, s) || !b.coldRoom(s) {
+			continue
+		}
+		if stands == nil {
+			stands = s // with all skipped the ranking stands
+		}
+		if !b.fit(s) {
+			continue
+		}
+		if top != nil { // the spill's second choice
+			if b.crowded(s) || b.warmth(s) < 1 {
+				return top
+			}
+			return s
+		}
+		if !b.crowded(s) {
+			return s
+		}
+		top = s
+	}
+	if top != nil {
+		return top
+	}
+	return stands
+}
+
+// ---- a request's life -----------------------------------------------------------------------------
+
+// Request takes a new request.
+func (b *Balancer) Request(now time.Duration, q Request) {
+	b.now = now
+	c := b.classes[q.Class]
+	if c == nil { // unknown: nothing may be repeated
+		c = &Class{Name: q.Class, Aim: q.Left, Deadline: q.Left, Effect: Unsafe}
+	}
+	r := &request{Request: q, class: c, at: now, aim: now + c.Aim, end: now + q.Left}
+	b.open[q.ID] = r
+	b.order = append(b.order, r)
+	b.budget = min(hedgeBurst, b.budget+hedgeShare)
+	b.route(r)
+}
+
+// route sends a request on its way, or on its way again.
+func (b *Balancer) route(r *request) {
+	if b.set.Mode == Aside && r.Write {
+		b.gate(r)
+		return
+	}
+	if f := b.fetches[r.Key]; f != nil && f.leader != r && !r.Write {
+		f.waiting = append(f.waiting, r)
+		return
+	}
+	if s := b.pick(r); s != nil {
+		b.send(r, s)
+	} else {
+		b.giveUp(r)
+	}
+}
+
+func (b *Balancer) send(r *request, s *server) {
+	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now}
+	r.tries = append(r.tries, a)
+	r.out++
+	s.sent = append(s.sent, a)
+	s.heat, s.heatAt = b.cool(s)+1, b.now
+	wait := time.Duration(0)
+	if s != b.origin {
+		b.out++
+		if r.class.Effect == Safe && !b.set.Parallel && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
+			// No second copy allowed: leave half of what is left of the aim to a further try.
+			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
+		}
+	}
+	b.act.Send(r.ID, s.ID, wait)
+}
+
+// giveUp ends a request unserved, at once; with an attempt still out that may yet answer, it waits for that.
+func (b *Balancer) giveUp(r *request) {
+	if r.ended || r.out > 0 {
+		return
+	}
+	if r.mayRefuse() {
+		after := time.Duration(0)
+		if b.set.Advice {
+			after = min(b.set.MaxAdvice, r.class.Aim)
+		}
+		b.act.Refuse(r.ID, after)
+	} else {
+		b.act.Fail(r.ID)
+	}
+	b.end(r, false)
+}
+
+// end closes a request: its other attempts are called off, and reads that waited for its fetch move on.
+func (b *Balancer) end(r *request, served bool) {
+	r.ended, r.queued = true, false
+	for _, a := range r.tries {
+		if !a.done && b.set.MayCancel {
+			b.act.Cancel(r.ID, a.n)
+		}
+	}
+	b.forget(r)
+	b.release(r, served)
+	b.admit()
+}
+
+func (b *Balancer) forget(r *request) {
+	if r.ended && r.out == 0 {
+		delete(b.open, r.ID)
+	}
+}
+
+// Begun notes that an answer has started to flow.
+func (b *Balancer) Begun(now time.Duration, id string, n int) {
+	b.now = now
+	if r := b.open[id]; r != nil && n < len(r.tries) {
+		r.tries[n].srv.heard = now
+	}
+}
+
+// Abandoned notes that nobody waits for a request any more.
+func (b *Balancer) Abandoned(now time.Duration, id string) {
+	b.now = now
+	if r := b.open[id]; r != nil && !r.ended {
+		b.end(r, false)
+	}
+}
+
+// Result takes the end of an attempt.
+func (b *Balancer) Result(now time.Duration, res Result) {
+	b.now = now
+	r := b.open[res.ID]
+	if r == nil || res.N < 0 || res.N >= len(r.tries) || r.tries[res.N].done {
+		return
+	}
+	a := r.tries[res.N]
+	a.done, a.clean = true, res.Outcome.NeverRan()
+	r.out--
+	a.srv.sent = slices.DeleteFunc(a.srv.sent, func(x *attempt) bool { return x == a })
+	if a.srv.Kind == b.set.OriginKind && b.set.OriginKind != "" {
+		b.learnOrigin(a, res)
+	} else {
+		b.out--
+		b.learn(a, res)
+	}
+	switch {
+	case r.ended:
+		b.forget(r)
+		b.admit()
+	case res.Final:
+		b.end(r, res.Outcome == OK)
+	case r.out > 0: // its other copy may yet answer
+	case res.Outcome == Moot:
+		b.giveUp(r)
+	case res.Outcome == Miss, a.srv.Kind == b.set.OriginKind && res.Outcome != Full:
+		b.gate(r)
+	case a.srv.Kind == b.set.OriginKind:
+		b.giveUp(r)
+	default:
+		b.route(r)
+	}
+}
+
+// learn keeps a cache's health and the usual answer times.
+func (b *Balancer) learn(a *attempt, res Result) {
+	s, took := a.srv, float64(b.now-a.at)
+	switch res.Outcome {
+	case OK, Miss:
+		if s.fails >= failsToSkip {
+			b.act.Log("back: " + s.ID)
+		}
+		s.fails, s.heard = 0, b.now
+		if res.Outcome == OK {
+			b.usual += (took - b.usual) / 64
+			step := b.usual / 32
+			if took > b.late {
+				b.late += step * lateQuant
+			} else {
+				b.late = max(b.usual, b.late-step*(1-lateQuant))
+			}
+		}
+	case Errored, TimedOut, ConnectFailed, Reset:
+		if s.fails++; s.fails >= failsToSkip {
+			if b.now >= s.skipUntil {
+				b.act.Log(fmt.Sprintf("skip: %s after %d straight failures", s.ID, s.fails))
+			}
+			s.skipUntil = b.now + skipSpell
+		}
+	case Full:
+		s.heard = b.now
+	}
+}
+
+// ---- the origin, in aside mode --------------------------------------------------------------------
+
+// gate lets a request to the origin when it has a place, after those of more worth; reads of one key share
+// one fetch.
+func (b *Balancer) gate(r *request) {
+	if !r.Write && r.Key != "" {
+		f := b.fetches[r.Key]
+		if f == nil {
+			f = &fetch{leader: r}
+			b.fetches[r.Key] = f
+		}
+		if f.leader != r {
+			f.waiting = append(f.waiting, r)
+			return
+		}
+	}
+	if b.origin == nil || !b.may(r, b.origin) {
+		b.giveUp(r)
+		return
+	}
+	wait := time.Duration(b.origLat * float64(len(b.queue)+1) / b.limit)
+	if float64(len(b.origin.sent)) >= b.limit && b.now+wait > r.useful() {
+		b.giveUp(r) // it would wait in vain
+		return
+	}
+	r.queued = true
+	b.queue = append(b.queue, r)
+	b.admit()
+}
+
+// useful is the time after which an answer is worth nothing.
+func (r *request) useful() time.Duration {
+	if r.class.LateShare > 0 {
+		return r.end
+	}
+	return min(r.aim, r.end)
+}
+
+// admit sends queued requests to the origin while it has places: writes first, then by worth, then by age.
+func (b *Balancer) admit() {
+	for b.origin != nil && len(b.queue) > 0 && float64(len(b.origin.sent)) < b.limit {
+		best := -1
+		for i, r := range b.queue {
+			if r.queued && (best < 0 || r.before(b.queue[best])) {
+				best = i
+			}
+		}
+		if best < 0 {
+			b.queue = b.queue[:0]
+			return
+		}
+		r := b.queue[best]
+		b.queue = slices.Delete(b.queue, best, best+1)
+		r.queued = false
+		if b.may(r, b.origin) {
+			b.send(r, b.origin)
+		} else {
+			b.giveUp(r)
+		}
+	}
+}
+
+func (r *request) before(o *request) bool {
+	if r.Write != o.Write {
+		return r.Write
+	}
+	return r.class.Worth > o.class.Worth
+}
+
+// release moves on the reads that waited for r's fetch: to the cache that now holds the key, or, if the
+// fetch failed, the first of them to the origin in its place.
+func (b *Balancer) release(r *request, served bool) {
+	f := b.fetches[r.Key]
+	if f == nil || f.leader != r {
+		return
+	}
+	delete(b.fetches, r.Key)
+	for _, w := range f.waiting {
+		if w.ended {
+			continue
+		}
+		if served {
+			b.reroute(w)
+		} else {
+			b.gate(w)
+		}
+	}
+}
+
+// reroute sends a read that waited to the best server, tried or not: what it lacked is there now.
+func (b *Balancer) reroute(r *request) {
+	for _, s := range b.rank(r.Key) {
+		if b.may(r, s) && b.fit(s) && b.coldRoom(s) {
+			b.send(r, s)
+			return
+		}
+	}
+	b.giveUp(r)
+}
+
+// learnOrigin steers the limit: up by one per round while the origin answers near its time at rest, down by
+// a tenth when it takes far longer or fails.
+func (b *Balancer) learnOrigin(a *attempt, res Result) {
+	took := float64(b.now - a.at)
+	if res.Outcome == OK {
+		if b.origLat == 0 {
+			b.origLat, b.origMin = took, took
+		}
+		b.origLat += (took - b.origLat) / 8
+		b.origMin = min(b.origMin*1.002, b.origLat)
+	}
+	strained := res.Outcome != OK && res.Outcome != Moot && res.Outcome != Cancelled
+	switch {
+	case strained || b.origLat > 3*b.origMin:
+		if float64(b.now-b.cutAt) > b.origLat {
+			b.limit, b.cutAt = max(1, 0.9*b.limit), b.now
+		}
+	case b.origLat < 2*b.origMin && float64(len(a.srv.sent)+1) >= b.limit/2:
+		b.limit += 1 / b.limit
+	}
+}
+
+// ---- time -----------------------------------------------------------------------------------------
+
+// Timer handles the module's own timers.
+func (b *Balancer) Timer(now time.Duration, token string) {
+	b.now = now
+	switch token {
+	case "list":
+		b.act.Subscribe()
+	case "sweep":
+		b.act.Timer(b.period(), "sweep")
+		b.sweep()
+	}
+}
+
+// sweep looks at every open request: the held ones that can no longer be answered are given up, the late
+// safe ones get a second copy.
+func (b *Balancer) sweep() {
+	for _, r := range slices.Clone(b.order) {
+		switch {
+		case r.ended:
+		case r.out == 0:
+			if b.now+time.Duration(b.usual) >= r.useful() || b.now+2*b.period() >= r.end {
+				b.giveUp(r)
+			}
+		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
+			a := r.tries[len(r.tries)-1]
+			if a.done || a.srv == b.origin || float64(b.now-a.at) < b.late || b.now+time.Duration(b.usual) > r.aim {
+				continue
+			}
+			if s := b.pick(r); s != nil && b.fit(s) && b.warmth(s) == 1 {
+				b.budget--
+				b.send(r, s)
+			}
+		}
+	}
+	b.order = slices.DeleteFunc(b.order, func(r *request) bool { return r.ended })
+}
