--- a/policy/policy.go
+++ b/policy/policy.go
@@ -19,7 +19,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"hash"
 	"math"
 	"math/rand"
 	"slices"
@@ -40,73 +39,6 @@
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
-type server struct {
-	Server
-	weight    float64    // listed, or the mean where none is listed
-	score     float64    // of the ranking being made
-	sent      []*attempt // out now, oldest first
-	fails     int        // straight failures
-	skipUntil time.Duration
-	heard     time.Duration // last sign of life
-	heat      float64       // own sends lately, fading over the fall window
-	heatAt    time.Duration
-}
-
-type attempt struct {
-	n     int
-	req   *request
-	srv   *server
-	at    time.Duration
-	done  bool
-	clean bool // proven never to have run
-}
-
-type request struct {
-	Request
-	class    *Class
-	at       time.Duration
-	aim, end time.Duration // when the worth falls, when this try of the client is over
-	tries    []*attempt
-	out      int
-	ended    bool
-	queued   bool // waits for a place at the origin
-}
-
-// fetch is a read of a key at the origin and the reads that wait for it.
-type fetch struct {
-	leader  *request
-	waiting []*request
-}
-
-// Balancer decides for one node. It is not safe for concurrent use.
-type Balancer struct {
-	set     Settings
-	act     Actions
-	rng     *rand.Rand
-	now     time.Duration
-	classes map[string]*Class
-	servers map[string]*server
-	caches  []*server // ready, by id
-	weights float64   // their sum
-	origin  *server
-	open    map[string]*request
-	order   []*request // open requests by arrival
-	fetches map[string]*fetch
-	queue   []*request // waiting for a place at the origin
-	hash    hash.Hash
-	scratch []byte
-	ranked  []*server
-	out     int           // attempts out at caches
-	late    float64       // quantile lateQuant of answer times, ns
-	usual   float64       // mean of answer times, ns
-	budget  float64       // hedges that may be sent
-	limit   float64       // attempts allowed out at the origin
-	origLat float64       // recent answer time of the origin, ns
-	origMin float64       // its answer time at rest, ns
-	cutAt   time.Duration // last cut of limit
-	askWait time.Duration
-}
-
 // New starts a balancer without memory.
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
@@ -159,37 +91,7 @@
 		}
 		s.Server = e
 	}
-	b.caches, b.origin, b.weights = b.caches[:0], nil, 0
-	listed := 0
-	for _, s := range b.servers {
-		switch {
-		case s.State != Ready:
-		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
-			if b.origin == nil || s.ID < b.origin.ID {
-				b.origin = s
-			}
-		default:
-			b.caches = append(b.caches, s)
-		}
-	}
-	slices.SortFunc(b.caches, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
-	for _, s := range b.caches {
-		if s.Weight >= 0 && b.set.Weighted {
-			b.weights += s.Weight
-			listed++
-		}
-	}
-	mean := 1.0
-	if listed > 0 && b.weights > 0 {
-		mean = b.weights / float64(listed)
-	}
-	b.weights = 0
-	for _, s := range b.caches {
-		if s.weight = mean; s.Weight >= 0 && b.set.Weighted {
-			s.weight = s.Weight
-		}
-		b.weights += s.weight
-	}
+	b.reindex()
 }
 
 // ---- the ranking ----------------------------------------------------------------------------------
@@ -256,7 +158,7 @@
 		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window {
 			return false
 		}
-		if r.class.Scope != ScopeAll && (a.srv.Zone != s.Zone || r.class.Scope == ScopeCell && a.srv.Cell != s.Cell) {
+		if !r.class.Scope.holds(a.srv, s) {
 			return false
 		}
 	}
@@ -274,25 +176,18 @@
 	if b.warmth(s) == 1 {
 		return true
 	}
-	heat, weight := 0.0, 0.0
+	// Answers, not sends: under overload what warm servers are sent is no measure of what they can do.
+	answers, weight := 0.0, 0.0
 	for _, w := range b.caches {
 		if b.warmth(w) == 1 {
-			heat, weight = heat+b.cool(w), weight+w.weight
+			answers, weight = answers+w.answers.at(b.now, b.set.FallWindow), weight+w.weight
 		}
 	}
 	if weight == 0 {
 		return true
 	}
-	return b.cool(s)+1 <= max(1, coldSafety*b.set.FallMultiple*b.warmth(s)*s.weight*heat/weight)
-}
-
-// cool fades a server's heat to now and returns it.
-func (b *Balancer) cool(s *server) float64 {
-	if b.set.FallWindow > 0 {
-		s.heat *= math.Exp(-float64(b.now-s.heatAt) / float64(b.set.FallWindow))
-	}
-	s.heatAt = b.now
-	return s.heat
+	room := coldSafety * b.set.FallMultiple * b.warmth(s) * s.weight * answers / weight
+	return s.sends.at(b.now, b.set.FallWindow)+1 <= max(1, room)
 }
 
 // fit reports whether a server is trusted with a request.
@@ -384,7 +279,7 @@
 	r.tries = append(r.tries, a)
 	r.out++
 	s.sent = append(s.sent, a)
-	s.heat, s.heatAt = b.cool(s)+1, b.now
+	s.sends.add(b.now, b.set.FallWindow)
 	wait := time.Duration(0)
 	if s != b.origin {
 		b.out++
@@ -493,6 +388,7 @@
 		}
 		s.fails, s.heard = 0, b.now
 		if res.Outcome == OK {
+			s.answers.add(b.now, b.set.FallWindow)
 			b.usual += (took - b.usual) / 64
 			step := b.usual / 32
 			if took > b.late {
@@ -661,7 +557,8 @@
 			}
 		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
 			a := r.tries[len(r.tries)-1]
-			if a.done || a.srv == b.origin || float64(b.now-a.at) < b.late || b.now+time.Duration(b.usual) > r.aim {
+			late := float64(b.now-a.at) >= b.late && b.now+time.Duration(b.usual) <= r.aim
+			if a.done || a.srv == b.origin || !late {
 				continue
 			}
 			if s := b.pick(r); s != nil && b.fit(s) && b.warmth(s) == 1 {
--- /dev/null
+++ b/policy/state.go
@@ -0,0 +1,136 @@
+package policy
+
+// What the decisions in policy.go remember, and its plain upkeep. Nothing is decided here.
+
+import (
+	"hash"
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+)
+
+type server struct {
+	Server
+	weight    float64    // listed, or the mean where none is listed
+	score     float64    // of the ranking being made
+	sent      []*attempt // out now, oldest first
+	fails     int        // straight failures
+	skipUntil time.Duration
+	heard     time.Duration // last sign of life
+	sends     fading        // own sends lately
+	answers   fading        // requests it served for this node lately
+}
+
+type attempt struct {
+	n     int
+	req   *request
+	srv   *server
+	at    time.Duration
+	done  bool
+	clean bool // proven never to have run
+}
+
+type request struct {
+	Request
+	class    *Class
+	at       time.Duration
+	aim, end time.Duration // when the worth falls, when this try of the client is over
+	tries    []*attempt
+	out      int
+	ended    bool
+	queued   bool // waits for a place at the origin
+}
+
+// fetch is a read of a key at the origin and the reads that wait for it.
+type fetch struct {
+	leader  *request
+	waiting []*request
+}
+
+// Balancer decides for one node. It is not safe for concurrent use.
+type Balancer struct {
+	set     Settings
+	act     Actions
+	rng     *rand.Rand
+	now     time.Duration
+	classes map[string]*Class
+	servers map[string]*server
+	caches  []*server // ready, by id
+	weights float64   // their sum
+	origin  *server
+	open    map[string]*request
+	order   []*request // open requests by arrival
+	fetches map[string]*fetch
+	queue   []*request // waiting for a place at the origin
+	hash    hash.Hash
+	scratch []byte
+	ranked  []*server
+	out     int           // attempts out at caches
+	late    float64       // quantile lateQuant of answer times, ns
+	usual   float64       // mean of answer times, ns
+	budget  float64       // hedges that may be sent
+	limit   float64       // attempts allowed out at the origin
+	origLat float64       // recent answer time of the origin, ns
+	origMin float64       // its answer time at rest, ns
+	cutAt   time.Duration // last cut of limit
+	askWait time.Duration
+}
+
+// fading is a count that forgets evenly over a span.
+type fading struct {
+	value float64
+	when  time.Duration
+}
+
+func (f *fading) at(now, span time.Duration) float64 {
+	if span > 0 {
+		f.value *= math.Exp(-float64(now-f.when) / float64(span))
+	}
+	f.when = now
+	return f.value
+}
+
+func (f *fading) add(now, span time.Duration) { f.value = f.at(now, span) + 1 }
+
+// holds reports whether two servers drop each other's repeats.
+func (x Scope) holds(a, s *server) bool {
+	return x == ScopeAll || a.Zone == s.Zone && (x == ScopeZone || a.Cell == s.Cell)
+}
+
+// reindex sorts the listed servers into caches and origin and settles their weights: the listed one, or
+// the mean of the listed ones where it is missing.
+func (b *Balancer) reindex() {
+	b.caches, b.origin, b.weights = b.caches[:0], nil, 0
+	listed := 0
+	for _, s := range b.servers {
+		switch {
+		case s.State != Ready:
+		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
+			if b.origin == nil || s.ID < b.origin.ID {
+				b.origin = s
+			}
+		default:
+			b.caches = append(b.caches, s)
+		}
+	}
+	slices.SortFunc(b.caches, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
+	for _, s := range b.caches {
+		if s.Weight >= 0 && b.set.Weighted {
+			b.weights += s.Weight
+			listed++
+		}
+	}
+	mean := 1.0
+	if listed > 0 && b.weights > 0 {
+		mean = b.weights / float64(listed)
+	}
+	b.weights = 0
+	for _, s := range b.caches {
+		if s.weight = mean; s.Weight >= 0 && b.set.Weighted {
+			s.weight = s.Weight
+		}
+		b.weights += s.weight
+	}
+}
