A learned limit per server, cache or origin, with hold-or-refuse

Cause: servers with deep queues took in more than they could answer in time; under overload nearly every attempt timed out. The origin gate becomes one mechanism for every server: a limit on own attempts out, up while answers come within half the aim, down by a fifth when not; what would wait in vain is refused. Also: a time-out of a server that answered others no longer counts towards skipping it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,6 +33,7 @@
 	skipSpell   = 5 * time.Second // how long, before one trial (design page)
 	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
 	spillFloor  = 2               // never crowded with this few out (design page)
+	firstLimit  = 4               // attempts out at a server of which nothing is known; doubles each round
 	hedgeShare  = 0.05            // hedges per first try: what doubling the slowest twentieth costs
 	hedgeBurst  = 10              // hedges that may be saved up
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
@@ -43,7 +44,7 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, limit: 4, askWait: set.AskWithin / 16}
+		fetches: map[string]*fetch{}, askWait: set.AskWithin / 16}
 	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
 	shortest := time.Duration(math.MaxInt64)
 	for i := range set.Classes {
@@ -83,7 +84,7 @@
 	for _, e := range list {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{limit: firstLimit}
 			b.servers[e.ID] = s
 		}
 		if e.Started != s.Started { // a restart: what was learned of the old process is void
@@ -190,6 +191,11 @@
 	return s.sends.at(b.now, b.set.FallWindow)+1 <= max(1, room)
 }
 
+// tried reports whether the request was sent to s and s has not been given what it lacked since.
+func (b *Balancer) tried(r *request, s *server) bool {
+	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.srv == s && !a.filled })
+}
+
 // fit reports whether a server is trusted with a request.
 func (b *Balancer) fit(s *server) bool {
 	if s.fails >= failsToSkip {
@@ -200,45 +206,38 @@
 	return len(s.sent) == 0 || s.heard > s.sent[0].at || float64(b.now-s.sent[0].at) < 2*b.late
 }
 
-// crowded reports whether a server holds far more of this node's requests than its share.
+// crowded reports whether a server holds far more of this node's requests than its share, or all it can.
 func (b *Balancer) crowded(s *server) bool {
 	share := float64(b.out) * s.weight * b.warmth(s) / b.weights
-	return float64(len(s.sent)) > max(spillFloor, spillFactor*share)
+	return !s.room() || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
 }
 
-// pick walks down the ranking to the first server that may and should get the request.
+// pick walks down the ranking to the server that should get the request: the first that may, is fit and is
+// not crowded; of a crowded one's keys the next takes what it has room for. With most servers unfit the
+// ranking stands, as then the fault is not theirs.
 func (b *Balancer) pick(r *request) *server {
-	key := r.Key
-	if key == "" {
-		key = r.ID // no key: any steady, spread choice will do
-	}
-	var stands, top *server
-	for _, s := range b.rank(key) {
-		tried := slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.srv == s })
-		if tried || !b.may(r, s) || !b.coldRoom(s) {
-			continue
-		}
-		if stands == nil {
-			stands = s // with all skipped the ranking stands
-		}
+	rank := b.rank(r.place())
+	unfit := 0
+	for _, s := range rank {
 		if !b.fit(s) {
+			unfit++
+		}
+	}
+	var top *server
+	for _, s := range rank {
+		if b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank) {
 			continue
 		}
-		if top != nil { // the spill's second choice
-			if b.crowded(s) || b.warmth(s) < 1 {
-				return top
-			}
-			return s
+		if top == nil && b.crowded(s) {
+			top = s
+			continue
 		}
-		if !b.crowded(s) {
-			return s
+		if top != nil && (b.crowded(s) || b.warmth(s) < 1) {
+			return top
 		}
-		top = s
+		return s
 	}
-	if top != nil {
-		return top
-	}
-	return stands
+	return top
 }
 
 // ---- a request's life -----------------------------------------------------------------------------
@@ -260,7 +259,7 @@
 // route sends a request on its way, or on its way again.
 func (b *Balancer) route(r *request) {
 	if b.set.Mode == Aside && r.Write {
-		b.gate(r)
+		b.fetch(r)
 		return
 	}
 	if f := b.fetches[r.Key]; f != nil && f.leader != r && !r.Write {
@@ -268,14 +267,59 @@
 		return
 	}
 	if s := b.pick(r); s != nil {
-		b.send(r, s)
+		b.gate(r, s)
 	} else {
 		b.giveUp(r)
 	}
 }
 
+// gate sends a request to s, or holds it for s while s has no room, if it can still be answered after that.
+func (b *Balancer) gate(r *request, s *server) {
+	if s.room() {
+		b.send(r, s)
+		return
+	}
+	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.useful() {
+		b.giveUp(r) // it would wait in vain
+		return
+	}
+	r.held = s
+	s.queue = append(s.queue, r)
+}
+
+// admit sends what is held for s while s has room: writes first, then by worth, then by age.
+func (b *Balancer) admit(s *server) {
+	for len(s.queue) > 0 && s.room() {
+		best := 0
+		for i, r := range s.queue {
+			if o := s.queue[best]; r.Write && !o.Write || r.Write == o.Write && r.class.Worth > o.class.Worth {
+				best = i
+			}
+		}
+		r := s.queue[best]
+		s.queue = slices.Delete(s.queue, best, best+1)
+		switch r.held = nil; {
+		case r.ended:
+		case b.may(r, s):
+			b.send(r, s)
+		case s == b.origin:
+			b.giveUp(r)
+		default:
+			b.route(r)
+		}
+	}
+}
+
+// useful is the time after which an answer is worth nothing.
+func (r *request) useful() time.Duration {
+	if r.class.LateShare > 0 {
+		return r.end
+	}
+	return min(r.aim, r.end)
+}
+
 func (b *Balancer) send(r *request, s *server) {
-	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now}
+	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now, origin: s == b.origin}
 	r.tries = append(r.tries, a)
 	r.out++
 	s.sent = append(s.sent, a)
@@ -310,7 +354,10 @@
 
 // end closes a request: its other attempts are called off, and reads that waited for its fetch move on.
 func (b *Balancer) end(r *request, served bool) {
-	r.ended, r.queued = true, false
+	r.ended = true
+	if s := r.held; s != nil {
+		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
+	}
 	for _, a := range r.tries {
 		if !a.done && b.set.MayCancel {
 			b.act.Cancel(r.ID, a.n)
@@ -318,7 +365,6 @@
 	}
 	b.forget(r)
 	b.release(r, served)
-	b.admit()
 }
 
 func (b *Balancer) forget(r *request) {
@@ -354,66 +400,81 @@
 	a.done, a.clean = true, res.Outcome.NeverRan()
 	r.out--
 	a.srv.sent = slices.DeleteFunc(a.srv.sent, func(x *attempt) bool { return x == a })
-	if a.srv.Kind == b.set.OriginKind && b.set.OriginKind != "" {
-		b.learnOrigin(a, res)
-	} else {
+	if !a.origin {
 		b.out--
-		b.learn(a, res)
 	}
+	b.learn(a, res)
+	defer b.admit(a.srv)
 	switch {
 	case r.ended:
 		b.forget(r)
-		b.admit()
 	case res.Final:
 		b.end(r, res.Outcome == OK)
 	case r.out > 0: // its other copy may yet answer
 	case res.Outcome == Moot:
 		b.giveUp(r)
-	case res.Outcome == Miss, a.srv.Kind == b.set.OriginKind && res.Outcome != Full:
-		b.gate(r)
-	case a.srv.Kind == b.set.OriginKind:
+	case a.origin && res.Outcome == Full:
 		b.giveUp(r)
+	case a.origin || res.Outcome == Miss:
+		b.fetch(r)
 	default:
 		b.route(r)
 	}
 }
 
-// learn keeps a cache's health and the usual answer times.
+// learn keeps a server's health, its limit and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
-	s, took := a.srv, float64(b.now-a.at)
+	s, took := a.srv, b.now-a.at
 	switch res.Outcome {
 	case OK, Miss:
 		if s.fails >= failsToSkip {
 			b.act.Log("back: " + s.ID)
 		}
-		s.fails, s.heard = 0, b.now
-		if res.Outcome == OK {
+		s.fails = 0
+		if res.Outcome == OK && !a.origin {
 			s.answers.add(b.now, b.set.FallWindow)
-			b.usual += (took - b.usual) / 64
+			b.usual += (float64(took) - b.usual) / 64
 			step := b.usual / 32
-			if took > b.late {
+			if float64(took) > b.late {
 				b.late += step * lateQuant
 			} else {
 				b.late = max(b.usual, b.late-step*(1-lateQuant))
 			}
 		}
 	case Errored, TimedOut, ConnectFailed, Reset:
-		if s.fails++; s.fails >= failsToSkip {
-			if b.now >= s.skipUntil {
-				b.act.Log(fmt.Sprintf("skip: %s after %d straight failures", s.ID, s.fails))
-			}
+		if res.Outcome == TimedOut && s.heard > a.at {
+			break // guards against skipping a busy server: it answers others, so it is late, not dead
+		}
+		if s.fails++; s.fails == failsToSkip {
+			b.act.Log(fmt.Sprintf("skip: %s after %d straight failures", s.ID, s.fails))
+		}
+		if s.fails >= failsToSkip {
 			s.skipUntil = b.now + skipSpell
 		}
-	case Full:
+	}
+	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
 	}
+	// The limit: guards against servers that take in more than they answer in time. Up while it is in use
+	// and answers come within half the aim, down by a fifth, once an answer time, when they do not.
+	used := float64(len(s.sent)+1) >= s.limit/2
+	switch {
+	case !used || res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
+	case res.Outcome == Full || took > a.req.class.Aim/2:
+		if a.at >= s.cutAt {
+			s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
+		}
+	case !s.strained:
+		s.limit++
+	default:
+		s.limit += 1 / s.limit
+	}
 }
 
 // ---- the origin, in aside mode --------------------------------------------------------------------
 
-// gate lets a request to the origin when it has a place, after those of more worth; reads of one key share
-// one fetch.
-func (b *Balancer) gate(r *request) {
+// fetch sends a read that missed, or a write, to the origin; reads of one key share one fetch.
+func (b *Balancer) fetch(r *request) {
 	if !r.Write && r.Key != "" {
 		f := b.fetches[r.Key]
 		if f == nil {
@@ -425,61 +486,15 @@
 			return
 		}
 	}
-	if b.origin == nil || !b.may(r, b.origin) {
+	if b.origin != nil && b.may(r, b.origin) {
+		b.gate(r, b.origin)
+	} else {
 		b.giveUp(r)
-		return
-	}
-	wait := time.Duration(b.origLat * float64(len(b.queue)+1) / b.limit)
-	if float64(len(b.origin.sent)) >= b.limit && b.now+wait > r.useful() {
-		b.giveUp(r) // it would wait in vain
-		return
 	}
-	r.queued = true
-	b.queue = append(b.queue, r)
-	b.admit()
 }
 
-// useful is the time after which an answer is worth nothing.
-func (r *request) useful() time.Duration {
-	if r.class.LateShare > 0 {
-		return r.end
-	}
-	return min(r.aim, r.end)
-}
-
-// admit sends queued requests to the origin while it has places: writes first, then by worth, then by age.
-func (b *Balancer) admit() {
-	for b.origin != nil && len(b.queue) > 0 && float64(len(b.origin.sent)) < b.limit {
-		best := -1
-		for i, r := range b.queue {
-			if r.queued && (best < 0 || r.before(b.queue[best])) {
-				best = i
-			}
-		}
-		if best < 0 {
-			b.queue = b.queue[:0]
-			return
-		}
-		r := b.queue[best]
-		b.queue = slices.Delete(b.queue, best, best+1)
-		r.queued = false
-		if b.may(r, b.origin) {
-			b.send(r, b.origin)
-		} else {
-			b.giveUp(r)
-		}
-	}
-}
-
-func (r *request) before(o *request) bool {
-	if r.Write != o.Write {
-		return r.Write
-	}
-	return r.class.Worth > o.class.Worth
-}
-
-// release moves on the reads that waited for r's fetch: to the cache that now holds the key, or, if the
-// fetch failed, the first of them to the origin in its place.
+// release moves on the reads that waited for r's fetch: to the caches, which now hold the key, or, if the
+// fetch failed, to the origin, the first of them in its place.
 func (b *Balancer) release(r *request, served bool) {
 	f := b.fetches[r.Key]
 	if f == nil || f.leader != r {
@@ -487,47 +502,16 @@
 	}
 	delete(b.fetches, r.Key)
 	for _, w := range f.waiting {
-		if w.ended {
-			continue
-		}
-		if served {
-			b.reroute(w)
-		} else {
-			b.gate(w)
-		}
-	}
-}
-
-// reroute sends a read that waited to the best server, tried or not: what it lacked is there now.
-func (b *Balancer) reroute(r *request) {
-	for _, s := range b.rank(r.Key) {
-		if b.may(r, s) && b.fit(s) && b.coldRoom(s) {
-			b.send(r, s)
-			return
-		}
-	}
-	b.giveUp(r)
-}
-
-// learnOrigin steers the limit: up by one per round while the origin answers near its time at rest, down by
-// a tenth when it takes far longer or fails.
-func (b *Balancer) learnOrigin(a *attempt, res Result) {
-	took := float64(b.now - a.at)
-	if res.Outcome == OK {
-		if b.origLat == 0 {
-			b.origLat, b.origMin = took, took
-		}
-		b.origLat += (took - b.origLat) / 8
-		b.origMin = min(b.origMin*1.002, b.origLat)
-	}
-	strained := res.Outcome != OK && res.Outcome != Moot && res.Outcome != Cancelled
-	switch {
-	case strained || b.origLat > 3*b.origMin:
-		if float64(b.now-b.cutAt) > b.origLat {
-			b.limit, b.cutAt = max(1, 0.9*b.limit), b.now
+		switch {
+		case w.ended:
+		case served:
+			for _, a := range w.tries {
+				a.filled = true
+			}
+			b.route(w)
+		default:
+			b.fetch(w)
 		}
-	case b.origLat < 2*b.origMin && float64(len(a.srv.sent)+1) >= b.limit/2:
-		b.limit += 1 / b.limit
 	}
 }
 
@@ -558,10 +542,10 @@
 		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
 			a := r.tries[len(r.tries)-1]
 			late := float64(b.now-a.at) >= b.late && b.now+time.Duration(b.usual) <= r.aim
-			if a.done || a.srv == b.origin || !late {
+			if a.done || a.origin || !late {
 				continue
 			}
-			if s := b.pick(r); s != nil && b.fit(s) && b.warmth(s) == 1 {
+			if s := b.pick(r); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
 				b.budget--
 				b.send(r, s)
 			}
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,10 +13,14 @@
 
 type server struct {
 	Server
-	weight    float64    // listed, or the mean where none is listed
-	score     float64    // of the ranking being made
-	sent      []*attempt // out now, oldest first
-	fails     int        // straight failures
+	weight    float64       // listed, or the mean where none is listed
+	score     float64       // of the ranking being made
+	sent      []*attempt    // out now, oldest first
+	limit     float64       // attempts that may be out
+	strained  bool          // the limit was reached once
+	cutAt     time.Duration // when it was cut last
+	queue     []*request    // held until there is room
+	fails     int           // straight failures
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
 	sends     fading        // own sends lately
@@ -24,12 +28,14 @@
 }
 
 type attempt struct {
-	n     int
-	req   *request
-	srv   *server
-	at    time.Duration
-	done  bool
-	clean bool // proven never to have run
+	n      int
+	req    *request
+	srv    *server
+	at     time.Duration
+	done   bool
+	clean  bool // proven never to have run
+	filled bool // what it missed has been stored there since
+	origin bool
 }
 
 type request struct {
@@ -40,7 +46,7 @@
 	tries    []*attempt
 	out      int
 	ended    bool
-	queued   bool // waits for a place at the origin
+	held     *server // waits for room there
 }
 
 // fetch is a read of a key at the origin and the reads that wait for it.
@@ -63,21 +69,27 @@
 	open    map[string]*request
 	order   []*request // open requests by arrival
 	fetches map[string]*fetch
-	queue   []*request // waiting for a place at the origin
 	hash    hash.Hash
 	scratch []byte
 	ranked  []*server
-	out     int           // attempts out at caches
-	late    float64       // quantile lateQuant of answer times, ns
-	usual   float64       // mean of answer times, ns
-	budget  float64       // hedges that may be sent
-	limit   float64       // attempts allowed out at the origin
-	origLat float64       // recent answer time of the origin, ns
-	origMin float64       // its answer time at rest, ns
-	cutAt   time.Duration // last cut of limit
+	out     int     // attempts out at caches
+	late    float64 // quantile lateQuant of answer times, ns
+	usual   float64 // mean of answer times, ns
+	budget  float64 // hedges that may be sent
 	askWait time.Duration
 }
 
+// room reports whether one more attempt may be out at the server.
+func (s *server) room() bool { return float64(len(s.sent)) < s.limit }
+
+// place is what the request is ranked by; one without a key gets any steady, spread choice.
+func (r *request) place() string {
+	if r.Key == "" {
+		return r.ID
+	}
+	return r.Key
+}
+
 // fading is a count that forgets evenly over a span.
 type fading struct {
 	value float64
