--- a/policy/policy.go
+++ b/policy/policy.go
@@ -292,7 +292,8 @@
 	for len(s.queue) > 0 && s.room() {
 		best := 0
 		for i, r := range s.queue {
-			if o := s.queue[best]; r.Write && !o.Write || r.Write == o.Write && r.class.Worth > o.class.Worth {
+			o := s.queue[best]
+			if r.Write && !o.Write || r.Write == o.Write && r.class.Worth > o.class.Worth {
 				best = i
 			}
 		}
