--- a/policy/policy.go
+++ b/policy/policy.go
@@ -213,8 +213,8 @@
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
-// not crowded; of a crowded one's keys the next takes what it has room for. With most servers unfit the
-// ranking stands, as then the fault is not theirs.
+// not crowded. A hot key so spreads as far down its ranking as it needs; other keys of the crowded server go
+// to their own seconds. With all crowded the top one stands; with most unfit the fault is not theirs.
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	unfit := 0
@@ -225,17 +225,13 @@
 	}
 	var top *server
 	for _, s := range rank {
-		if b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank) {
-			continue
-		}
-		if top == nil && b.crowded(s) {
+		switch {
+		case b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank):
+		case !b.crowded(s) && (top == nil || b.warmth(s) == 1):
+			return s
+		case top == nil:
 			top = s
-			continue
-		}
-		if top != nil && (b.crowded(s) || b.warmth(s) < 1) {
-			return top
 		}
-		return s
 	}
 	return top
 }
