--- a/policy/policy.go
+++ b/policy/policy.go
@@ -209,7 +209,8 @@
 // crowded reports whether a server holds far more of this node's requests than its share, or all it can.
 func (b *Balancer) crowded(s *server) bool {
 	share := float64(b.out) * s.weight * b.warmth(s) / b.weights
-	return !s.room() || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
+	full := s.fullAt > 0 && float64(b.now-s.fullAt) < b.usual // it has said so within an answer's time
+	return full || !s.room() || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
@@ -452,15 +453,35 @@
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
 	}
-	// The limit: guards against servers that take in more than they answer in time. Up while it is in use
-	// and answers come within half the aim, down by a fifth, once an answer time, when they do not.
-	used := float64(len(s.sent)+1) >= s.limit/2
+	b.steer(a, res, float64(took))
+}
+
+// steer sets a server's limit: up while it is in use and answers come in time, down by a fifth, once an
+// answer time, when they take over half the aim and over twice what they take at rest. This guards against
+// servers that take in more than they can answer in time.
+func (b *Balancer) steer(a *attempt, res Result, took float64) {
+	s := a.srv
+	if res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed {
+		return
+	}
+	if res.Outcome == Full {
+		s.fullAt = b.now
+	} else if s.lat == 0 {
+		s.lat, s.rest = took, took
+	} else {
+		s.lat += (took - s.lat) / 8
+		s.rest = min(s.rest, s.lat)
+	}
 	switch {
-	case !used || res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
-	case res.Outcome == Full || took > a.req.class.Aim/2:
-		if a.at >= s.cutAt {
-			s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
+	case float64(len(s.sent)+1) < s.limit/2:
+	case res.Outcome == Full || s.lat > float64(a.req.class.Aim)/2 && s.lat > 2*s.rest:
+		if a.at < s.cutAt {
+			break
+		}
+		if s.limit == 1 {
+			s.rest = s.lat // one at a time queues behind nothing: this is its time at rest now
 		}
+		s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
 	case !s.strained:
 		s.limit++
 	default:
