--- a/policy/policy.go
+++ b/policy/policy.go
@@ -456,30 +456,26 @@
 	b.steer(a, res, float64(took))
 }
 
-// steer sets a server's limit: up while it is in use and answers come in time, down by a fifth, once an
-// answer time, when they take over half the aim and over twice what they take at rest. This guards against
-// servers that take in more than they can answer in time.
+// steer sets a server's limit: up while it is in use and answers come within half the aim, down by a fifth,
+// once an answer time, when they do not. This guards against servers that take in more than they can answer
+// in time. One that needs longer even when it has a single attempt is allowed twice that.
 func (b *Balancer) steer(a *attempt, res Result, took float64) {
 	s := a.srv
-	if res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed {
-		return
-	}
-	if res.Outcome == Full {
+	switch {
+	case res.Outcome == Full:
 		s.fullAt = b.now
-	} else if s.lat == 0 {
-		s.lat, s.rest = took, took
-	} else {
-		s.lat += (took - s.lat) / 8
-		s.rest = min(s.rest, s.lat)
+	case res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
+		return
 	}
+	s.rest = min(s.rest, took)
 	switch {
 	case float64(len(s.sent)+1) < s.limit/2:
-	case res.Outcome == Full || s.lat > float64(a.req.class.Aim)/2 && s.lat > 2*s.rest:
+	case res.Outcome == Full || took > max(float64(a.req.class.Aim)/2, 2*s.rest):
 		if a.at < s.cutAt {
 			break
 		}
-		if s.limit == 1 {
-			s.rest = s.lat // one at a time queues behind nothing: this is its time at rest now
+		if s.limit == 1 && res.Outcome != Full {
+			s.rest = took
 		}
 		s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
 	case !s.strained:
