--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,7 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, askWait: set.AskWithin / 16}
+		fetches: map[string]*fetch{}, keyed: map[string]int{}, askWait: set.AskWithin / 16}
 	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
 	shortest := time.Duration(math.MaxInt64)
 	for i := range set.Classes {
@@ -214,8 +214,9 @@
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
-// not crowded. A hot key so spreads as far down its ranking as it needs; other keys of the crowded server go
-// to their own seconds. With all crowded the top one stands; with most unfit the fault is not theirs.
+// not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
+// spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands;
+// with most unfit the fault is not theirs.
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	unfit := 0
@@ -225,13 +226,20 @@
 		}
 	}
 	var top *server
+	depth := max(2, b.keyed[r.Key])
 	for _, s := range rank {
+		if depth == 0 {
+			break
+		}
 		switch {
 		case b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank):
 		case !b.crowded(s) && (top == nil || b.warmth(s) == 1):
 			return s
 		case top == nil:
 			top = s
+			depth--
+		default:
+			depth--
 		}
 	}
 	return top
@@ -249,6 +257,7 @@
 	r := &request{Request: q, class: c, at: now, aim: now + c.Aim, end: now + q.Left}
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
+	b.keyed[r.Key]++
 	b.budget = min(hedgeBurst, b.budget+hedgeShare)
 	b.route(r)
 }
@@ -353,6 +362,9 @@
 // end closes a request: its other attempts are called off, and reads that waited for its fetch move on.
 func (b *Balancer) end(r *request, served bool) {
 	r.ended = true
+	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
+		delete(b.keyed, r.Key)
+	}
 	if s := r.held; s != nil {
 		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,7 +69,8 @@
 	weights float64   // their sum
 	origin  *server
 	open    map[string]*request
-	order   []*request // open requests by arrival
+	order   []*request     // open requests by arrival
+	keyed   map[string]int // open requests by key
 	fetches map[string]*fetch
 	hash    hash.Hash
 	scratch []byte
