--- a/policy/policy.go
+++ b/policy/policy.go
@@ -465,13 +465,13 @@
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
 	}
-	b.steer(a, res, float64(took))
+	b.steer(a, res, took)
 }
 
 // steer sets a server's limit: up while it is in use and answers come within half the aim, down by a fifth,
 // once an answer time, when they do not. This guards against servers that take in more than they can answer
-// in time. One that needs longer even when it has a single attempt is allowed twice that.
-func (b *Balancer) steer(a *attempt, res Result, took float64) {
+// in time. Writes take as long as they take: only reads are timed.
+func (b *Balancer) steer(a *attempt, res Result, took time.Duration) {
 	s := a.srv
 	switch {
 	case res.Outcome == Full:
@@ -479,17 +479,12 @@
 	case res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
 		return
 	}
-	s.rest = min(s.rest, took)
 	switch {
 	case float64(len(s.sent)+1) < s.limit/2:
-	case res.Outcome == Full || took > max(float64(a.req.class.Aim)/2, 2*s.rest):
-		if a.at < s.cutAt {
-			break
-		}
-		if s.limit == 1 && res.Outcome != Full {
-			s.rest = took
+	case res.Outcome == Full || took > a.req.class.Aim/2 && !a.req.Write:
+		if a.at >= s.cutAt {
+			s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
 		}
-		s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
 	case !s.strained:
 		s.limit++
 	default:
--- a/policy/state.go
+++ b/policy/state.go
@@ -19,7 +19,6 @@
 	limit     float64       // attempts that may be out
 	strained  bool          // the limit was reached once
 	cutAt     time.Duration // when it was cut last
-	rest      float64       // its answer time when alone there, once found long, ns
 	fullAt    time.Duration // when it last turned an attempt away
 	queue     []*request    // held until there is room
 	fails     int           // straight failures
