--- a/policy/policy.go
+++ b/policy/policy.go
@@ -317,13 +317,8 @@
 	}
 }
 
-// useful is the time after which an answer is worth nothing.
-func (r *request) useful() time.Duration {
-	if r.class.LateShare > 0 {
-		return r.end
-	}
-	return min(r.aim, r.end)
-}
+// useful is how long a request is worth holding: past its aim it is turned away, not kept waiting.
+func (r *request) useful() time.Duration { return min(r.aim, r.end) }
 
 func (b *Balancer) send(r *request, s *server) {
 	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now, origin: s == b.origin}
