--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,7 +44,10 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, keyed: map[string]int{}, askWait: set.AskWithin / 16}
+		fetches: map[string]*fetch{}, keyed: map[string]int{}, askWait: set.AskWithin / 16, seen: map[string]time.Duration{}}
+	if set.Mode == Through {
+		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
+	}
 	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
 	shortest := time.Duration(math.MaxInt64)
 	for i := range set.Classes {
@@ -76,23 +79,7 @@
 	if kind != ListSaved {
 		b.askWait = b.set.AskWithin / 16
 	}
-	if kind != ListChanges {
-		for _, s := range b.servers {
-			s.State = Gone // unless the list names it
-		}
-	}
-	for _, e := range list {
-		s := b.servers[e.ID]
-		if s == nil {
-			s = &server{limit: firstLimit}
-			b.servers[e.ID] = s
-		}
-		if e.Started != s.Started { // a restart: what was learned of the old process is void
-			s.fails, s.skipUntil = 0, 0
-		}
-		s.Server = e
-	}
-	b.reindex()
+	b.merge(kind, list)
 }
 
 // ---- the ranking ----------------------------------------------------------------------------------
@@ -272,6 +259,15 @@
 		f.waiting = append(f.waiting, r)
 		return
 	}
+	if b.set.Mode == Through && !r.Write && r.Key != "" && !b.known(r.Key) {
+		if b.fetches[r.Key] == nil {
+			b.fetches[r.Key] = &fetch{leader: r}
+		}
+		if !b.origin.room() {
+			b.gate(r, b.origin)
+			return
+		}
+	}
 	if s := b.pick(r); s != nil {
 		b.gate(r, s)
 	} else {
@@ -279,6 +275,18 @@
 	}
 }
 
+// known reports whether a cache answered a read of the key since copies were last found void.
+func (b *Balancer) known(key string) bool {
+	at, ok := b.seen[key]
+	return ok && at > b.voidAt
+}
+
+// leads reports whether the request is one whose answer others wait for.
+func (b *Balancer) leads(r *request) bool {
+	f := b.fetches[r.Key]
+	return f != nil && f.leader == r
+}
+
 // gate sends a request to s, or holds it for s while s has no room, if it can still be answered after that.
 func (b *Balancer) gate(r *request, s *server) {
 	if s.room() {
@@ -307,9 +315,9 @@
 		s.queue = slices.Delete(s.queue, best, best+1)
 		switch r.held = nil; {
 		case r.ended:
-		case b.may(r, s):
+		case s != b.origin && b.may(r, s), s == b.origin && b.set.Mode == Aside && b.may(r, s):
 			b.send(r, s)
-		case s == b.origin:
+		case s == b.origin && b.set.Mode == Aside:
 			b.giveUp(r)
 		default:
 			b.route(r)
@@ -329,6 +337,9 @@
 	wait := time.Duration(0)
 	if s != b.origin {
 		b.out++
+		if a.fetch = b.set.Mode == Through && b.leads(r); a.fetch {
+			b.origin.sent = append(b.origin.sent, a)
+		}
 		if r.class.Effect == Safe && !b.set.Parallel && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
 			// No second copy allowed: leave half of what is left of the aim to a further try.
 			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
@@ -404,11 +415,17 @@
 	a := r.tries[res.N]
 	a.done, a.clean = true, res.Outcome.NeverRan()
 	r.out--
-	a.srv.sent = slices.DeleteFunc(a.srv.sent, func(x *attempt) bool { return x == a })
+	a.srv.drop(a)
 	if !a.origin {
 		b.out--
 	}
 	b.learn(a, res)
+	b.steer(a.srv, a, res)
+	if b.set.Mode == Through {
+		b.origin.drop(a)
+		b.learnKey(a, res)
+		defer b.admit(b.origin)
+	}
 	defer b.admit(a.srv)
 	switch {
 	case r.ended:
@@ -418,8 +435,8 @@
 	case r.out > 0: // its other copy may yet answer
 	case res.Outcome == Moot:
 		b.giveUp(r)
-	case a.origin && res.Outcome == Full:
-		b.giveUp(r)
+	case a.origin && res.Outcome == Full, res.Outcome == Errored && res.Note == NoteMiss:
+		b.giveUp(r) // the origin would not: another cache could only ask it again
 	case a.origin || res.Outcome == Miss:
 		b.fetch(r)
 	default:
@@ -438,17 +455,11 @@
 		s.fails = 0
 		if res.Outcome == OK && !a.origin {
 			s.answers.add(b.now, b.set.FallWindow)
-			b.usual += (float64(took) - b.usual) / 64
-			step := b.usual / 32
-			if float64(took) > b.late {
-				b.late += step * lateQuant
-			} else {
-				b.late = max(b.usual, b.late-step*(1-lateQuant))
-			}
+			b.timed(float64(took))
 		}
 	case Errored, TimedOut, ConnectFailed, Reset:
-		if res.Outcome == TimedOut && s.heard > a.at {
-			break // guards against skipping a busy server: it answers others, so it is late, not dead
+		if res.Outcome == TimedOut && s.heard > a.at || res.Note == NoteMiss {
+			break // guards against skipping a server that answers others, or one that the origin let down
 		}
 		if s.fails++; s.fails == failsToSkip {
 			b.act.Log(fmt.Sprintf("skip: %s after %d straight failures", s.ID, s.fails))
@@ -460,14 +471,39 @@
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
 	}
-	b.steer(a, res, took)
+}
+
+// learnKey keeps, in through mode, which keys the caches hold, and the origin's limit by what they fetch.
+// When many known keys miss at once, copies have gone void: from then on all count as unknown, so that
+// their fetches come to the origin no faster than it can take them.
+func (b *Balancer) learnKey(a *attempt, res Result) {
+	if a.req.Key == "" || res.Outcome != OK && res.Outcome != Errored && res.Outcome != TimedOut {
+		return
+	}
+	if res.Note == NoteMiss || a.fetch && res.Outcome == TimedOut {
+		b.steer(b.origin, a, res)
+	}
+	if b.known(a.req.Key) && res.Outcome != TimedOut {
+		b.surprise -= b.surprise / 16
+		if res.Note == NoteMiss {
+			b.surprise += 1.0 / 16
+		}
+		if b.surprise > 0.25 {
+			b.voidAt, b.surprise = b.now, 0
+			b.act.Log("copies void: a quarter of the known keys missed")
+		}
+	}
+	if res.Outcome == OK {
+		b.seen[a.req.Key] = b.now
+	} else {
+		delete(b.seen, a.req.Key)
+	}
 }
 
 // steer sets a server's limit: up while it is in use and answers come within half the aim, down by a fifth,
 // once an answer time, when they do not. This guards against servers that take in more than they can answer
 // in time. Writes take as long as they take: only reads are timed.
-func (b *Balancer) steer(a *attempt, res Result, took time.Duration) {
-	s := a.srv
+func (b *Balancer) steer(s *server, a *attempt, res Result) {
 	switch {
 	case res.Outcome == Full:
 		s.fullAt = b.now
@@ -476,7 +512,7 @@
 	}
 	switch {
 	case float64(len(s.sent)+1) < s.limit/2:
-	case res.Outcome == Full || took > a.req.class.Aim/2 && !a.req.Write:
+	case res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write:
 		if a.at >= s.cutAt {
 			s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
 		}
@@ -512,10 +548,10 @@
 // release moves on the reads that waited for r's fetch: to the caches, which now hold the key, or, if the
 // fetch failed, to the origin, the first of them in its place.
 func (b *Balancer) release(r *request, served bool) {
-	f := b.fetches[r.Key]
-	if f == nil || f.leader != r {
+	if !b.leads(r) {
 		return
 	}
+	f := b.fetches[r.Key]
 	delete(b.fetches, r.Key)
 	for _, w := range f.waiting {
 		switch {
@@ -525,8 +561,10 @@
 				a.filled = true
 			}
 			b.route(w)
-		default:
+		case b.set.Mode == Aside:
 			b.fetch(w)
+		default:
+			b.route(w)
 		}
 	}
 }
@@ -558,7 +596,7 @@
 		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
 			a := r.tries[len(r.tries)-1]
 			late := float64(b.now-a.at) >= b.late && b.now+time.Duration(b.usual) <= r.aim
-			if a.done || a.origin || !late {
+			if a.done || a.origin || a.fetch || !late {
 				continue
 			}
 			if s := b.pick(r); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -37,6 +37,7 @@
 	clean  bool // proven never to have run
 	filled bool // what it missed has been stored there since
 	origin bool
+	fetch  bool // through mode: the cache will likely fetch
 }
 
 type request struct {
@@ -58,27 +59,35 @@
 
 // Balancer decides for one node. It is not safe for concurrent use.
 type Balancer struct {
-	set     Settings
-	act     Actions
-	rng     *rand.Rand
-	now     time.Duration
-	classes map[string]*Class
-	servers map[string]*server
-	caches  []*server // ready, by id
-	weights float64   // their sum
-	origin  *server
-	open    map[string]*request
-	order   []*request     // open requests by arrival
-	keyed   map[string]int // open requests by key
-	fetches map[string]*fetch
-	hash    hash.Hash
-	scratch []byte
-	ranked  []*server
-	out     int     // attempts out at caches
-	late    float64 // quantile lateQuant of answer times, ns
-	usual   float64 // mean of answer times, ns
-	budget  float64 // hedges that may be sent
-	askWait time.Duration
+	set      Settings
+	act      Actions
+	rng      *rand.Rand
+	now      time.Duration
+	classes  map[string]*Class
+	servers  map[string]*server
+	caches   []*server // ready, by id
+	weights  float64   // their sum
+	origin   *server
+	open     map[string]*request
+	order    []*request               // open requests by arrival
+	seen     map[string]time.Duration // through mode: when a cache last answered for the key
+	voidAt   time.Duration            // copies found void then
+	surprise float64                  // share of known keys that missed, of late
+	keyed    map[string]int           // open requests by key
+	fetches  map[string]*fetch
+	hash     hash.Hash
+	scratch  []byte
+	ranked   []*server
+	out      int     // attempts out at caches
+	late     float64 // quantile lateQuant of answer times, ns
+	usual    float64 // mean of answer times, ns
+	budget   float64 // hedges that may be sent
+	askWait  time.Duration
+}
+
+// drop takes an attempt that has ended off the server's.
+func (s *server) drop(a *attempt) {
+	s.sent = slices.DeleteFunc(s.sent, func(x *attempt) bool { return x == a })
 }
 
 // room reports whether one more attempt may be out at the server.
@@ -92,6 +101,17 @@
 	return r.Key
 }
 
+// timed keeps the mean and the quantile lateQuant of answer times.
+func (b *Balancer) timed(took float64) {
+	b.usual += (took - b.usual) / 64
+	step := b.usual / 32
+	if took > b.late {
+		b.late += step * lateQuant
+	} else {
+		b.late = max(b.usual, b.late-step*(1-lateQuant))
+	}
+}
+
 // fading is a count that forgets evenly over a span.
 type fading struct {
 	value float64
@@ -113,10 +133,34 @@
 	return x == ScopeAll || a.Zone == s.Zone && (x == ScopeZone || a.Cell == s.Cell)
 }
 
+// merge takes list news into the servers known. A server that a whole list does not name is gone.
+func (b *Balancer) merge(kind ListKind, list []Server) {
+	if kind != ListChanges {
+		for _, s := range b.servers {
+			s.State = Gone // unless the list names it
+		}
+	}
+	for _, e := range list {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{limit: firstLimit}
+			b.servers[e.ID] = s
+		}
+		if e.Started != s.Started { // a restart: what was learned of the old process is void
+			s.fails, s.skipUntil = 0, 0
+		}
+		s.Server = e
+	}
+	b.reindex()
+}
+
 // reindex sorts the listed servers into caches and origin and settles their weights: the listed one, or
 // the mean of the listed ones where it is missing.
 func (b *Balancer) reindex() {
-	b.caches, b.origin, b.weights = b.caches[:0], nil, 0
+	b.caches, b.weights = b.caches[:0], 0
+	if b.set.Mode == Aside {
+		b.origin = nil
+	}
 	listed := 0
 	for _, s := range b.servers {
 		switch {
