--- a/policy/policy.go
+++ b/policy/policy.go
@@ -504,6 +504,10 @@
 // once an answer time, when they do not. This guards against servers that take in more than they can answer
 // in time. Writes take as long as they take: only reads are timed.
 func (b *Balancer) steer(s *server, a *attempt, res Result) {
+	long := a.req.class.Aim / 2
+	if a.srv != s {
+		long = a.req.class.Aim
+	}
 	switch {
 	case res.Outcome == Full:
 		s.fullAt = b.now
@@ -512,7 +516,7 @@
 	}
 	switch {
 	case float64(len(s.sent)+1) < s.limit/2:
-	case res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write:
+	case res.Outcome == Full || b.now-a.at > long && !a.req.Write:
 		if a.at >= s.cutAt {
 			s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
 		}
