--- a/policy/policy.go
+++ b/policy/policy.go
@@ -18,7 +18,6 @@
 
 import (
 	"encoding/binary"
-	"fmt"
 	"math"
 	"math/rand"
 	"slices"
@@ -44,7 +43,7 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, keyed: map[string]int{}, askWait: set.AskWithin / 16, seen: map[string]time.Duration{}}
+		fetches: map[string]*fetch{}, keyed: map[string]int{}, askWait: set.AskWithin / 16}
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
 	}
@@ -185,12 +184,14 @@
 
 // fit reports whether a server is trusted with a request.
 func (b *Balancer) fit(s *server) bool {
-	if s.fails >= failsToSkip {
-		return b.now >= s.skipUntil && len(s.sent) == 0 // one trial
-	}
 	// Guards against sending into a frozen server: silent since long before its oldest attempt should
 	// have been answered.
-	return len(s.sent) == 0 || s.heard > s.sent[0].at || float64(b.now-s.sent[0].at) < 2*b.late
+	return !b.down(s) && (len(s.sent) == 0 || s.heard > s.sent[0].at || float64(b.now-s.sent[0].at) < 2*b.late)
+}
+
+// down reports whether a server's straight failures keep it from all but one trial a spell.
+func (b *Balancer) down(s *server) bool {
+	return s.fails >= failsToSkip && (b.now < s.skipUntil || len(s.sent) > 0)
 }
 
 // crowded reports whether a server holds far more of this node's requests than its share, or all it can.
@@ -255,29 +256,38 @@
 		b.fetch(r)
 		return
 	}
-	if f := b.fetches[r.Key]; f != nil && f.leader != r && !r.Write {
+	f := b.fetches[r.Key]
+	if b.set.Mode == Aside && f != nil && f.leader != r {
 		f.waiting = append(f.waiting, r)
 		return
 	}
-	if b.set.Mode == Through && !r.Write && r.Key != "" && !b.known(r.Key) {
-		if b.fetches[r.Key] == nil {
+	s := b.pick(r)
+	if s == nil {
+		b.giveUp(r)
+		return
+	}
+	if b.set.Mode == Through && !r.Write && r.Key != "" && !b.known(r.Key, s) {
+		switch {
+		case f == nil:
 			b.fetches[r.Key] = &fetch{leader: r}
+		case f.leader != r:
+			f.waiting = append(f.waiting, r)
+			return
 		}
-		if !b.origin.room() {
-			b.gate(r, b.origin)
+		if b.down(b.origin) {
+			b.giveUp(r)
 			return
 		}
+		if !b.origin.room() {
+			s = b.origin
+		}
 	}
-	if s := b.pick(r); s != nil {
-		b.gate(r, s)
-	} else {
-		b.giveUp(r)
-	}
+	b.gate(r, s)
 }
 
-// known reports whether a cache answered a read of the key since copies were last found void.
-func (b *Balancer) known(key string) bool {
-	at, ok := b.seen[key]
+// known reports whether s answered a read of the key since copies were last found void.
+func (b *Balancer) known(key string, s *server) bool {
+	at, ok := s.seen[key]
 	return ok && at > b.voidAt
 }
 
@@ -444,32 +454,35 @@
 	}
 }
 
-// learn keeps a server's health, its limit and the usual answer times.
+// learn keeps a server's signs of life and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
-	s, took := a.srv, b.now-a.at
-	switch res.Outcome {
+	s := a.srv
+	if res.Outcome == OK && !a.origin {
+		s.answers.add(b.now, b.set.FallWindow)
+		b.timed(float64(b.now - a.at))
+	}
+	// Guards against skipping a server that answers others, or one that the origin let down.
+	if (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
+		b.health(s, skipSpell, res.Outcome)
+	}
+	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
+		s.heard = b.now
+	}
+}
+
+// health counts straight failures; from the third on the server is skipped for a spell.
+func (b *Balancer) health(s *server, spell time.Duration, o Outcome) {
+	switch o {
 	case OK, Miss:
 		if s.fails >= failsToSkip {
-			b.act.Log("back: " + s.ID)
+			b.act.Log("back: " + s.name())
 		}
 		s.fails = 0
-		if res.Outcome == OK && !a.origin {
-			s.answers.add(b.now, b.set.FallWindow)
-			b.timed(float64(took))
-		}
 	case Errored, TimedOut, ConnectFailed, Reset:
-		if res.Outcome == TimedOut && s.heard > a.at || res.Note == NoteMiss {
-			break // guards against skipping a server that answers others, or one that the origin let down
-		}
 		if s.fails++; s.fails == failsToSkip {
-			b.act.Log(fmt.Sprintf("skip: %s after %d straight failures", s.ID, s.fails))
-		}
-		if s.fails >= failsToSkip {
-			s.skipUntil = b.now + skipSpell
+			b.act.Log("skip: " + s.name() + ", failed three times in a row")
 		}
-	}
-	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
-		s.heard = b.now
+		s.skipUntil = b.now + spell
 	}
 }
 
@@ -482,8 +495,9 @@
 	}
 	if res.Note == NoteMiss || a.fetch && res.Outcome == TimedOut {
 		b.steer(b.origin, a, res)
+		b.health(b.origin, a.req.class.Aim, res.Outcome)
 	}
-	if b.known(a.req.Key) && res.Outcome != TimedOut {
+	if b.known(a.req.Key, a.srv) && res.Outcome != TimedOut {
 		b.surprise -= b.surprise / 16
 		if res.Note == NoteMiss {
 			b.surprise += 1.0 / 16
@@ -494,9 +508,9 @@
 		}
 	}
 	if res.Outcome == OK {
-		b.seen[a.req.Key] = b.now
+		a.srv.seen[a.req.Key] = b.now
 	} else {
-		delete(b.seen, a.req.Key)
+		delete(a.srv.seen, a.req.Key)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,15 +13,16 @@
 
 type server struct {
 	Server
-	weight    float64       // listed, or the mean where none is listed
-	score     float64       // of the ranking being made
-	sent      []*attempt    // out now, oldest first
-	limit     float64       // attempts that may be out
-	strained  bool          // the limit was reached once
-	cutAt     time.Duration // when it was cut last
-	fullAt    time.Duration // when it last turned an attempt away
-	queue     []*request    // held until there is room
-	fails     int           // straight failures
+	weight    float64                  // listed, or the mean where none is listed
+	score     float64                  // of the ranking being made
+	sent      []*attempt               // out now, oldest first
+	limit     float64                  // attempts that may be out
+	strained  bool                     // the limit was reached once
+	cutAt     time.Duration            // when it was cut last
+	fullAt    time.Duration            // when it last turned an attempt away
+	seen      map[string]time.Duration // through mode: when it last answered for a key
+	queue     []*request               // held until there is room
+	fails     int                      // straight failures
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
 	sends     fading        // own sends lately
@@ -69,11 +70,10 @@
 	weights  float64   // their sum
 	origin   *server
 	open     map[string]*request
-	order    []*request               // open requests by arrival
-	seen     map[string]time.Duration // through mode: when a cache last answered for the key
-	voidAt   time.Duration            // copies found void then
-	surprise float64                  // share of known keys that missed, of late
-	keyed    map[string]int           // open requests by key
+	order    []*request     // open requests by arrival
+	voidAt   time.Duration  // copies found void then
+	surprise float64        // share of known keys that missed, of late
+	keyed    map[string]int // open requests by key
 	fetches  map[string]*fetch
 	hash     hash.Hash
 	scratch  []byte
@@ -90,6 +90,14 @@
 	s.sent = slices.DeleteFunc(s.sent, func(x *attempt) bool { return x == a })
 }
 
+// name is what the log calls the server.
+func (s *server) name() string {
+	if s.ID == "" {
+		return "the origin"
+	}
+	return s.ID
+}
+
 // room reports whether one more attempt may be out at the server.
 func (s *server) room() bool { return float64(len(s.sent)) < s.limit }
 
@@ -143,11 +151,12 @@
 	for _, e := range list {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{limit: firstLimit}
+			s = &server{limit: firstLimit, seen: map[string]time.Duration{}}
 			b.servers[e.ID] = s
 		}
 		if e.Started != s.Started { // a restart: what was learned of the old process is void
 			s.fails, s.skipUntil = 0, 0
+			clear(s.seen)
 		}
 		s.Server = e
 	}
