--- a/policy/policy.go
+++ b/policy/policy.go
@@ -17,6 +17,7 @@
 //   7. giving up: what can no longer be worth anything is refused or failed at once (giveUp).
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math"
 	"math/rand"
@@ -107,13 +108,7 @@
 		}
 	}
 	slices.SortFunc(b.ranked, func(x, y *server) int {
-		switch {
-		case x.score > y.score:
-			return -1
-		case x.score < y.score:
-			return 1
-		}
-		return strings.Compare(y.ID, x.ID)
+		return cmp.Or(cmp.Compare(y.score, x.score), strings.Compare(y.ID, x.ID))
 	})
 	return b.ranked
 }
@@ -142,10 +137,7 @@
 		if r.class.Effect == Safe || a.done && a.clean {
 			continue
 		}
-		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window {
-			return false
-		}
-		if !r.class.Scope.holds(a.srv, s) {
+		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window || !r.class.Scope.holds(a.srv, s) {
 			return false
 		}
 	}
@@ -214,20 +206,19 @@
 		}
 	}
 	var top *server
-	depth := max(2, b.keyed[r.Key])
+	looked := 0
 	for _, s := range rank {
-		if depth == 0 {
-			break
+		if b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank) {
+			continue
 		}
-		switch {
-		case b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank):
-		case !b.crowded(s) && (top == nil || b.warmth(s) == 1):
+		if !b.crowded(s) && (top == nil || b.warmth(s) == 1) {
 			return s
-		case top == nil:
+		}
+		if top == nil {
 			top = s
-			depth--
-		default:
-			depth--
+		}
+		if looked++; looked >= max(2, b.keyed[r.Key]) {
+			break
 		}
 	}
 	return top
@@ -242,7 +233,7 @@
 	if c == nil { // unknown: nothing may be repeated
 		c = &Class{Name: q.Class, Aim: q.Left, Deadline: q.Left, Effect: Unsafe}
 	}
-	r := &request{Request: q, class: c, at: now, aim: now + c.Aim, end: now + q.Left}
+	r := &request{Request: q, class: c, at: now, aim: now + min(c.Aim, q.Left), end: now + q.Left}
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
 	b.keyed[r.Key]++
@@ -256,9 +247,7 @@
 		b.fetch(r)
 		return
 	}
-	f := b.fetches[r.Key]
-	if b.set.Mode == Aside && f != nil && f.leader != r {
-		f.waiting = append(f.waiting, r)
+	if b.set.Mode == Aside && b.fetches[r.Key] != nil && b.joins(r) {
 		return
 	}
 	s := b.pick(r)
@@ -267,11 +256,7 @@
 		return
 	}
 	if b.set.Mode == Through && !r.Write && r.Key != "" && !b.known(r.Key, s) {
-		switch {
-		case f == nil:
-			b.fetches[r.Key] = &fetch{leader: r}
-		case f.leader != r:
-			f.waiting = append(f.waiting, r)
+		if b.joins(r) {
 			return
 		}
 		if b.down(b.origin) {
@@ -291,6 +276,19 @@
 	return ok && at > b.voidAt
 }
 
+// joins makes a read wait for the fetch of its key that is out, or makes it that fetch if there is none.
+func (b *Balancer) joins(r *request) bool {
+	f := b.fetches[r.Key]
+	if f == nil {
+		f = &fetch{leader: r}
+		b.fetches[r.Key] = f
+	}
+	if f.leader != r {
+		f.waiting = append(f.waiting, r)
+	}
+	return f.leader != r
+}
+
 // leads reports whether the request is one whose answer others wait for.
 func (b *Balancer) leads(r *request) bool {
 	f := b.fetches[r.Key]
@@ -303,7 +301,7 @@
 		b.send(r, s)
 		return
 	}
-	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.useful() {
+	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
 		b.giveUp(r) // it would wait in vain
 		return
 	}
@@ -325,19 +323,14 @@
 		s.queue = slices.Delete(s.queue, best, best+1)
 		switch r.held = nil; {
 		case r.ended:
-		case s != b.origin && b.may(r, s), s == b.origin && b.set.Mode == Aside && b.may(r, s):
-			b.send(r, s)
 		case s == b.origin && b.set.Mode == Aside:
-			b.giveUp(r)
+			b.fetch(r)
 		default:
 			b.route(r)
 		}
 	}
 }
 
-// useful is how long a request is worth holding: past its aim it is turned away, not kept waiting.
-func (r *request) useful() time.Duration { return min(r.aim, r.end) }
-
 func (b *Balancer) send(r *request, s *server) {
 	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now, origin: s == b.origin}
 	r.tries = append(r.tries, a)
@@ -462,7 +455,7 @@
 		b.timed(float64(b.now - a.at))
 	}
 	// Guards against skipping a server that answers others, or one that the origin let down.
-	if (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
+	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
@@ -522,13 +515,11 @@
 	if a.srv != s {
 		long = a.req.class.Aim
 	}
-	switch {
-	case res.Outcome == Full:
+	if res.Outcome == Full {
 		s.fullAt = b.now
-	case res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
-		return
 	}
 	switch {
+	case res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
 	case float64(len(s.sent)+1) < s.limit/2:
 	case res.Outcome == Full || b.now-a.at > long && !a.req.Write:
 		if a.at >= s.cutAt {
@@ -545,16 +536,8 @@
 
 // fetch sends a read that missed, or a write, to the origin; reads of one key share one fetch.
 func (b *Balancer) fetch(r *request) {
-	if !r.Write && r.Key != "" {
-		f := b.fetches[r.Key]
-		if f == nil {
-			f = &fetch{leader: r}
-			b.fetches[r.Key] = f
-		}
-		if f.leader != r {
-			f.waiting = append(f.waiting, r)
-			return
-		}
+	if !r.Write && r.Key != "" && b.joins(r) {
+		return
 	}
 	if b.origin != nil && b.may(r, b.origin) {
 		b.gate(r, b.origin)
@@ -608,7 +591,7 @@
 		switch {
 		case r.ended:
 		case r.out == 0:
-			if b.now+time.Duration(b.usual) >= r.useful() || b.now+2*b.period() >= r.end {
+			if b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period() >= r.end {
 				b.giveUp(r)
 			}
 		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
