--- a/policy/policy.go
+++ b/policy/policy.go
@@ -507,7 +507,7 @@
 	}
 }
 
-// steer sets a server's limit: up while it is in use and answers come within half the aim, down by a fifth,
+// steer sets a server's limit: up while it is in use and answers come within half the aim, down by half,
 // once an answer time, when they do not. This guards against servers that take in more than they can answer
 // in time. Writes take as long as they take: only reads are timed.
 func (b *Balancer) steer(s *server, a *attempt, res Result) {
@@ -523,7 +523,7 @@
 	case float64(len(s.sent)+1) < s.limit/2:
 	case res.Outcome == Full || b.now-a.at > long && !a.req.Write:
 		if a.at >= s.cutAt {
-			s.limit, s.cutAt, s.strained = max(1, 0.8*s.limit), b.now, true
+			s.limit, s.cutAt, s.strained = max(1, s.limit/2), b.now, true
 		}
 	case !s.strained:
 		s.limit++
