--- a/policy/policy.go
+++ b/policy/policy.go
@@ -459,9 +459,7 @@
 		b.health(s, skipSpell, res.Outcome)
 	}
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
-		if s.heard < b.now {
-			s.before, s.heard = s.heard, b.now
-		}
+		s.heard = b.now
 	}
 }
 
@@ -513,7 +511,6 @@
 // once an answer time, when they do not. This guards against servers that take in more than they can answer
 // in time. Writes take as long as they take: only reads are timed.
 func (b *Balancer) steer(s *server, a *attempt, res Result) {
-	still := b.now - max(a.at, a.srv.before) // a pause is not held against its load
 	long := a.req.class.Aim / 2
 	if a.srv != s {
 		long = a.req.class.Aim
@@ -524,7 +521,7 @@
 	switch {
 	case res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
 	case float64(len(s.sent)+1) < s.limit/2:
-	case res.Outcome == Full || b.now-a.at-still > long && !a.req.Write:
+	case res.Outcome == Full || res.Outcome == Errored && s != a.srv || b.now-a.at > long && !a.req.Write && s == a.srv:
 		if a.at >= s.cutAt {
 			s.limit, s.cutAt, s.strained = max(1, s.limit/2), b.now, true
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -24,7 +24,6 @@
 	queue     []*request               // held until there is room
 	fails     int                      // straight failures
 	skipUntil time.Duration
-	before    time.Duration // the sign of life before the last
 	heard     time.Duration // last sign of life
 	sends     fading        // own sends lately
 	answers   fading        // requests it served for this node lately
