--- a/policy/policy.go
+++ b/policy/policy.go
@@ -2,19 +2,15 @@
 
 // All decisions of lapisshelf. The types, events and actions stand in api.go.
 //
-// The ordinary path: the ready caches are ranked for the request's key by weighted highest-random-weight
-// score (rank); the top one gets the request; a further try, where may allows it, goes to the next one down.
-// In aside mode a read that misses, and every write, goes to the origin.
+// The ordinary path: rank orders the ready caches for the request's key by weighted highest-random-weight
+// score, the top one gets the request, and a further try, where may allows it, goes to the next one down. In
+// aside mode a read that misses, and every write, goes to the origin.
 //
-// The departures, in the order in which pick and the handlers apply them:
-//   1. slow start: a starting server's weight is cut to the capacity it is sure to have (warmth), and no
-//      node sends it more than its part of what would push it over (coldRoom);
-//   2. skipping: a server with straight failures, or silent far beyond the usual, is passed over (fit);
-//   3. spill: a top server far more loaded than its share passes the request to the next (crowded);
-//   4. one fetch a key: reads of a key that is being fetched wait for it (fetch, release);
-//   5. the origin's limit: no more fetches out than it answers in its usual time (gate);
-//   6. hedges: a late safe request gets a second copy, within a budget (sweep);
-//   7. giving up: what can no longer be worth anything is refused or failed at once (giveUp).
+// The departures: a starting server's weight is cut to what it is sure to bear (warmth, coldRoom); failing
+// and silent servers are passed over (fit); a crowded one's keys go to their next (crowded, pick); what a
+// server has no room for is held or turned away (gate, steer); reads of one key share one fetch (joins,
+// release); in through mode likely fetches are limited as if the origin were a server (route, learnKey); a
+// late safe read gets a second copy (sweep); what cannot be answered by its aim is given up (giveUp).
 
 import (
 	"cmp"
@@ -28,7 +24,7 @@
 	"golang.org/x/crypto/blake2b"
 )
 
-const (
+const ( // each for a reason that holds anywhere
 	failsToSkip = 3               // straight failures that skip a server (design page)
 	skipSpell   = 5 * time.Second // how long, before one trial (design page)
 	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
@@ -423,7 +419,6 @@
 		b.out--
 	}
 	b.learn(a, res)
-	b.steer(a.srv, a, res)
 	if b.set.Mode == Through {
 		b.origin.drop(a)
 		b.learnKey(a, res)
@@ -447,7 +442,7 @@
 	}
 }
 
-// learn keeps a server's signs of life and the usual answer times.
+// learn keeps a server's signs of life, its limit and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
 	s := a.srv
 	if res.Outcome == OK && !a.origin {
@@ -458,6 +453,13 @@
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
+	if res.Outcome == Full {
+		s.fullAt = b.now
+	}
+	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
+		// Over half the aim leaves too little for a further try. Writes take as long as they take.
+		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
+	}
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
 	}
@@ -487,7 +489,7 @@
 		return
 	}
 	if res.Note == NoteMiss || a.fetch && res.Outcome == TimedOut {
-		b.steer(b.origin, a, res)
+		b.steer(b.origin, a.at, res.Outcome == Errored)
 		b.health(b.origin, a.req.class.Aim, res.Outcome)
 	}
 	if b.known(a.req.Key, a.srv) && res.Outcome != TimedOut {
@@ -507,22 +509,13 @@
 	}
 }
 
-// steer sets a server's limit: up while it is in use and answers come within half the aim, down by half,
-// once an answer time, when they do not. This guards against servers that take in more than they can answer
-// in time. Writes take as long as they take: only reads are timed.
-func (b *Balancer) steer(s *server, a *attempt, res Result) {
-	long := a.req.class.Aim / 2
-	if a.srv != s {
-		long = a.req.class.Aim
-	}
-	if res.Outcome == Full {
-		s.fullAt = b.now
-	}
+// steer sets a server's limit: up while it is in use and answers come in time, halved, once an answer time,
+// when it is strained. This guards against servers that take in more than they can answer in time.
+func (b *Balancer) steer(s *server, sentAt time.Duration, strained bool) {
 	switch {
-	case res.Outcome == Moot || res.Outcome == Cancelled || res.Outcome == ConnectFailed:
 	case float64(len(s.sent)+1) < s.limit/2:
-	case res.Outcome == Full || res.Outcome == Errored && s != a.srv || b.now-a.at > long && !a.req.Write && s == a.srv:
-		if a.at >= s.cutAt {
+	case strained:
+		if sentAt >= s.cutAt {
 			s.limit, s.cutAt, s.strained = max(1, s.limit/2), b.now, true
 		}
 	case !s.strained:
