--- a/policy/policy.go
+++ b/policy/policy.go
@@ -251,7 +251,7 @@
 		b.giveUp(r)
 		return
 	}
-	if b.set.Mode == Through && !r.Write && r.Key != "" && !b.known(r.Key, s) {
+	if b.set.Mode == Through && !r.Write && r.Key != "" && !s.holds[r.Key] {
 		if b.joins(r) {
 			return
 		}
@@ -266,12 +266,6 @@
 	b.gate(r, s)
 }
 
-// known reports whether s answered a read of the key since copies were last found void.
-func (b *Balancer) known(key string, s *server) bool {
-	at, ok := s.seen[key]
-	return ok && at > b.voidAt
-}
-
 // joins makes a read wait for the fetch of its key that is out, or makes it that fetch if there is none.
 func (b *Balancer) joins(r *request) bool {
 	f := b.fetches[r.Key]
@@ -482,8 +476,6 @@
 }
 
 // learnKey keeps, in through mode, which keys the caches hold, and the origin's limit by what they fetch.
-// When many known keys miss at once, copies have gone void: from then on all count as unknown, so that
-// their fetches come to the origin no faster than it can take them.
 func (b *Balancer) learnKey(a *attempt, res Result) {
 	if a.req.Key == "" || res.Outcome != OK && res.Outcome != Errored && res.Outcome != TimedOut {
 		return
@@ -492,20 +484,10 @@
 		b.steer(b.origin, a.at, res.Outcome == Errored)
 		b.health(b.origin, a.req.class.Aim, res.Outcome)
 	}
-	if b.known(a.req.Key, a.srv) && res.Outcome != TimedOut {
-		b.surprise -= b.surprise / 16
-		if res.Note == NoteMiss {
-			b.surprise += 1.0 / 16
-		}
-		if b.surprise > 0.25 {
-			b.voidAt, b.surprise = b.now, 0
-			b.act.Log("copies void: a quarter of the known keys missed")
-		}
-	}
 	if res.Outcome == OK {
-		a.srv.seen[a.req.Key] = b.now
+		a.srv.holds[a.req.Key] = true
 	} else {
-		delete(a.srv.seen, a.req.Key)
+		delete(a.srv.holds, a.req.Key)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,16 +13,16 @@
 
 type server struct {
 	Server
-	weight    float64                  // listed, or the mean where none is listed
-	score     float64                  // of the ranking being made
-	sent      []*attempt               // out now, oldest first
-	limit     float64                  // attempts that may be out
-	strained  bool                     // the limit was reached once
-	cutAt     time.Duration            // when it was cut last
-	fullAt    time.Duration            // when it last turned an attempt away
-	seen      map[string]time.Duration // through mode: when it last answered for a key
-	queue     []*request               // held until there is room
-	fails     int                      // straight failures
+	weight    float64         // listed, or the mean where none is listed
+	score     float64         // of the ranking being made
+	sent      []*attempt      // out now, oldest first
+	limit     float64         // attempts that may be out
+	strained  bool            // the limit was reached once
+	cutAt     time.Duration   // when it was cut last
+	fullAt    time.Duration   // when it last turned an attempt away
+	holds     map[string]bool // through mode: keys whose last read it answered
+	queue     []*request      // held until there is room
+	fails     int             // straight failures
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
 	sends     fading        // own sends lately
@@ -60,29 +60,27 @@
 
 // Balancer decides for one node. It is not safe for concurrent use.
 type Balancer struct {
-	set      Settings
-	act      Actions
-	rng      *rand.Rand
-	now      time.Duration
-	classes  map[string]*Class
-	servers  map[string]*server
-	caches   []*server // ready, by id
-	weights  float64   // their sum
-	origin   *server
-	open     map[string]*request
-	order    []*request     // open requests by arrival
-	voidAt   time.Duration  // copies found void then
-	surprise float64        // share of known keys that missed, of late
-	keyed    map[string]int // open requests by key
-	fetches  map[string]*fetch
-	hash     hash.Hash
-	scratch  []byte
-	ranked   []*server
-	out      int     // attempts out at caches
-	late     float64 // quantile lateQuant of answer times, ns
-	usual    float64 // mean of answer times, ns
-	budget   float64 // hedges that may be sent
-	askWait  time.Duration
+	set     Settings
+	act     Actions
+	rng     *rand.Rand
+	now     time.Duration
+	classes map[string]*Class
+	servers map[string]*server
+	caches  []*server // ready, by id
+	weights float64   // their sum
+	origin  *server
+	open    map[string]*request
+	order   []*request     // open requests by arrival
+	keyed   map[string]int // open requests by key
+	fetches map[string]*fetch
+	hash    hash.Hash
+	scratch []byte
+	ranked  []*server
+	out     int     // attempts out at caches
+	late    float64 // quantile lateQuant of answer times, ns
+	usual   float64 // mean of answer times, ns
+	budget  float64 // hedges that may be sent
+	askWait time.Duration
 }
 
 // drop takes an attempt that has ended off the server's.
@@ -151,12 +149,12 @@
 	for _, e := range list {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{limit: firstLimit, seen: map[string]time.Duration{}}
+			s = &server{limit: firstLimit, holds: map[string]bool{}}
 			b.servers[e.ID] = s
 		}
 		if e.Started != s.Started { // a restart: what was learned of the old process is void
 			s.fails, s.skipUntil = 0, 0
-			clear(s.seen)
+			clear(s.holds)
 		}
 		s.Server = e
 	}
