Tests of the module, the adapter and bad input; a miss in through mode goes on down the ranking

The random-event test found a crash: a cache that answered 'miss' in through mode sent the request to the stand-in for the origin. It now goes to the next cache.

--- a/internal/simhost/simhost.go
+++ b/internal/simhost/simhost.go
@@ -12,11 +12,26 @@
 	"lapisshelf/policy"
 )
 
+// balancer is what an instance must handle; policy.Balancer does.
+type balancer interface {
+	Members(now time.Duration, kind policy.ListKind, list []policy.Server)
+	Request(now time.Duration, q policy.Request)
+	Begun(now time.Duration, id string, n int)
+	Result(now time.Duration, res policy.Result)
+	Abandoned(now time.Duration, id string)
+	Timer(now time.Duration, token string)
+}
+
+// newBalancer starts an instance's balancer; tests put a broken one in its place.
+var newBalancer = func(now time.Duration, set policy.Settings, seed uint64, act policy.Actions) balancer {
+	return policy.New(now, set, seed, act)
+}
+
 // Run answers batches from in on out until the input ends. Malformed input is an error; the batch that
 // holds it gets no reply at all.
 func Run(in io.Reader, out io.Writer) error {
 	r, w := simwire.NewReader(in), simwire.NewWriter(out)
-	nodes := map[string]*policy.Balancer{}
+	nodes := map[string]balancer{}
 	for {
 		batch, err := r.Read()
 		if errors.Is(err, io.EOF) {
@@ -37,7 +52,7 @@
 }
 
 // deliver hands one event to its instance. A panic of the module is reported as that instance's crash.
-func deliver(nodes map[string]*policy.Balancer, w *simwire.Writer, now time.Duration, e simwire.Event) error {
+func deliver(nodes map[string]balancer, w *simwire.Writer, now time.Duration, e simwire.Event) error {
 	actor := simwire.Actor{W: w, Instance: e.Instance}
 	defer func() {
 		if p := recover(); p != nil {
@@ -45,7 +60,7 @@
 		}
 	}()
 	if e.Kind == simwire.Start {
-		nodes[e.Instance] = policy.New(now, e.Settings, e.Seed, actor)
+		nodes[e.Instance] = newBalancer(now, e.Settings, e.Seed, actor)
 		return nil
 	}
 	b := nodes[e.Instance]
--- /dev/null
+++ b/internal/simhost/simhost_test.go
@@ -0,0 +1,133 @@
+package simhost
+
+import (
+	"bytes"
+	"errors"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+const (
+	setUp = `{"kind":"Batch","SimTime":1000,"frame":1}
+{"kind":"Configure","I":"node_0","Prng":7,"Settings":{"Balancers":1,"Tick":5000000,"Unheard":{"of":1},` +
+		`"Classes":[{"Name":"read","Aim":400000000,"Deadline":900000000,"Effect":"retryable","Worth":1}],` +
+		`"Limits":{"SendCap":3,"ParallelTries":true}}}
+{"kind":"Census","Page":3,"Entries":[{"Server":"10.0.0.1:80","Az":"a","Lifecycle":"in_service","Scale":1}]}
+{"kind":"RosterChange","I":"node_0","How":"Persisted","SeqNo":1,"Page":3}
+{"kind":"Eob"}
+`
+	order = `{"kind":"Batch","SimTime":2000,"frame":2}
+{"kind":"Order","I":"node_0","Handle":"c:1","Grade":"read","Resource":12,"Grace":800000000,"New":true}
+{"kind":"Eob"}
+`
+)
+
+func TestReplies(t *testing.T) {
+	var out bytes.Buffer
+	if err := Run(strings.NewReader(setUp+order), &out); err != nil {
+		t.Fatal(err)
+	}
+	want := `{"kind":"WakeAt","I":"node_0","Span":10000000,"Ref":"sweep"}
+{"kind":"Next","frame":1}
+{"kind":"Place","I":"node_0","Handle":"c:1","Server":"10.0.0.1:80"}
+{"kind":"Next","frame":2}
+`
+	if out.String() != want {
+		t.Errorf("got\n%swant\n%s", out.String(), want)
+	}
+}
+
+var malformed = []struct{ name, input, want string }{
+	{"not JSON", "{\"kind\":\"Batch\",\"SimTime\":2,\"frame\":5}\nhello\n", "batch 5, line 2: not a message"},
+	{"no batch", `{"kind":"Eob"}` + "\n", `"Eob" where a batch should open`},
+	{"ends inside", "{\"kind\":\"Batch\",\"SimTime\":2,\"frame\":5}\n", "batch 5, line 2: input ends inside the batch"},
+	{"unknown event", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Sing\",\"I\":\"node_0\"}\n",
+		"batch 5, line 2: Sing: unknown event"},
+	{"no instance", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Ring\"}\n", "batch 5, line 2: Ring: names no instance"},
+	{"not started", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Ring\",\"I\":\"node_9\"}\n{\"kind\":\"Eob\"}\n",
+		`batch 5, event 1: event for instance "node_9", which has not started`},
+	{"unknown list", setUp + "{\"kind\":\"Batch\",\"frame\":5}\n" +
+		"{\"kind\":\"RosterChange\",\"I\":\"node_0\",\"How\":\"Complete\",\"Page\":4}\n", "list 4 was never sent"},
+	{"unknown outcome", setUp + "{\"kind\":\"Batch\",\"frame\":5}\n" +
+		"{\"kind\":\"ClosedAttempt\",\"I\":\"node_0\",\"Ending\":999}\n", "unknown outcome 999"},
+	{"negative weight", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Census\",\"Page\":0,\"Entries\":" +
+		"[{\"Server\":\"a\",\"Lifecycle\":\"in_service\",\"Scale\":-2}]}\n", "negative weight -2"},
+	{"endless weight", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Census\",\"Page\":0,\"Entries\":" +
+		"[{\"Server\":\"a\",\"Lifecycle\":\"in_service\",\"Scale\":1e999}]}\n", "not a message"},
+	{"no classes", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Configure\",\"I\":\"node_0\",\"Settings\":{}}\n",
+		"no request class"},
+	{"negative aim", "{\"kind\":\"Batch\",\"frame\":5}\n{\"kind\":\"Configure\",\"I\":\"node_0\",\"Settings\":" +
+		"{\"Classes\":[{\"Name\":\"x\",\"Aim\":-1,\"Deadline\":1,\"Effect\":\"retryable\"}]}}\n",
+		"times must be positive"},
+}
+
+func TestMalformedInputIsAPlainErrorWithoutReply(t *testing.T) {
+	for _, c := range malformed {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := Run(strings.NewReader(c.input), &out)
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("error %v, want one with %q", err, c.want)
+			}
+			if strings.Contains(out.String(), `"frame":5`) {
+				t.Errorf("a reply to the broken batch: %s", out.String())
+			}
+		})
+	}
+}
+
+// broken is a balancer that fails on its first timer.
+type broken struct{ balancer }
+
+func (broken) Members(time.Duration, policy.ListKind, []policy.Server) {}
+func (broken) Timer(time.Duration, string)                             { panic("planted") }
+
+func TestAPanicIsTheInstancesOwnCrash(t *testing.T) {
+	var out bytes.Buffer
+	input := setUp + "{\"kind\":\"Batch\",\"SimTime\":3000,\"frame\":3}\n" +
+		"{\"kind\":\"Ring\",\"I\":\"node_0\",\"Ref\":\"sweep\"}\n{\"kind\":\"Eob\"}\n"
+	start := newBalancer
+	defer func() { newBalancer = start }()
+	newBalancer = func(time.Duration, policy.Settings, uint64, policy.Actions) balancer { return broken{} }
+	if err := Run(strings.NewReader(input), &out); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), `{"kind":"Exception","I":"node_0","NoteText":"the decision module failed: planted"}`) {
+		t.Errorf("no crash reported: %s", out.String())
+	}
+	if !strings.HasSuffix(out.String(), "{\"kind\":\"Next\",\"frame\":3}\n") {
+		t.Errorf("the reply was not closed: %s", out.String())
+	}
+}
+
+func TestTheBuiltAdapter(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "simhost")
+	if text, err := exec.Command("go", "build", "-o", bin, "lapisshelf/cmd/simhost").CombinedOutput(); err != nil {
+		t.Fatalf("building: %v\n%s", err, text)
+	}
+	run := func(input string) (string, string, int) {
+		var out, trouble bytes.Buffer
+		cmd := exec.Command(bin)
+		cmd.Stdin, cmd.Stdout, cmd.Stderr = strings.NewReader(input), &out, &trouble
+		err := cmd.Run()
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			t.Fatal(err)
+		}
+		return out.String(), trouble.String(), cmd.ProcessState.ExitCode()
+	}
+	if out, trouble, code := run(setUp + order); code != 0 || trouble != "" || strings.Count(out, "Next") != 2 {
+		t.Errorf("clean input: exit %d, output %q, trouble %q", code, out, trouble)
+	}
+	for _, c := range malformed {
+		_, trouble, code := run(c.input)
+		if code != 1 || !strings.Contains(trouble, c.want) || strings.Count(trouble, "\n") != 1 {
+			t.Errorf("%s: exit %d, trouble %q; want 1 and one line with %q", c.name, code, trouble, c.want)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -174,7 +174,8 @@
 func (b *Balancer) fit(s *server) bool {
 	// Guards against sending into a frozen server: silent since long before its oldest attempt should
 	// have been answered.
-	return !b.down(s) && (len(s.sent) == 0 || s.heard > s.sent[0].at || float64(b.now-s.sent[0].at) < 2*b.late)
+	silent := len(s.sent) > 0 && s.heard <= s.sent[0].at && float64(b.now-s.sent[0].at) >= 2*b.late
+	return !silent && !b.down(s)
 }
 
 // down reports whether a server's straight failures keep it from all but one trial a spell.
@@ -429,7 +430,7 @@
 		b.giveUp(r)
 	case a.origin && res.Outcome == Full, res.Outcome == Errored && res.Note == NoteMiss:
 		b.giveUp(r) // the origin would not: another cache could only ask it again
-	case a.origin || res.Outcome == Miss:
+	case b.set.Mode == Aside && (a.origin || res.Outcome == Miss):
 		b.fetch(r)
 	default:
 		b.route(r)
--- /dev/null
+++ b/policy/policy_test.go
@@ -0,0 +1,701 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// world is a balancer under test and what it has done.
+type world struct {
+	t      *testing.T
+	b      *Balancer
+	now    time.Duration
+	sends  []sent
+	ended  map[string]string // request to "refused" or "failed"
+	logs   []string
+	asked  int
+	timers map[string]int
+	tries  map[string]int
+	onSend func(id, server string)
+	onEnd  func(id, how string)
+}
+
+type sent struct {
+	id, server string
+	n          int
+	wait       time.Duration
+}
+
+func (w *world) Send(id, server string, wait time.Duration) {
+	if w.onSend != nil {
+		w.onSend(id, server)
+	}
+	w.sends = append(w.sends, sent{id, server, w.tries[id], wait})
+	w.tries[id]++
+}
+func (w *world) end(id, how string) {
+	if w.onEnd != nil {
+		w.onEnd(id, how)
+	}
+	w.ended[id] = how
+}
+func (w *world) Refuse(id string, _ time.Duration)       { w.end(id, "refused") }
+func (w *world) Fail(id string)                          { w.end(id, "failed") }
+func (w *world) Cancel(string, int)                      {}
+func (w *world) Probe(string)                            {}
+func (w *world) Timer(after time.Duration, token string) { w.timers[token]++ }
+func (w *world) Subscribe()                              { w.asked++ }
+func (w *world) Log(text string)                         { w.logs = append(w.logs, text) }
+
+func settings() Settings {
+	return Settings{
+		Classes: []Class{
+			{Name: "read", Aim: 400 * ms, Deadline: time.Second, Worth: 1},
+			{Name: "write", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Keyed, Window: 2 * time.Second},
+			{Name: "once", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Unsafe},
+		},
+		Balancers: 2, Tick: 5 * ms, MaxAttempts: 4, Parallel: true, MayCancel: true, Weighted: true,
+		ColdFrom: 0.2, WarmUp: 10 * time.Second, FallMultiple: 3, FallWindow: 2 * time.Second,
+	}
+}
+
+// start returns a balancer with n ready caches, and an origin in aside mode.
+func start(t *testing.T, set Settings, n int) *world {
+	w := &world{t: t, now: time.Hour, ended: map[string]string{}, timers: map[string]int{}, tries: map[string]int{}}
+	if set.Mode == Aside {
+		set.OriginKind = "origin"
+	}
+	w.b = New(w.now, set, 1, w)
+	w.b.Members(w.now, ListSaved, fleet(set, n))
+	return w
+}
+
+func fleet(set Settings, n int) []Server {
+	var list []Server
+	for i := range n {
+		list = append(list, Server{ID: fmt.Sprintf("c%02d", i), Zone: fmt.Sprint("z", i%2), Cell: i % 4, Weight: 1})
+	}
+	if set.Mode == Aside {
+		list = append(list, Server{ID: "o", Kind: "origin", Weight: 1})
+	}
+	return list
+}
+
+func (w *world) request(id, class, key string) {
+	w.b.Request(w.now, Request{ID: id, Class: class, Key: key, Left: time.Second, Write: class != "read"})
+}
+
+func (w *world) last() sent {
+	w.t.Helper()
+	if len(w.sends) == 0 {
+		w.t.Fatal("nothing was sent")
+	}
+	return w.sends[len(w.sends)-1]
+}
+
+// answer ends the attempt s after a time.
+func (w *world) answer(s sent, o Outcome, note Note, after time.Duration) {
+	w.now += after
+	w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: o, Note: note, Final: o == OK,
+		Took: after})
+}
+
+func (w *world) sweep() { w.b.Timer(w.now, "sweep") }
+
+func TestScoresAreTheSharedOnes(t *testing.T) {
+	w := start(t, settings(), 1)
+	for id, want := range map[string]uint64{"cache-a": 0x3f58b35a89a9e958, "cache-b": 0x7aaf4d5588246133,
+		"cache-c": 0xc82ead9cc646898c, "cache-d": 0xdf00970c6aa5e2b9, "cache-e": 0x990a9ed364f9feaf} {
+		if got := w.b.hrw(id, "user-42"); got != want {
+			t.Errorf("%s: %x, want %x", id, got, want)
+		}
+	}
+}
+
+func ranking(w *world, key string) []string {
+	var ids []string
+	for _, s := range w.b.rank(key) {
+		ids = append(ids, s.ID)
+	}
+	return ids
+}
+
+func TestRankingProperties(t *testing.T) {
+	set := settings()
+	full, list := start(t, set, 8), fleet(set, 8)
+	less := start(t, set, 8)
+	gone := list[3]
+	gone.State = Gone
+	less.b.Members(less.now, ListChanges, []Server{gone})
+	turned := start(t, set, 0)
+	for i := range list {
+		turned.b.Members(turned.now, ListChanges, list[len(list)-1-i:len(list)-i])
+	}
+	heavy := start(t, set, 8)
+	more := list[5]
+	more.Weight = 3
+	heavy.b.Members(heavy.now, ListChanges, []Server{more})
+	won := 0
+	const keys = 4000
+	for i := range keys {
+		key := fmt.Sprint("key-", i)
+		all := ranking(full, key)
+		var without []string
+		for _, id := range all {
+			if id != gone.ID {
+				without = append(without, id)
+			}
+		}
+		if got := ranking(less, key); fmt.Sprint(got) != fmt.Sprint(without) {
+			t.Fatalf("%s: a departure changed more than its own place: %v, want %v", key, got, without)
+		}
+		if got := ranking(turned, key); fmt.Sprint(got) != fmt.Sprint(all) {
+			t.Fatalf("%s: the order of the list matters: %v, want %v", key, got, all)
+		}
+		top := ranking(heavy, key)[0]
+		if top != all[0] && top != more.ID {
+			t.Fatalf("%s: raising %s moved the key to %s", key, more.ID, top)
+		}
+		if top == more.ID {
+			won++
+		}
+	}
+	if share := float64(won) / keys; math.Abs(share-0.3) > 0.03 {
+		t.Errorf("weight 3 of 10 won %.3f of the keys", share)
+	}
+}
+
+func TestRaceStaysFinite(t *testing.T) {
+	for _, h := range []uint64{0, 1, math.MaxUint64, math.MaxUint64 - 1, 1 << 63} {
+		if v := race(h, 1); math.IsInf(v, 0) || math.IsNaN(v) || v <= 0 {
+			t.Errorf("race(%x) = %v", h, v)
+		}
+	}
+}
+
+func TestWeightsOfTheList(t *testing.T) {
+	w := start(t, settings(), 0)
+	w.b.Members(w.now, ListWhole, []Server{{ID: "a", Weight: 1}, {ID: "b", Weight: 3}, {ID: "c", Weight: -1},
+		{ID: "d", Weight: 0}})
+	for id, want := range map[string]float64{"a": 1, "b": 3, "c": 4.0 / 3, "d": 0} {
+		if got := w.b.servers[id].weight; math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s weighs %v, want %v", id, got, want)
+		}
+	}
+	for i := range 500 {
+		for _, id := range ranking(w, fmt.Sprint(i)) {
+			if id == "d" {
+				t.Fatal("a server of weight 0 was ranked")
+			}
+		}
+	}
+}
+
+func TestMay(t *testing.T) {
+	set := settings()
+	zone, cell := set.Classes[1], set.Classes[1]
+	zone.Name, zone.Scope = "zone", ScopeZone
+	cell.Name, cell.Scope = "cell", ScopeCell
+	set.Classes = append(set.Classes, zone, cell)
+	for _, c := range []struct {
+		name, class string
+		outcome     Outcome // of the first attempt, at c00 (zone z0, cell 0); Moot+1: still out
+		after       time.Duration
+		parallel    bool
+		want        map[string]bool // server to allowed
+		refuse      bool
+	}{
+		{"safe after a time-out", "read", TimedOut, ms, true, map[string]bool{"c00": true, "c01": true}, true},
+		{"safe, second copy", "read", Moot + 1, ms, true, map[string]bool{"c01": true}, true},
+		{"safe, no second copy allowed", "read", Moot + 1, ms, false, map[string]bool{"c01": false}, true},
+		{"unsafe after a time-out", "once", TimedOut, ms, true, map[string]bool{"c00": false, "c01": false}, false},
+		{"unsafe, never ran", "once", ConnectFailed, ms, true, map[string]bool{"c01": true}, true},
+		{"unsafe, turned away", "once", Full, ms, true, map[string]bool{"c01": true}, true},
+		{"unsafe, error", "once", Errored, ms, true, map[string]bool{"c01": false}, false},
+		{"keyed by all, in the window", "write", Reset, ms, true, map[string]bool{"c01": true}, false},
+		{"keyed by zone", "zone", Reset, ms, true, map[string]bool{"c02": true, "c01": false}, false},
+		{"keyed by cell", "cell", Reset, ms, true, map[string]bool{"c04": true, "c02": false, "c01": false}, false},
+		{"keyed, cancelled", "cell", Cancelled, ms, true, map[string]bool{"c01": false}, false},
+		{"keyed, still out", "write", Moot + 1, ms, true, map[string]bool{"c01": false}, false},
+		{"at the deadline", "read", TimedOut, time.Second, true, map[string]bool{"c01": false}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			set.Parallel = c.parallel
+			w := start(t, set, 8)
+			r := &request{Request: Request{ID: "r", Left: time.Second}, class: w.b.classes[c.class], at: w.now,
+				end: w.now + time.Second}
+			a := &attempt{req: r, srv: w.b.servers["c00"], at: w.now}
+			r.tries = append(r.tries, a)
+			if c.outcome > Moot {
+				r.out = 1
+			} else {
+				a.done, a.clean = true, c.outcome.NeverRan()
+			}
+			w.b.now += c.after
+			for id, want := range c.want {
+				if got := w.b.may(r, w.b.servers[id]); got != want {
+					t.Errorf("may go to %s: %v, want %v", id, got, want)
+				}
+			}
+			if got := r.mayRefuse(); got != c.refuse {
+				t.Errorf("may be refused: %v, want %v", got, c.refuse)
+			}
+		})
+	}
+}
+
+func TestKeyedWindowIsKept(t *testing.T) {
+	set := settings()
+	set.Classes[1].Window = 300 * ms
+	w := start(t, set, 3)
+	w.request("r", "write", "k")
+	w.answer(w.last(), Reset, NoNote, 300*ms)
+	if len(w.sends) != 1 || w.ended["r"] != "failed" {
+		t.Errorf("sends %v, end %q: want one send and a failure, as the repeat could run", w.sends, w.ended["r"])
+	}
+}
+
+func TestDrainStopsAtOnce(t *testing.T) {
+	w := start(t, settings(), 4)
+	top := ranking(w, "k")[0]
+	s := w.b.servers[top].Server
+	s.State = Draining
+	w.b.Members(w.now, ListChanges, []Server{s})
+	w.request("r", "read", "k")
+	if got := w.last().server; got == top {
+		t.Errorf("sent to %s, which drains", got)
+	}
+	w.b.Members(w.now, ListWhole, []Server{{ID: "c09", Weight: 1}})
+	w.request("r2", "read", "k2")
+	if got := w.last().server; got != "c09" {
+		t.Errorf("sent to %s, which a whole list no longer names", got)
+	}
+}
+
+func TestNoServerIsAnsweredAtOnce(t *testing.T) {
+	for _, class := range []string{"read", "write", "once"} {
+		w := start(t, settings(), 0)
+		w.request("r", class, "k")
+		if w.ended["r"] != "refused" {
+			t.Errorf("%s: %q, want a refusal: it never ran", class, w.ended["r"])
+		}
+	}
+}
+
+func TestThreeFailuresSkipThenOneTrial(t *testing.T) {
+	w := start(t, settings(), 4)
+	top := ranking(w, "k")[0]
+	for i := range failsToSkip {
+		w.request(fmt.Sprint("f", i), "read", "k")
+		s := w.last()
+		if s.server != top {
+			t.Fatalf("request %d went to %s, want %s", i, s.server, top)
+		}
+		w.answer(s, Reset, NoNote, ms)
+		w.answer(w.last(), OK, NoteHit, ms)
+	}
+	w.request("skip", "read", "k")
+	if s := w.last(); s.server == top {
+		t.Errorf("sent to %s after %d straight failures", top, failsToSkip)
+	}
+	w.answer(w.last(), OK, NoteHit, ms)
+	w.now += skipSpell
+	w.request("trial", "read", "k")
+	trial := w.last()
+	if trial.server != top {
+		t.Errorf("no trial after the spell: sent to %s", trial.server)
+	}
+	w.request("second", "read", "k")
+	if s := w.last(); s.server == top {
+		t.Error("a second request went along with the trial")
+	}
+	w.answer(trial, OK, NoteHit, ms)
+	w.request("back", "read", "k")
+	if s := w.last(); s.server != top {
+		t.Errorf("not back after a good trial: sent to %s", s.server)
+	}
+}
+
+// A busy server answers others: a time-out there says that it is late, not dead.
+func TestTimeoutOfAnAnsweringServerIsNoFailure(t *testing.T) {
+	w := start(t, settings(), 4)
+	for _, s := range w.b.servers {
+		s.holds["k"] = true
+	}
+	for i := range failsToSkip + 1 {
+		w.request(fmt.Sprint("slow", i), "read", "k")
+		slow := w.last()
+		w.request(fmt.Sprint("quick", i), "read", "k")
+		w.answer(w.last(), OK, NoteHit, ms)
+		w.answer(slow, TimedOut, NoNote, ms)
+		w.b.Abandoned(w.now, slow.id)
+	}
+	if s := w.b.servers[ranking(w, "k")[0]]; s.fails != 0 {
+		t.Errorf("%d failures counted", s.fails)
+	}
+}
+
+// The origin's failures, told by caches in through mode, must neither skip the cache nor be repeated at the
+// next one, which could only ask the origin again (hobart-prices i329a09).
+func TestFailedFetchIsTheOriginsFault(t *testing.T) {
+	w := start(t, settings(), 4)
+	for i := range failsToSkip {
+		id := fmt.Sprint("r", i)
+		w.request(id, "read", "k")
+		w.answer(w.last(), Errored, NoteMiss, ms)
+		if w.tries[id] != 1 || w.ended[id] != "refused" {
+			t.Fatalf("%s: %d tries, end %q; want one and a refusal", id, w.tries[id], w.ended[id])
+		}
+	}
+	if s := w.b.servers[ranking(w, "k")[0]]; s.fails != 0 {
+		t.Errorf("%d failures counted against the cache", s.fails)
+	}
+	w.request("next", "read", "other")
+	if w.ended["next"] != "refused" {
+		t.Error("a likely fetch was sent while the origin fails")
+	}
+	w.now += settings().Classes[0].Aim
+	w.request("trial", "read", "other")
+	if w.tries["trial"] != 1 {
+		t.Error("no trial of the origin after an aim")
+	}
+}
+
+// Misses for one key do not share a fetch by themselves.
+func TestOneFetchAKey(t *testing.T) {
+	for _, mode := range []Mode{Through, Aside} {
+		set := settings()
+		set.Mode = mode
+		w := start(t, set, 4)
+		w.request("lead", "read", "k")
+		first := w.last()
+		if mode == Aside {
+			w.answer(first, Miss, NoteMiss, ms)
+			if w.last().server != "o" {
+				t.Fatalf("a miss went to %s, want the origin", w.last().server)
+			}
+		}
+		fetch := w.last()
+		count := len(w.sends)
+		w.request("wait", "read", "k")
+		if len(w.sends) != count {
+			t.Errorf("mode %d: sent %v while the key was being fetched", mode, w.last())
+		}
+		w.answer(fetch, OK, NoteMiss, 10*ms)
+		if s := w.last(); s.id != "wait" || s.server != first.server {
+			t.Errorf("mode %d: after the fetch: %v, want wait at %s", mode, s, first.server)
+		}
+	}
+}
+
+func TestFailedFetchPassesToTheNextRead(t *testing.T) {
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 4)
+	w.request("lead", "read", "k")
+	w.answer(w.last(), Miss, NoteMiss, ms)
+	w.request("wait", "read", "k")
+	w.b.Abandoned(w.now, "lead")
+	if s := w.last(); s.id != "wait" || s.server != "o" {
+		t.Errorf("after its leader left the fetch went %v", s)
+	}
+}
+
+func TestWritesGoToTheOriginInAsideMode(t *testing.T) {
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 4)
+	w.request("w", "write", "k")
+	if s := w.last(); s.server != "o" {
+		t.Errorf("the write went to %s", s.server)
+	}
+}
+
+// Servers with deep queues answered nothing in time (burnie-super overload): what they may hold is halved.
+func TestLateAnswersHalveTheLimit(t *testing.T) {
+	w := start(t, settings(), 1)
+	s := w.b.servers["c00"]
+	s.holds["k"] = true
+	for i := range 4 {
+		w.request(fmt.Sprint("r", i), "read", "k")
+	}
+	all := w.sends
+	w.answer(all[0], OK, NoteHit, 300*ms)
+	if s.limit != firstLimit/2 {
+		t.Errorf("limit %v after a late answer, want %v", s.limit, firstLimit/2)
+	}
+	w.answer(all[1], OK, NoteHit, 0)
+	if s.limit != firstLimit/2 {
+		t.Errorf("limit %v: cut twice for one round", s.limit)
+	}
+}
+
+func TestWhatWouldWaitInVainIsTurnedAwayAtOnce(t *testing.T) {
+	w := start(t, settings(), 1)
+	w.b.servers["c00"].holds["k"] = true
+	w.b.servers["c00"].limit = 1
+	for i := range 9 {
+		w.request(fmt.Sprint("r", i), "read", "k")
+	}
+	if w.ended["r8"] != "refused" {
+		t.Error("a ninth request was held behind a limit of one")
+	}
+	w.now += 390 * ms
+	w.sweep()
+	if w.ended["r1"] != "refused" {
+		t.Error("a held request was kept past its aim (launceston-platform big-1)")
+	}
+}
+
+// A hot key's requests stuck to two servers that turned them away (launceston-platform ia681be).
+func TestHotKeySpreadsButOthersStay(t *testing.T) {
+	set := settings()
+	w := start(t, set, 8)
+	for _, s := range w.b.servers {
+		s.holds["hot"], s.holds["cold"] = true, true
+	}
+	used := map[string]bool{}
+	for i := range 24 {
+		w.request(fmt.Sprint("h", i), "read", "hot")
+		used[w.last().server] = true
+	}
+	if len(used) < 5 {
+		t.Errorf("24 requests for one key used %d servers", len(used))
+	}
+	for _, s := range w.b.caches {
+		s.limit = 0 // all crowded
+	}
+	r := &request{Request: Request{ID: "c", Key: "cold"}, class: w.b.classes["read"], end: w.now + time.Second}
+	if s := w.b.pick(r); s.ID != ranking(w, "cold")[0] {
+		t.Error("with all crowded the top of the ranking does not stand")
+	}
+}
+
+// Under overload warm servers are sent far more than they do; a budget told from sends let a cold server be
+// pushed over (burnie-super overload).
+func TestColdBudgetFollowsAnswersNotSends(t *testing.T) {
+	set := settings()
+	w := start(t, set, 4)
+	w.now += time.Minute
+	cold := w.b.servers["c00"].Server
+	cold.Started = w.now
+	w.b.Members(w.now, ListChanges, []Server{cold})
+	for _, s := range w.b.caches {
+		s.sends.value, s.sends.when = 1000, w.now
+		s.answers.value, s.answers.when = 10, w.now
+	}
+	s := w.b.servers["c00"]
+	s.sends.value = 0
+	n := 0
+	for w.b.now = w.now; w.b.coldRoom(s) && n < 100; n++ {
+		s.sends.add(w.now, set.FallWindow)
+	}
+	if limit := int(set.FallMultiple * set.ColdFrom * 10); n < 1 || n > limit {
+		t.Errorf("%d sends at once to a server at %v of its capacity, the fleet answering 10; want 1 to %d", n,
+			set.ColdFrom, limit)
+	}
+}
+
+func TestWarmthRisesEvenlyAndMovesKeysOnlyIn(t *testing.T) {
+	set := settings()
+	w := start(t, set, 6)
+	w.now += time.Minute
+	s := w.b.servers["c02"].Server
+	s.Started = w.now
+	w.b.Members(w.now, ListChanges, []Server{s})
+	owner := map[string]string{}
+	prev := -1
+	for step := range 11 {
+		w.b.now = w.now + time.Duration(step)*time.Second
+		count := 0
+		for i := range 1000 {
+			key := fmt.Sprint(i)
+			top := ranking(w, key)[0]
+			if old := owner[key]; old != "" && old != top && top != "c02" {
+				t.Fatalf("key %s moved from %s to %s while c02 warmed", key, old, top)
+			}
+			owner[key] = top
+			if top == "c02" {
+				count++
+			}
+		}
+		if count < prev {
+			t.Errorf("second %d: keys of the warming server fell from %d to %d", step, prev, count)
+		}
+		prev = count
+	}
+	if w.b.warmth(w.b.servers["c02"]) != 1 {
+		t.Error("not warm after the stated time")
+	}
+}
+
+func TestListFailureAsksAgainWithinTheLimit(t *testing.T) {
+	set := settings()
+	set.MustAsk, set.AskWithin = true, 8*time.Second
+	w := start(t, set, 2)
+	if w.asked != 1 {
+		t.Fatalf("asked %d times at the start", w.asked)
+	}
+	w.b.Members(w.now, ListFailed, nil)
+	if w.timers["list"] != 1 {
+		t.Fatal("no new call planned")
+	}
+	w.b.Timer(w.now, "list")
+	if w.asked != 2 {
+		t.Error("the planned call was not made")
+	}
+	for range 20 {
+		w.b.Members(w.now, ListFailed, nil)
+	}
+	if w.b.askWait > set.AskWithin/4 {
+		t.Errorf("waits grew to %v of %v", w.b.askWait, set.AskWithin)
+	}
+}
+
+// TestRulesHoldUnderAnyEvents throws random legal events at balancers of many settings and checks the rules
+// that a node keeps alone: one answer in time, nothing sent after it, no effect twice, nothing to a server
+// that drains, attempt and copy limits. It replays events; it models no servers.
+func TestRulesHoldUnderAnyEvents(t *testing.T) {
+	for seed := range int64(150) {
+		chaos(t, seed)
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+type life struct {
+	class    Class
+	end      time.Duration
+	tries    []trial
+	finished bool
+}
+
+type trial struct {
+	server string
+	at     time.Duration
+	done   bool
+	clean  bool
+}
+
+func chaos(t *testing.T, seed int64) {
+	rng := rand.New(rand.NewSource(seed))
+	set := settings()
+	set.Mode, set.Parallel = Mode(seed%2), seed%3 > 0
+	for _, scope := range []Scope{ScopeZone, ScopeCell} {
+		c := set.Classes[1]
+		c.Name, c.Scope, c.Window = fmt.Sprint("write", scope), scope, time.Duration(rng.Intn(800))*ms
+		set.Classes = append(set.Classes, c)
+	}
+	w := start(t, set, 6)
+	lives := map[string]*life{}
+	var out []sent
+	servers := fleet(set, 6)
+	state := map[string]Server{}
+	for _, s := range servers {
+		state[s.ID] = s
+	}
+	w.onSend = func(id, server string) {
+		l := lives[id]
+		s := state[server]
+		switch {
+		case l.finished:
+			t.Errorf("%s sent after its end", id)
+		case w.now >= l.end:
+			t.Errorf("%s sent after its deadline", id)
+		case s.State != Ready:
+			t.Errorf("%s sent to %s, which is not ready", id, server)
+		case len(l.tries) >= set.MaxAttempts:
+			t.Errorf("%s sent %d times", id, len(l.tries)+1)
+		}
+		for _, a := range l.tries {
+			if !a.done && !set.Parallel {
+				t.Errorf("%s has two attempts out", id)
+			}
+			if l.class.Effect == Safe || a.done && a.clean {
+				continue
+			}
+			from := state[a.server]
+			same := l.class.Scope == ScopeAll || from.Zone == s.Zone && (l.class.Scope == ScopeZone || from.Cell == s.Cell)
+			if l.class.Effect == Unsafe || !same || w.now-a.at > l.class.Window {
+				t.Errorf("%s (%s) may take effect twice", id, l.class.Name)
+			}
+		}
+		out = append(out, sent{id: id, server: server, n: len(l.tries)})
+		l.tries = append(l.tries, trial{server: server, at: w.now})
+	}
+	w.onEnd = func(id, how string) {
+		l := lives[id]
+		if l.finished {
+			t.Errorf("%s answered twice", id)
+		}
+		l.finished = true
+		for _, a := range l.tries {
+			if how == "refused" && l.class.Effect != Safe && !(a.done && a.clean) {
+				t.Errorf("%s refused though it may have run", id)
+			}
+		}
+	}
+	close := func(i int, o Outcome) {
+		s := out[i]
+		out = append(out[:i], out[i+1:]...)
+		l := lives[s.id]
+		a := &l.tries[s.n]
+		a.done, a.clean = true, o.NeverRan()
+		if o == OK {
+			l.finished = true
+		}
+		w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: o, Note: Note(rng.Intn(4)),
+			Final: l.finished})
+		if rng.Intn(10) == 0 { // the same outcome again must change nothing
+			w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: o, Final: l.finished})
+		}
+	}
+	for step := range 1500 {
+		w.now += time.Duration(rng.Intn(8)) * ms
+		w.sweep()
+		switch p := rng.Intn(20); {
+		case p < 6:
+			id := fmt.Sprint("r", step)
+			class := set.Classes[rng.Intn(len(set.Classes))]
+			left := time.Duration(50+rng.Intn(900)) * ms
+			lives[id] = &life{class: class, end: w.now + left}
+			w.b.Request(w.now, Request{ID: id, Class: class.Name, Key: fmt.Sprint(rng.Intn(12)), Left: left,
+				Write: class.Name != "read"})
+		case p < 16 && len(out) > 0:
+			close(rng.Intn(len(out)), Outcome(rng.Intn(int(Moot)+1)))
+		case p == 16:
+			s := servers[rng.Intn(len(servers))]
+			switch s.State = State(rng.Intn(3)); rng.Intn(2) {
+			case 0:
+				s.Started = w.now
+			}
+			state[s.ID] = s
+			w.b.Members(w.now, ListChanges, []Server{s})
+		case p == 17:
+			w.b.Members(w.now, ListFailed, nil)
+		}
+		for i := 0; i < len(out); i++ { // deadlines end what is out
+			if l := lives[out[i].id]; !l.finished && w.now >= l.end {
+				close(i, TimedOut)
+				i = -1
+			}
+		}
+		for id, l := range lives {
+			if !l.finished && w.now > l.end+20*ms {
+				t.Errorf("%s (%s) has no answer at %v past its deadline", id, l.class.Name, w.now-l.end)
+			}
+			if l.finished && len(l.tries) == 0 || l.finished && w.now > l.end+5*time.Second {
+				delete(lives, id)
+			}
+		}
+		if t.Failed() {
+			return
+		}
+	}
+}
