--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,12 +170,15 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.srv == s && !a.filled })
 }
 
+// silent guards against sending into a frozen server: nothing heard since long before its oldest attempt
+// should have been answered.
+func (b *Balancer) silent(s *server) bool {
+	return len(s.sent) > 0 && s.heard <= s.sent[0].at && float64(b.now-s.sent[0].at) >= 2*b.late
+}
+
 // fit reports whether a server is trusted with a request.
 func (b *Balancer) fit(s *server) bool {
-	// Guards against sending into a frozen server: silent since long before its oldest attempt should
-	// have been answered.
-	silent := len(s.sent) > 0 && s.heard <= s.sent[0].at && float64(b.now-s.sent[0].at) >= 2*b.late
-	return !silent && !b.down(s)
+	return !b.down(s) && !b.silent(s)
 }
 
 // down reports whether a server's straight failures keep it from all but one trial a spell.
@@ -192,20 +195,23 @@
 
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
 // not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
-// spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands;
-// with most unfit the fault is not theirs.
+// spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
+// with all down the ranking; and when most are silent the fault is not theirs.
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
-	unfit := 0
+	down, silent := 0, 0
 	for _, s := range rank {
-		if !b.fit(s) {
-			unfit++
+		if b.down(s) {
+			down++
+		} else if b.silent(s) {
+			silent++
 		}
 	}
 	var top *server
 	looked := 0
 	for _, s := range rank {
-		if b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) || !b.fit(s) && 2*unfit <= len(rank) {
+		skip := b.down(s) && down < len(rank) || b.silent(s) && 2*silent <= len(rank)-down
+		if skip || b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) {
 			continue
 		}
 		if !b.crowded(s) && (top == nil || b.warmth(s) == 1) {
