--- a/policy/policy.go
+++ b/policy/policy.go
@@ -197,7 +197,7 @@
 // not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
 // spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
 // with all down the ranking; and when most are silent the fault is not theirs.
-func (b *Balancer) pick(r *request) *server {
+func (b *Balancer) pick(r *request, depth int) *server {
 	rank := b.rank(r.place())
 	down, silent := 0, 0
 	for _, s := range rank {
@@ -220,7 +220,7 @@
 		if top == nil {
 			top = s
 		}
-		if looked++; looked >= max(2, b.keyed[r.Key]) {
+		if looked++; looked >= max(depth, b.keyed[r.Key]) {
 			break
 		}
 	}
@@ -253,7 +253,10 @@
 	if b.set.Mode == Aside && b.fetches[r.Key] != nil && b.joins(r) {
 		return
 	}
-	s := b.pick(r)
+	s := b.pick(r, 2)
+	if s != nil && b.vain(r, s) { // rather than be turned away, a request takes any server with room
+		s = b.pick(r, len(b.caches))
+	}
 	if s == nil {
 		b.giveUp(r)
 		return
@@ -298,14 +301,19 @@
 		b.send(r, s)
 		return
 	}
-	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
-		b.giveUp(r) // it would wait in vain
+	if b.vain(r, s) {
+		b.giveUp(r)
 		return
 	}
 	r.held = s
 	s.queue = append(s.queue, r)
 }
 
+// vain reports whether a request held for s would likely get no answer by its aim.
+func (b *Balancer) vain(r *request, s *server) bool {
+	return !s.room() && b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim
+}
+
 // admit sends what is held for s while s has room: writes first, then by worth, then by age.
 func (b *Balancer) admit(s *server) {
 	for len(s.queue) > 0 && s.room() {
@@ -582,7 +590,7 @@
 			if a.done || a.origin || a.fetch || !late {
 				continue
 			}
-			if s := b.pick(r); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
+			if s := b.pick(r, 2); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
 				b.budget--
 				b.send(r, s)
 			}
