--- a/policy/policy.go
+++ b/policy/policy.go
@@ -170,6 +170,15 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.srv == s && !a.filled })
 }
 
+// room reports whether one more attempt may be out at s. A limit under one is that part of the time: without
+// it many nodes with one attempt each would still crowd a server (hobart-prices i2f1cd8).
+func (b *Balancer) room(s *server) bool {
+	if s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
+		return false
+	}
+	return float64(len(s.sent)) < s.limit
+}
+
 // silent guards against sending into a frozen server: nothing heard since long before its oldest attempt
 // should have been answered.
 func (b *Balancer) silent(s *server) bool {
@@ -190,14 +199,14 @@
 func (b *Balancer) crowded(s *server) bool {
 	share := float64(b.out) * s.weight * b.warmth(s) / b.weights
 	full := s.fullAt > 0 && float64(b.now-s.fullAt) < b.usual // it has said so within an answer's time
-	return full || !s.room() || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
+	return full || !b.room(s) || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
 // not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
 // spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
 // with all down the ranking; and when most are silent the fault is not theirs.
-func (b *Balancer) pick(r *request, depth int) *server {
+func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	down, silent := 0, 0
 	for _, s := range rank {
@@ -220,7 +229,7 @@
 		if top == nil {
 			top = s
 		}
-		if looked++; looked >= max(depth, b.keyed[r.Key]) {
+		if looked++; looked >= max(2, b.keyed[r.Key]) {
 			break
 		}
 	}
@@ -253,10 +262,7 @@
 	if b.set.Mode == Aside && b.fetches[r.Key] != nil && b.joins(r) {
 		return
 	}
-	s := b.pick(r, 2)
-	if s != nil && b.vain(r, s) { // rather than be turned away, a request takes any server with room
-		s = b.pick(r, len(b.caches))
-	}
+	s := b.pick(r)
 	if s == nil {
 		b.giveUp(r)
 		return
@@ -269,7 +275,7 @@
 			b.giveUp(r)
 			return
 		}
-		if !b.origin.room() {
+		if !b.room(b.origin) {
 			s = b.origin
 		}
 	}
@@ -297,26 +303,21 @@
 
 // gate sends a request to s, or holds it for s while s has no room, if it can still be answered after that.
 func (b *Balancer) gate(r *request, s *server) {
-	if s.room() {
+	if b.room(s) {
 		b.send(r, s)
 		return
 	}
-	if b.vain(r, s) {
-		b.giveUp(r)
+	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
+		b.giveUp(r) // it would wait in vain
 		return
 	}
 	r.held = s
 	s.queue = append(s.queue, r)
 }
 
-// vain reports whether a request held for s would likely get no answer by its aim.
-func (b *Balancer) vain(r *request, s *server) bool {
-	return !s.room() && b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim
-}
-
 // admit sends what is held for s while s has room: writes first, then by worth, then by age.
 func (b *Balancer) admit(s *server) {
-	for len(s.queue) > 0 && s.room() {
+	for len(s.queue) > 0 && b.room(s) {
 		best := 0
 		for i, r := range s.queue {
 			o := s.queue[best]
@@ -424,12 +425,14 @@
 	a.done, a.clean = true, res.Outcome.NeverRan()
 	r.out--
 	a.srv.drop(a)
+	a.srv.freed = b.now
 	if !a.origin {
 		b.out--
 	}
 	b.learn(a, res)
 	if b.set.Mode == Through {
 		b.origin.drop(a)
+		b.origin.freed = b.now
 		b.learnKey(a, res)
 		defer b.admit(b.origin)
 	}
@@ -513,12 +516,12 @@
 	case float64(len(s.sent)+1) < s.limit/2:
 	case strained:
 		if sentAt >= s.cutAt {
-			s.limit, s.cutAt, s.strained = max(1, s.limit/2), b.now, true
+			s.limit, s.cutAt, s.strained = max(1/float64(max(1, b.set.Balancers)), s.limit/2), b.now, true
 		}
 	case !s.strained:
 		s.limit++
 	default:
-		s.limit += 1 / s.limit
+		s.limit += min(s.limit/4, 1/s.limit)
 	}
 }
 
@@ -577,6 +580,12 @@
 // sweep looks at every open request: the held ones that can no longer be answered are given up, the late
 // safe ones get a second copy.
 func (b *Balancer) sweep() {
+	for _, s := range b.caches {
+		b.admit(s)
+	}
+	if b.origin != nil {
+		b.admit(b.origin)
+	}
 	for _, r := range slices.Clone(b.order) {
 		switch {
 		case r.ended:
@@ -590,7 +599,7 @@
 			if a.done || a.origin || a.fetch || !late {
 				continue
 			}
-			if s := b.pick(r, 2); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
+			if s := b.pick(r); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
 				b.budget--
 				b.send(r, s)
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -471,7 +471,7 @@
 		s.limit = 0 // all crowded
 	}
 	r := &request{Request: Request{ID: "c", Key: "cold"}, class: w.b.classes["read"], end: w.now + time.Second}
-	if s := w.b.pick(r, 2); s.ID != ranking(w, "cold")[0] {
+	if s := w.b.pick(r); s.ID != ranking(w, "cold")[0] {
 		t.Error("with all crowded the top of the ranking does not stand")
 	}
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,6 +21,7 @@
 	cutAt     time.Duration   // when it was cut last
 	fullAt    time.Duration   // when it last turned an attempt away
 	holds     map[string]bool // through mode: keys whose last read it answered
+	freed     time.Duration   // when an attempt last ended
 	queue     []*request      // held until there is room
 	fails     int             // straight failures
 	skipUntil time.Duration
@@ -96,9 +97,6 @@
 	return s.ID
 }
 
-// room reports whether one more attempt may be out at the server.
-func (s *server) room() bool { return float64(len(s.sent)) < s.limit }
-
 // place is what the request is ranked by; one without a key gets any steady, spread choice.
 func (r *request) place() string {
 	if r.Key == "" {
