--- a/policy/policy.go
+++ b/policy/policy.go
@@ -470,7 +470,10 @@
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
-		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
+		strained := res.Outcome == Full && s.limit > 1 || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
+		if res.Outcome != Full || strained {
+			b.steer(s, a.at, strained)
+		}
 	}
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
