--- a/policy/policy.go
+++ b/policy/policy.go
@@ -216,6 +216,10 @@
 			silent++
 		}
 	}
+	depth := 2
+	if n := b.keyed[r.Key]; n > 1 {
+		depth = n * max(1, b.set.Balancers) // the others hold as many
+	}
 	var top *server
 	looked := 0
 	for _, s := range rank {
@@ -229,7 +233,7 @@
 		if top == nil {
 			top = s
 		}
-		if looked++; looked >= max(2, b.keyed[r.Key]) {
+		if looked++; looked >= depth {
 			break
 		}
 	}
@@ -465,15 +469,12 @@
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
-	if res.Outcome == Full {
+	if res.Outcome == Full || res.Load.Queue >= 1 {
 		s.fullAt = b.now
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
-		strained := res.Outcome == Full && s.limit > 1 || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
-		if res.Outcome != Full || strained {
-			b.steer(s, a.at, strained)
-		}
+		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
 	}
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
