--- a/policy/policy.go
+++ b/policy/policy.go
@@ -216,10 +216,6 @@
 			silent++
 		}
 	}
-	depth := 2
-	if n := b.keyed[r.Key]; n > 1 {
-		depth = n * max(1, b.set.Balancers) // the others hold as many
-	}
 	var top *server
 	looked := 0
 	for _, s := range rank {
@@ -233,7 +229,7 @@
 		if top == nil {
 			top = s
 		}
-		if looked++; looked >= depth {
+		if looked++; looked >= max(2, b.keyed[r.Key]) {
 			break
 		}
 	}
@@ -469,7 +465,7 @@
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
-	if res.Outcome == Full || res.Load.Queue >= 1 {
+	if res.Outcome == Full {
 		s.fullAt = b.now
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
