--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -27,8 +27,9 @@
 		QuotaPerS float64
 	}
 	FamilyInfo struct {
-		Mode       string
-		OriginKind *int
+		Mode               string
+		OriginKind         *int
+		OriginFallMultiple float64
 	}
 	Guarantees struct {
 		AskWithin, DrainGrace, WarmUp, OverloadFor int64
@@ -55,7 +56,7 @@
 		MayTell: l.MayTell, Advice: l.RetryAfter, MaxAdvice: time.Duration(l.MaxRetryAfter),
 		DrainGrace: time.Duration(g.DrainGrace), ColdFrom: g.ColdFrom, WarmUp: time.Duration(g.WarmUp),
 		FallMultiple: g.FallMultiple, FallWindow: time.Duration(g.OverloadFor),
-		OverShare: w.OverShareWorth, Weighted: w.Weights != "off",
+		OverShare: w.OverShareWorth, OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
 		ConnectWithin: time.Duration(l.ConnectTimeout),
 	}
 	if w.FamilyInfo.Mode == "aside" {
--- a/policy/api.go
+++ b/policy/api.go
@@ -79,6 +79,7 @@
 	Tenants       []Tenant
 	Mode          Mode
 	OriginKind    string // kind of the list entry that is the origin; empty when it is not listed
+	OriginFalls   bool   // the origin stops when too many misses reach it
 	Zone          string
 	Balancers     int // balancers in the fleet, this one included
 	MustAsk       bool
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -223,7 +223,7 @@
 		if skip || b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) {
 			continue
 		}
-		if !b.crowded(s) && (top == nil || b.warmth(s) == 1) {
+		if !b.crowded(s) && (top == nil || b.warmth(s) == 1 || !b.set.OriginFalls) {
 			return s
 		}
 		if top == nil {
@@ -458,9 +458,11 @@
 func (b *Balancer) learn(a *attempt, res Result) {
 	s := a.srv
 	if res.Outcome == OK && !a.origin {
-		s.answers.add(b.now, b.set.FallWindow)
 		b.timed(float64(b.now - a.at))
 	}
+	if res.Outcome == OK || res.Outcome == Miss {
+		s.answers.add(b.now, b.set.FallWindow)
+	}
 	// Guards against skipping a server that answers others, or one that the origin let down.
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
