--- a/policy/policy.go
+++ b/policy/policy.go
@@ -229,9 +229,6 @@
 		if top == nil {
 			top = s
 		}
-		if !b.set.OriginFalls && b.vain(r, top) {
-			continue // rather than be turned away it takes any server with room
-		}
 		if looked++; looked >= max(2, b.keyed[r.Key]) {
 			break
 		}
@@ -310,19 +307,14 @@
 		b.send(r, s)
 		return
 	}
-	if b.vain(r, s) {
-		b.giveUp(r)
+	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
+		b.giveUp(r) // it would wait in vain
 		return
 	}
 	r.held = s
 	s.queue = append(s.queue, r)
 }
 
-// vain reports whether a request held for s would likely get no answer by its aim.
-func (b *Balancer) vain(r *request, s *server) bool {
-	return !b.room(s) && b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim
-}
-
 // admit sends what is held for s while s has room: writes first, then by worth, then by age.
 func (b *Balancer) admit(s *server) {
 	for len(s.queue) > 0 && b.room(s) {
