--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,6 @@
 	hedgeShare  = 0.05            // hedges per first try: what doubling the slowest twentieth costs
 	hedgeBurst  = 10              // hedges that may be saved up
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
-	restTimes   = 3               // times the usual answer at rest
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
@@ -53,7 +52,6 @@
 		shortest = min(shortest, c.Aim)
 	}
 	b.late, b.usual = float64(shortest)/2, float64(shortest)/4 // until answers tell
-	b.rest = b.usual
 	act.Timer(b.period(), "sweep")
 	if set.MustAsk {
 		act.Subscribe()
@@ -310,7 +308,11 @@
 		return
 	}
 	if b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
-		b.giveUp(r) // it would wait in vain
+		if b.set.Mode == Aside && s != b.origin && b.origin != nil && b.room(b.origin) {
+			b.fetch(r) // the caches are the scarcer: the origin may answer it
+		} else {
+			b.giveUp(r) // it would wait in vain
+		}
 		return
 	}
 	r.held = s
@@ -474,7 +476,7 @@
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
-		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > min(a.req.class.Aim/2, time.Duration(restTimes*b.rest)) && !a.req.Write)
+		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
 	}
 	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
 		s.heard = b.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -79,7 +79,6 @@
 	ranked  []*server
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
-	rest    float64 // the lowest that mean has been, forgetting slowly
 	usual   float64 // mean of answer times, ns
 	budget  float64 // hedges that may be sent
 	askWait time.Duration
@@ -109,7 +108,6 @@
 // timed keeps the mean and the quantile lateQuant of answer times.
 func (b *Balancer) timed(took float64) {
 	b.usual += (took - b.usual) / 64
-	b.rest = min(b.rest*(1+1.0/4096), b.usual)
 	step := b.usual / 32
 	if took > b.late {
 		b.late += step * lateQuant
