--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -53,12 +53,15 @@
 		Zone: w.Az, Balancers: w.Balancers, MustAsk: w.MembershipMode == "subscribe",
 		AskWithin: time.Duration(g.AskWithin), Tick: time.Duration(w.Tick),
 		MaxAttempts: l.SendCap, Parallel: l.ParallelTries, MayCancel: l.Cancel, MayProbe: l.Probes,
-		MayTell: l.MayTell, Advice: l.RetryAfter, MaxAdvice: time.Duration(l.MaxRetryAfter),
+		MayTell: l.MayTell, MaxAdvice: time.Duration(l.MaxRetryAfter),
 		DrainGrace: time.Duration(g.DrainGrace), ColdFrom: g.ColdFrom, WarmUp: time.Duration(g.WarmUp),
 		FallMultiple: g.FallMultiple, FallWindow: time.Duration(g.OverloadFor),
 		OverShare: w.OverShareWorth, OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
 		ConnectWithin: time.Duration(l.ConnectTimeout),
 	}
+	if !l.RetryAfter {
+		s.MaxAdvice = 0
+	}
 	if w.FamilyInfo.Mode == "aside" {
 		s.Mode = policy.Aside
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -90,8 +90,7 @@
 	MayCancel     bool
 	MayProbe      bool
 	MayTell       bool
-	Advice        bool          // clients are told when to return
-	MaxAdvice     time.Duration // longest advice that clients follow
+	MaxAdvice     time.Duration // longest advice to return that clients follow; 0 when they get none
 	DrainGrace    time.Duration
 	ColdFrom      float64 // part of its capacity that a starting server has at least
 	WarmUp        time.Duration
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -185,11 +185,6 @@
 	return len(s.sent) > 0 && s.heard <= s.sent[0].at && float64(b.now-s.sent[0].at) >= 2*b.late
 }
 
-// fit reports whether a server is trusted with a request.
-func (b *Balancer) fit(s *server) bool {
-	return !b.down(s) && !b.silent(s)
-}
-
 // down reports whether a server's straight failures keep it from all but one trial a spell.
 func (b *Balancer) down(s *server) bool {
 	return s.fails >= failsToSkip && (b.now < s.skipUntil || len(s.sent) > 0)
@@ -208,18 +203,11 @@
 // with all down the ranking; and when most are silent the fault is not theirs.
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
-	down, silent := 0, 0
-	for _, s := range rank {
-		if b.down(s) {
-			down++
-		} else if b.silent(s) {
-			silent++
-		}
-	}
+	down, silent := count(rank, b.down), count(rank, b.silent)
 	var top *server
 	looked := 0
 	for _, s := range rank {
-		skip := b.down(s) && down < len(rank) || b.silent(s) && 2*silent <= len(rank)-down
+		skip := b.down(s) && down < len(rank) || b.silent(s) && 2*silent <= len(rank)
 		if skip || b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) {
 			continue
 		}
@@ -321,7 +309,7 @@
 
 // admit sends what is held for s while s has room: writes first, then by worth, then by age.
 func (b *Balancer) admit(s *server) {
-	for len(s.queue) > 0 && b.room(s) {
+	for s != nil && len(s.queue) > 0 && b.room(s) {
 		best := 0
 		for i, r := range s.queue {
 			o := s.queue[best]
@@ -367,11 +355,7 @@
 		return
 	}
 	if r.mayRefuse() {
-		after := time.Duration(0)
-		if b.set.Advice {
-			after = min(b.set.MaxAdvice, r.class.Aim)
-		}
-		b.act.Refuse(r.ID, after)
+		b.act.Refuse(r.ID, min(b.set.MaxAdvice, r.class.Aim))
 	} else {
 		b.act.Fail(r.ID)
 	}
@@ -392,14 +376,10 @@
 			b.act.Cancel(r.ID, a.n)
 		}
 	}
-	b.forget(r)
-	b.release(r, served)
-}
-
-func (b *Balancer) forget(r *request) {
-	if r.ended && r.out == 0 {
+	if r.out == 0 {
 		delete(b.open, r.ID)
 	}
+	b.release(r, served)
 }
 
 // Begun notes that an answer has started to flow.
@@ -428,22 +408,21 @@
 	a := r.tries[res.N]
 	a.done, a.clean = true, res.Outcome.NeverRan()
 	r.out--
-	a.srv.drop(a)
-	a.srv.freed = b.now
+	a.srv.drop(a, b.now)
 	if !a.origin {
 		b.out--
 	}
 	b.learn(a, res)
 	if b.set.Mode == Through {
-		b.origin.drop(a)
-		b.origin.freed = b.now
+		b.origin.drop(a, b.now)
 		b.learnKey(a, res)
 		defer b.admit(b.origin)
 	}
 	defer b.admit(a.srv)
 	switch {
+	case r.ended && r.out == 0:
+		delete(b.open, r.ID)
 	case r.ended:
-		b.forget(r)
 	case res.Final:
 		b.end(r, res.Outcome == OK)
 	case r.out > 0: // its other copy may yet answer
@@ -471,14 +450,14 @@
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
-	if res.Outcome == Full {
-		s.fullAt = b.now
-	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
 		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
 	}
-	if res.Outcome == OK || res.Outcome == Miss || res.Outcome == Full || res.Outcome == Errored {
+	switch res.Outcome {
+	case Full:
+		s.fullAt, s.heard = b.now, b.now
+	case OK, Miss, Errored:
 		s.heard = b.now
 	}
 }
@@ -586,12 +565,9 @@
 // sweep looks at every open request: the held ones that can no longer be answered are given up, the late
 // safe ones get a second copy.
 func (b *Balancer) sweep() {
-	for _, s := range b.caches {
+	for _, s := range append(b.caches, b.origin) {
 		b.admit(s)
 	}
-	if b.origin != nil {
-		b.admit(b.origin)
-	}
 	for _, r := range slices.Clone(b.order) {
 		switch {
 		case r.ended:
@@ -605,7 +581,7 @@
 			if a.done || a.origin || a.fetch || !late {
 				continue
 			}
-			if s := b.pick(r); s != nil && b.fit(s) && !b.crowded(s) && b.warmth(s) == 1 {
+			if s := b.pick(r); s != nil && !b.down(s) && !b.silent(s) && !b.crowded(s) && b.warmth(s) == 1 {
 				b.budget--
 				b.send(r, s)
 			}
--- a/policy/state.go
+++ b/policy/state.go
@@ -85,7 +85,8 @@
 }
 
 // drop takes an attempt that has ended off the server's.
-func (s *server) drop(a *attempt) {
+func (s *server) drop(a *attempt, now time.Duration) {
+	s.freed = now
 	s.sent = slices.DeleteFunc(s.sent, func(x *attempt) bool { return x == a })
 }
 
@@ -97,6 +98,16 @@
 	return s.ID
 }
 
+// count counts the servers for which is holds.
+func count(list []*server, is func(*server) bool) (n int) {
+	for _, s := range list {
+		if is(s) {
+			n++
+		}
+	}
+	return n
+}
+
 // place is what the request is ranked by; one without a key gets any steady, spread choice.
 func (r *request) place() string {
 	if r.Key == "" {
