--- a/policy/policy.go
+++ b/policy/policy.go
@@ -451,9 +451,8 @@
 		b.health(s, skipSpell, res.Outcome)
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
-		// Over half the aim leaves too little for a further try. Writes and fetches take as long as they take.
-		own := !a.req.Write && (res.Outcome != OK || res.Note != NoteMiss)
-		b.steer(s, a.at, res.Outcome == Full || own && b.now-a.at > a.req.class.Aim/2)
+		// Over half the aim leaves too little for a further try. Writes take as long as they take.
+		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
 	}
 	switch res.Outcome {
 	case Full:
