--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,7 +15,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -41,7 +40,7 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, heat: map[string]*fading{}, askWait: set.AskWithin / 16}
+		fetches: map[string]*fetch{}, keyed: map[string]int{}, askWait: set.AskWithin / 16}
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
 	}
@@ -199,15 +198,13 @@
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
-// not crowded. A key looks no further than its second, or than as many servers as its part of
-// the requests would fill: a hot key so spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
+// not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
+// spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
 // with all down the ranking; and when most are silent the fault is not theirs.
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	down, silent := count(rank, b.down), count(rank, b.silent)
 	var top *server
-	share := b.heat[r.Key].at(b.now, b.set.FallWindow) / max(1, b.arrivals.at(b.now, b.set.FallWindow))
-	depth := max(2, int(math.Ceil(share*float64(len(rank)))))
 	looked := 0
 	for _, s := range rank {
 		skip := b.down(s) && down < len(rank) || b.silent(s) && 2*silent <= len(rank)
@@ -220,7 +217,7 @@
 		if top == nil {
 			top = s
 		}
-		if looked++; looked >= depth {
+		if looked++; looked >= max(2, b.keyed[r.Key]) {
 			break
 		}
 	}
@@ -239,11 +236,7 @@
 	r := &request{Request: q, class: c, at: now, aim: now + min(c.Aim, q.Left), end: now + q.Left}
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
-	b.arrivals.add(now, b.set.FallWindow)
-	if b.heat[r.Key] == nil {
-		b.heat[r.Key] = &fading{}
-	}
-	b.heat[r.Key].add(now, b.set.FallWindow)
+	b.keyed[r.Key]++
 	b.budget = min(hedgeBurst, b.budget+hedgeShare)
 	b.route(r)
 }
@@ -372,6 +365,9 @@
 // end closes a request: its other attempts are called off, and reads that waited for its fetch move on.
 func (b *Balancer) end(r *request, served bool) {
 	r.ended = true
+	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
+		delete(b.keyed, r.Key)
+	}
 	if s := r.held; s != nil {
 		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
 	}
@@ -510,7 +506,7 @@
 	case !s.strained:
 		s.limit++
 	default:
-		s.limit += min(s.limit, 1/s.limit)
+		s.limit += min(s.limit/4, 1/s.limit)
 	}
 }
 
@@ -592,5 +588,4 @@
 		}
 	}
 	b.order = slices.DeleteFunc(b.order, func(r *request) bool { return r.ended })
-	maps.DeleteFunc(b.heat, func(_ string, f *fading) bool { return f.at(b.now, b.set.FallWindow) < 0.01 })
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -61,28 +61,27 @@
 
 // Balancer decides for one node. It is not safe for concurrent use.
 type Balancer struct {
-	set      Settings
-	act      Actions
-	rng      *rand.Rand
-	now      time.Duration
-	classes  map[string]*Class
-	servers  map[string]*server
-	caches   []*server // ready, by id
-	weights  float64   // their sum
-	origin   *server
-	open     map[string]*request
-	order    []*request         // open requests by arrival
-	heat     map[string]*fading // requests of late, by key
-	arrivals fading             // all of them
-	fetches  map[string]*fetch
-	hash     hash.Hash
-	scratch  []byte
-	ranked   []*server
-	out      int     // attempts out at caches
-	late     float64 // quantile lateQuant of answer times, ns
-	usual    float64 // mean of answer times, ns
-	budget   float64 // hedges that may be sent
-	askWait  time.Duration
+	set     Settings
+	act     Actions
+	rng     *rand.Rand
+	now     time.Duration
+	classes map[string]*Class
+	servers map[string]*server
+	caches  []*server // ready, by id
+	weights float64   // their sum
+	origin  *server
+	open    map[string]*request
+	order   []*request     // open requests by arrival
+	keyed   map[string]int // open requests by key
+	fetches map[string]*fetch
+	hash    hash.Hash
+	scratch []byte
+	ranked  []*server
+	out     int     // attempts out at caches
+	late    float64 // quantile lateQuant of answer times, ns
+	usual   float64 // mean of answer times, ns
+	budget  float64 // hedges that may be sent
+	askWait time.Duration
 }
 
 // drop takes an attempt that has ended off the server's.
