--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"fmt"
 	"math"
 	"math/rand"
 	"slices"
@@ -260,6 +261,7 @@
 			return
 		}
 		if b.down(b.origin) {
+			b.act.Log("Q down")
 			b.giveUp(r)
 			return
 		}
@@ -299,6 +301,7 @@
 		if b.set.Mode == Aside && s != b.origin && b.origin != nil && b.room(b.origin) {
 			b.fetch(r) // the caches are the scarcer: the origin may answer it
 		} else {
+			b.act.Log(fmt.Sprintf("Q %v lim %.2f sent %d q %d usual %.0f", s == b.origin, s.limit, len(s.sent), len(s.queue), b.usual/1e6))
 			b.giveUp(r) // it would wait in vain
 		}
 		return
@@ -451,8 +454,9 @@
 		b.health(s, skipSpell, res.Outcome)
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
-		// Over half the aim leaves too little for a further try. Writes take as long as they take.
-		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
+		// Over half the aim leaves too little for a further try. Writes and fetches take as long as they take.
+		own := !a.req.Write && (res.Outcome != OK || res.Note != NoteMiss)
+		b.steer(s, a.at, res.Outcome == Full || own && b.now-a.at > a.req.class.Aim/2)
 	}
 	switch res.Outcome {
 	case Full:
@@ -506,7 +510,7 @@
 	case !s.strained:
 		s.limit++
 	default:
-		s.limit += min(s.limit/4, 1/s.limit)
+		s.limit += min(s.limit, 1/s.limit)
 	}
 }
 
