--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,7 +29,7 @@
 	skipSpell   = 5 * time.Second // how long, before one trial (design page)
 	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
 	spillFloor  = 2               // never crowded with this few out (design page)
-	firstLimit  = 4               // attempts out at a server of which nothing is known; doubles each round
+	firstLimit  = 1               // attempts out at a server of which nothing is known
 	hedgeShare  = 0.05            // hedges per first try: what doubling the slowest twentieth costs
 	hedgeBurst  = 10              // hedges that may be saved up
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
