--- a/policy/policy.go
+++ b/policy/policy.go
@@ -76,6 +76,9 @@
 		b.askWait = b.set.AskWithin / 16
 	}
 	b.merge(kind, list)
+	if b.set.Mode == Through && !b.origin.strained { // all keys are unknown at first, few of them missing
+		b.origin.limit = max(b.origin.limit, float64(len(b.caches)))
+	}
 }
 
 // ---- the ranking ----------------------------------------------------------------------------------
