--- a/policy/policy.go
+++ b/policy/policy.go
@@ -580,12 +580,11 @@
 			}
 		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
 			a := r.tries[len(r.tries)-1]
-			late := float64(b.now-a.at) >= b.late || b.now+time.Duration(2*b.usual) >= r.aim // or the last moment
-			if a.done || a.origin || !late || b.now+time.Duration(b.usual) > r.aim {
+			late := float64(b.now-a.at) >= b.late && b.now+time.Duration(b.usual) <= r.aim
+			if a.done || a.origin || a.fetch || !late {
 				continue
 			}
-			if s := b.pick(r); s != nil && !b.down(s) && !b.silent(s) && !b.crowded(s) && b.warmth(s) == 1 &&
-				(b.set.Mode == Aside || s.holds[r.Key] || b.room(b.origin)) {
+			if s := b.pick(r); s != nil && !b.down(s) && !b.silent(s) && !b.crowded(s) && b.warmth(s) == 1 {
 				b.budget--
 				b.send(r, s)
 			}
