--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,7 +10,7 @@
 // and silent servers are passed over (fit); a crowded one's keys go to their next (crowded, pick); what a
 // server has no room for is held or turned away (gate, steer); reads of one key share one fetch (joins,
 // release); in through mode likely fetches are limited as if the origin were a server (route, learnKey); a
-// late safe read gets a second copy (sweep); what cannot be answered by its aim is given up (giveUp).
+// late safe read is tried further (send); what cannot be answered by its aim is given up (giveUp).
 
 import (
 	"cmp"
@@ -30,8 +30,6 @@
 	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
 	spillFloor  = 2               // never crowded with this few out (design page)
 	firstLimit  = 1               // attempts out at a server of which nothing is known
-	hedgeShare  = 0.05            // hedges per first try: what doubling the slowest twentieth costs
-	hedgeBurst  = 10              // hedges that may be saved up
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
@@ -240,7 +238,6 @@
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
 	b.keyed[r.Key]++
-	b.budget = min(hedgeBurst, b.budget+hedgeShare)
 	b.route(r)
 }
 
@@ -344,8 +341,8 @@
 		if a.fetch = b.set.Mode == Through && b.leads(r); a.fetch {
 			b.origin.sent = append(b.origin.sent, a)
 		}
-		if r.class.Effect == Safe && !b.set.Parallel && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
-			// No second copy allowed: leave half of what is left of the aim to a further try.
+		if r.class.Effect == Safe && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
+			// Guards against a server that never answers: half of what is left of the aim is for a further try.
 			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
 		}
 	}
@@ -565,29 +562,14 @@
 	}
 }
 
-// sweep looks at every open request: the held ones that can no longer be answered are given up, the late
-// safe ones get a second copy.
+// sweep sends what servers have room for by now, and gives up what is held and can no longer be answered.
 func (b *Balancer) sweep() {
 	for _, s := range append(b.caches, b.origin) {
 		b.admit(s)
 	}
 	for _, r := range slices.Clone(b.order) {
-		switch {
-		case r.ended:
-		case r.out == 0:
-			if b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period() >= r.end {
-				b.giveUp(r)
-			}
-		case r.out == 1 && b.set.Parallel && r.class.Effect == Safe && b.budget >= 1:
-			a := r.tries[len(r.tries)-1]
-			late := float64(b.now-a.at) >= b.late && b.now+time.Duration(b.usual) <= r.aim
-			if a.done || a.origin || a.fetch || !late {
-				continue
-			}
-			if s := b.pick(r); s != nil && !b.down(s) && !b.silent(s) && !b.crowded(s) && b.warmth(s) == 1 {
-				b.budget--
-				b.send(r, s)
-			}
+		if r.out == 0 && (b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period() >= r.end) {
+			b.giveUp(r)
 		}
 	}
 	b.order = slices.DeleteFunc(b.order, func(r *request) bool { return r.ended })
--- a/policy/state.go
+++ b/policy/state.go
@@ -80,7 +80,6 @@
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
-	budget  float64 // hedges that may be sent
 	askWait time.Duration
 }
 
