--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,6 @@
 	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
 	spillFloor  = 2               // never crowded with this few out (design page)
 	firstLimit  = 1               // attempts out at a server of which nothing is known
-	lateQuant   = 0.95            // the quantile of answer times that counts as late
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
@@ -49,7 +48,7 @@
 		b.classes[c.Name] = c
 		shortest = min(shortest, c.Aim)
 	}
-	b.late, b.usual = float64(shortest)/2, float64(shortest)/4 // until answers tell
+	b.usual = float64(shortest) / 4 // until answers tell
 	act.Timer(b.period(), "sweep")
 	if set.MustAsk {
 		act.Subscribe()
@@ -180,12 +179,6 @@
 	return float64(len(s.sent)) < s.limit
 }
 
-// silent guards against sending into a frozen server: nothing heard since long before its oldest attempt
-// should have been answered.
-func (b *Balancer) silent(s *server) bool {
-	return len(s.sent) > 0 && s.heard <= s.sent[0].at && float64(b.now-s.sent[0].at) >= 2*b.late
-}
-
 // down reports whether a server's straight failures keep it from all but one trial a spell.
 func (b *Balancer) down(s *server) bool {
 	return s.fails >= failsToSkip && (b.now < s.skipUntil || len(s.sent) > 0)
@@ -201,14 +194,14 @@
 // pick walks down the ranking to the server that should get the request: the first that may, is fit and is
 // not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
 // spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
-// with all down the ranking; and when most are silent the fault is not theirs.
+// with all down the ranking.
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
-	down, silent := count(rank, b.down), count(rank, b.silent)
+	down := count(rank, b.down)
 	var top *server
 	looked := 0
 	for _, s := range rank {
-		skip := b.down(s) && down < len(rank) || b.silent(s) && 2*silent <= len(rank)
+		skip := b.down(s) && down < len(rank)
 		if skip || b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) {
 			continue
 		}
@@ -343,7 +336,7 @@
 		}
 		if r.class.Effect == Safe && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
 			// Guards against a server that never answers: half of what is left of the aim is for a further try.
-			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
+			wait = max((r.aim-b.now)/2, time.Duration(2*b.usual))
 		}
 	}
 	b.act.Send(r.ID, s.ID, wait)
@@ -441,7 +434,7 @@
 func (b *Balancer) learn(a *attempt, res Result) {
 	s := a.srv
 	if res.Outcome == OK && !a.origin {
-		b.timed(float64(b.now - a.at))
+		b.usual += (float64(b.now-a.at) - b.usual) / 64
 	}
 	if res.Outcome == OK || res.Outcome == Miss {
 		s.answers.add(b.now, b.set.FallWindow)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -706,3 +706,25 @@
 		}
 	}
 }
+
+// A server that takes requests and never answers must not keep them for as long as the client waits.
+func TestAHangingServerLeavesTimeForAFurtherTry(t *testing.T) {
+	for _, parallel := range []bool{true, false} {
+		set := settings()
+		set.Parallel = parallel
+		w := start(t, set, 4)
+		w.request("r", "read", "k")
+		first := w.last()
+		if first.wait != 200*ms {
+			t.Fatalf("time-out %v, want half the aim", first.wait)
+		}
+		w.answer(first, TimedOut, NoNote, first.wait)
+		if s := w.last(); s.n != 1 || s.server == first.server {
+			t.Errorf("after the time-out: %v, want a further try elsewhere", s)
+		}
+		w.request("w", "write", "k2")
+		if s := w.last(); s.wait != 0 {
+			t.Errorf("a write got the time-out %v: it may have run", s.wait)
+		}
+	}
+}
