--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,6 +30,7 @@
 	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
 	spillFloor  = 2               // never crowded with this few out (design page)
 	firstLimit  = 1               // attempts out at a server of which nothing is known
+	lateQuant   = 0.95            // the quantile of answer times that counts as late
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
@@ -48,7 +49,7 @@
 		b.classes[c.Name] = c
 		shortest = min(shortest, c.Aim)
 	}
-	b.usual = float64(shortest) / 4 // until answers tell
+	b.late, b.usual = float64(shortest)/2, float64(shortest)/4 // until answers tell
 	act.Timer(b.period(), "sweep")
 	if set.MustAsk {
 		act.Subscribe()
@@ -335,8 +336,9 @@
 			b.origin.sent = append(b.origin.sent, a)
 		}
 		if r.class.Effect == Safe && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
-			// Guards against a server that never answers: half of what is left of the aim is for a further try.
-			wait = max((r.aim-b.now)/2, time.Duration(2*b.usual))
+			// Guards against a server that never answers: half of what is left of the aim is for a further try,
+			// but what is merely slow (twice as slow as the slowest twentieth) is let finish.
+			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
 		}
 	}
 	b.act.Send(r.ID, s.ID, wait)
@@ -434,7 +436,7 @@
 func (b *Balancer) learn(a *attempt, res Result) {
 	s := a.srv
 	if res.Outcome == OK && !a.origin {
-		b.usual += (float64(b.now-a.at) - b.usual) / 64
+		b.timed(float64(b.now - a.at))
 	}
 	if res.Outcome == OK || res.Outcome == Miss {
 		s.answers.add(b.now, b.set.FallWindow)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -713,6 +713,7 @@
 		set := settings()
 		set.Parallel = parallel
 		w := start(t, set, 4)
+		w.b.late = float64(90 * ms)
 		w.request("r", "read", "k")
 		first := w.last()
 		if first.wait != 200*ms {
--- a/policy/state.go
+++ b/policy/state.go
@@ -78,6 +78,7 @@
 	scratch []byte
 	ranked  []*server
 	out     int     // attempts out at caches
+	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
 	askWait time.Duration
 }
@@ -114,6 +115,17 @@
 	return r.Key
 }
 
+// timed keeps the mean and the quantile lateQuant of answer times.
+func (b *Balancer) timed(took float64) {
+	b.usual += (took - b.usual) / 64
+	step := b.usual / 32
+	if took > b.late {
+		b.late += step * lateQuant
+	} else {
+		b.late = max(b.usual, b.late-step*(1-lateQuant))
+	}
+}
+
 // fading is a count that forgets evenly over a span.
 type fading struct {
 	value float64
