--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,7 +38,8 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, keyed: map[string]int{}, tenants: map[string]*tenant{}, askWait: set.AskWithin / 16}
+		fetches: map[string]*fetch{}, keyed: map[string]int{}, tenants: map[string]*tenant{},
+		askWait: set.AskWithin / 16}
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
 	}
@@ -353,8 +354,8 @@
 			b.origin.sent = append(b.origin.sent, a)
 		}
 		if r.class.Effect == Safe && b.now < r.aim && len(r.tries) < b.set.MaxAttempts {
-			// Guards against a server that never answers: half of what is left of the aim is for a further try,
-			// but what is merely slow (twice as slow as the slowest twentieth) is let finish.
+			// Guards against a server that never answers: half of what is left of the aim is for a further
+			// try, but what is merely slow (twice as slow as the slowest twentieth) is let finish.
 			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
 		}
 	}
