--- a/policy/policy.go
+++ b/policy/policy.go
@@ -464,10 +464,8 @@
 		b.health(s, skipSpell, res.Outcome)
 	}
 	if res.Outcome != Moot && res.Outcome != Cancelled && res.Outcome != ConnectFailed {
-		// Over half the aim leaves a cache's read too little for a further try; after a fetch comes none.
-		// Writes take as long as they take.
-		long := b.now-a.at > a.req.class.Aim/2 && (!a.origin || b.now > a.req.aim)
-		b.steer(s, a.at, res.Outcome == Full || long && !a.req.Write)
+		// Over half the aim leaves too little for a further try. Writes take as long as they take.
+		b.steer(s, a.at, res.Outcome == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write)
 	}
 	switch res.Outcome {
 	case Full:
