--- a/policy/policy.go
+++ b/policy/policy.go
@@ -300,7 +300,7 @@
 	}
 	// Beyond its quota a request is worth little: it is not held, so that the others find room.
 	if r.over || b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
-		if !r.over && b.set.Mode == Aside && s != b.origin && b.origin != nil && b.room(b.origin) {
+		if b.set.Mode == Aside && s != b.origin && b.origin != nil && b.room(b.origin) {
 			b.fetch(r) // the caches are the scarcer: the origin may answer it
 		} else {
 			b.giveUp(r) // it would wait in vain
