--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -57,7 +57,7 @@
 		Classes: []Class{
 			{Name: "read", Aim: 400 * ms, Deadline: time.Second, Worth: 1},
 			{Name: "write", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Keyed, Window: 2 * time.Second},
-			{Name: "once", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Unsafe},
+			{Name: "once", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Unsafe, Window: 2 * time.Second},
 		},
 		Balancers: 2, Tick: 5 * ms, MaxAttempts: 4, Parallel: true, MayCancel: true, Weighted: true,
 		ColdFrom: 0.2, WarmUp: 10 * time.Second, FallMultiple: 3, FallWindow: 2 * time.Second,
@@ -255,6 +255,18 @@
 	}
 }
 
+func TestNothingMayGoToWhatIsNotReady(t *testing.T) {
+	for _, state := range []State{Draining, Gone} {
+		w := start(t, settings(), 2)
+		s := w.b.servers["c00"]
+		s.State = state
+		r := &request{class: w.b.classes["read"], end: w.now + time.Second}
+		if w.b.may(r, s) {
+			t.Errorf("a request may go to a server in state %d", state)
+		}
+	}
+}
+
 func TestKeyedWindowIsKept(t *testing.T) {
 	set := settings()
 	set.Classes[1].Window = 300 * ms
@@ -539,6 +551,10 @@
 	if w.b.warmth(w.b.servers["c02"]) != 1 {
 		t.Error("not warm after the stated time")
 	}
+	w.b.now = w.now + set.WarmUp/2
+	if got := w.b.warmth(w.b.servers["c02"]); math.Abs(got-0.6) > 1e-9 {
+		t.Errorf("warmth %v half way from 0.2, want 0.6", got)
+	}
 }
 
 func TestListFailureAsksAgainWithinTheLimit(t *testing.T) {
@@ -753,3 +769,62 @@
 		t.Error("a request within its quota was not held")
 	}
 }
+
+// In through mode the fetches that caches make stop the origin (hobart-prices i329a09): they are limited as
+// if it were a server.
+func TestLikelyFetchesAreLimited(t *testing.T) {
+	w := start(t, settings(), 4)
+	w.b.origin.limit = 2
+	for i := range 3 {
+		w.request(fmt.Sprint("r", i), "read", fmt.Sprint("k", i))
+	}
+	if len(w.sends) != 2 {
+		t.Fatalf("%d likely fetches sent at once, want 2", len(w.sends))
+	}
+	w.answer(w.sends[0], OK, NoteMiss, 10*ms)
+	if w.tries["r2"] != 1 {
+		t.Error("the held fetch was not sent when there was room")
+	}
+}
+
+// Many nodes with one attempt each kept servers crowded (hobart-prices i2f1cd8): limits go below one.
+func TestLimitsFallToOneAttemptForAllNodes(t *testing.T) {
+	w := start(t, settings(), 1)
+	s := w.b.servers["c00"]
+	s.limit = 1
+	for range 9 {
+		w.now += time.Second
+		w.b.now = w.now
+		w.b.steer(s, w.now, true)
+	}
+	if want := 1 / float64(settings().Balancers); s.limit != want {
+		t.Errorf("limit %v after long strain, want %v", s.limit, want)
+	}
+	s.freed = w.now
+	if w.b.room(s) {
+		t.Error("a limit of a half left no pause after an attempt")
+	}
+	w.b.now += time.Duration(w.b.usual)
+	if !w.b.room(s) {
+		t.Error("no room after the pause")
+	}
+}
+
+// Caches slowed by crowding turned reads away while the origin stood idle (launceston-platform if1a60b).
+func TestTheOriginTakesWhatNoCacheHasRoomFor(t *testing.T) {
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 2)
+	for _, s := range w.b.caches {
+		s.limit, s.freed = 0.01, w.now
+	}
+	w.request("r", "read", "k")
+	if s := w.last(); s.server != "o" {
+		t.Errorf("sent to %s, want the origin", s.server)
+	}
+	w.b.origin.limit = 0
+	w.request("r2", "read", "k2")
+	if w.ended["r2"] != "refused" {
+		t.Error("not refused though neither caches nor origin have room")
+	}
+}
