--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -10,13 +10,11 @@
 
 // wireSettings is the settings object of a starting instance; what the module does not use is left out.
 type wireSettings struct {
-	Az             string
 	Balancers      int
 	Models         []string
 	MembershipMode string
 	Tick           int64
 	Weights        string
-	OverShareWorth float64
 	Classes        []struct {
 		Name, Effect, DedupScope string
 		Aim, Deadline, KeyTtl    int64
@@ -32,13 +30,13 @@
 		OriginFallMultiple float64
 	}
 	Guarantees struct {
-		AskWithin, DrainGrace, WarmUp, OverloadFor int64
-		ColdFrom, FallMultiple                     float64
+		AskWithin, WarmUp, OverloadFor int64
+		ColdFrom, FallMultiple         float64
 	}
 	Limits struct {
-		Cancel, MayTell, ParallelTries, Probes, RetryAfter bool
-		MaxRetryAfter, ConnectTimeout                      int64
-		SendCap                                            int
+		Cancel, ParallelTries, RetryAfter bool
+		MaxRetryAfter                     int64
+		SendCap                           int
 	}
 }
 
@@ -50,14 +48,13 @@
 	}
 	g, l := w.Guarantees, w.Limits
 	s := policy.Settings{
-		Zone: w.Az, Balancers: w.Balancers, MustAsk: w.MembershipMode == "subscribe",
+		Balancers: w.Balancers, MustAsk: w.MembershipMode == "subscribe",
 		AskWithin: time.Duration(g.AskWithin), Tick: time.Duration(w.Tick),
-		MaxAttempts: l.SendCap, Parallel: l.ParallelTries, MayCancel: l.Cancel, MayProbe: l.Probes,
-		MayTell: l.MayTell, MaxAdvice: time.Duration(l.MaxRetryAfter),
-		DrainGrace: time.Duration(g.DrainGrace), ColdFrom: g.ColdFrom, WarmUp: time.Duration(g.WarmUp),
+		MaxAttempts: l.SendCap, Parallel: l.ParallelTries, MayCancel: l.Cancel,
+		MaxAdvice: time.Duration(l.MaxRetryAfter),
+		ColdFrom:  g.ColdFrom, WarmUp: time.Duration(g.WarmUp),
 		FallMultiple: g.FallMultiple, FallWindow: time.Duration(g.OverloadFor),
-		OverShare: w.OverShareWorth, OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
-		ConnectWithin: time.Duration(l.ConnectTimeout),
+		OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
 	}
 	if !l.RetryAfter {
 		s.MaxAdvice = 0
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -53,7 +53,7 @@
 	Request  policy.Request  // Request
 	ID       string          // FirstByte, Abandoned
 	N        int             // FirstByte
-	Result   policy.Result   // Result, Probed
+	Result   policy.Result   // Result
 	Token    string          // Timer
 }
 
@@ -80,16 +80,12 @@
 	Org      any
 	Resource json.Number
 	Grace    int64
-	Estimate int64
-	Repeat   bool
 	Write    bool
 	N        int
 	Server   string
 	Ending   int
 	Remark   int
 	Settled  bool
-	Took     int64
-	Pressure map[string]float64
 	Ref      string
 }
 
@@ -190,9 +186,9 @@
 		e.ListKind, e.Entries, err = r.list(l)
 	case Request:
 		e.Request = policy.Request{ID: l.Handle, Class: l.Grade, Key: l.Resource.String(),
-			Left: time.Duration(l.Grace), Hint: time.Duration(l.Estimate), Retry: l.Repeat, Write: l.Write}
+			Left: time.Duration(l.Grace), Write: l.Write}
 		e.Request.Tenant, _ = l.Org.(string)
-	case Result, Probed:
+	case Result:
 		e.Result, err = result(l)
 	}
 	return e, err
@@ -240,15 +236,8 @@
 	if !ok {
 		return policy.Result{}, fmt.Errorf("unknown outcome %d", l.Ending)
 	}
-	load := policy.Load{Busy: -1, Queue: -1}
-	if v, ok := l.Pressure["load_share"]; ok {
-		load.Busy = v
-	}
-	if v, ok := l.Pressure["depth"]; ok {
-		load.Queue = v
-	}
 	return policy.Result{ID: l.Handle, N: l.N, Server: l.Server, Outcome: end, Note: policy.Note(l.Remark),
-		Final: l.Settled, Took: time.Duration(l.Took), Load: load}, nil
+		Final: l.Settled}, nil
 }
 
 // Writer collects the actions of one reply and sends it.
@@ -329,9 +318,6 @@
 	a.W.end()
 }
 
-// Probe implements policy.Actions.
-func (a Actor) Probe(server string) { a.one("Ping", "Server", server) }
-
 // Timer implements policy.Actions.
 func (a Actor) Timer(after time.Duration, token string) {
 	a.W.open("WakeAt", a.Instance)
--- a/policy/api.go
+++ b/policy/api.go
@@ -75,30 +75,24 @@
 
 // Settings are what a balancer is told at its start.
 type Settings struct {
-	Classes       []Class
-	Tenants       []Tenant
-	Mode          Mode
-	OriginKind    string // kind of the list entry that is the origin; empty when it is not listed
-	OriginFalls   bool   // the origin stops when too many misses reach it
-	Zone          string
-	Balancers     int // balancers in the fleet, this one included
-	MustAsk       bool
-	AskWithin     time.Duration // with MustAsk: longest spell without asking
-	Tick          time.Duration // events come at most this often
-	MaxAttempts   int
-	Parallel      bool // a request may have two attempts out
-	MayCancel     bool
-	MayProbe      bool
-	MayTell       bool
-	MaxAdvice     time.Duration // longest advice to return that clients follow; 0 when they get none
-	DrainGrace    time.Duration
-	ColdFrom      float64 // part of its capacity that a starting server has at least
-	WarmUp        time.Duration
-	FallMultiple  float64 // times its present capacity that pushes a cold server over
-	FallWindow    time.Duration
-	OverShare     float64 // part of its worth that a request beyond its tenant's quota keeps
-	Weighted      bool    // the list carries weights
-	ConnectWithin time.Duration
+	Classes      []Class
+	Tenants      []Tenant
+	Mode         Mode
+	OriginKind   string // kind of the list entry that is the origin; empty when it is not listed
+	OriginFalls  bool   // the origin stops when too many misses reach it
+	Balancers    int    // balancers in the fleet, this one included
+	MustAsk      bool
+	AskWithin    time.Duration // with MustAsk: longest spell without asking
+	Tick         time.Duration // events come at most this often
+	MaxAttempts  int
+	Parallel     bool // a request may have two attempts out
+	MayCancel    bool
+	MaxAdvice    time.Duration // longest advice to return that clients follow; 0 when they get none
+	ColdFrom     float64       // part of its capacity that a starting server has at least
+	WarmUp       time.Duration
+	FallMultiple float64 // times its present capacity that pushes a cold server over
+	FallWindow   time.Duration
+	Weighted     bool // the list carries weights
 }
 
 // State is where a listed server is in its life.
@@ -140,14 +134,9 @@
 	Tenant string
 	Key    string        // empty when it has none
 	Left   time.Duration // until this try of the client is given up
-	Hint   time.Duration // rough work, 0 when unknown
-	Retry  bool          // the client marks a repeat
 	Write  bool
 }
 
-// Load is what a server reports of itself; a value that it does not report is negative.
-type Load struct{ Busy, Queue float64 }
-
 // Note says what a cache did for a read, where caches tell.
 type Note int
 
@@ -167,8 +156,6 @@
 	Outcome Outcome
 	Note    Note
 	Final   bool // nothing more is owed for the request
-	Took    time.Duration
-	Load    Load
 }
 
 // Actions is what a balancer may do. Each call takes effect at the time of the event being handled.
@@ -177,7 +164,6 @@
 	Refuse(id string, comeBack time.Duration)
 	Fail(id string)
 	Cancel(id string, n int)
-	Probe(server string)
 	Timer(after time.Duration, token string)
 	Subscribe()
 	Log(text string)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -47,7 +47,6 @@
 func (w *world) Refuse(id string, _ time.Duration)       { w.end(id, "refused") }
 func (w *world) Fail(id string)                          { w.end(id, "failed") }
 func (w *world) Cancel(string, int)                      {}
-func (w *world) Probe(string)                            {}
 func (w *world) Timer(after time.Duration, token string) { w.timers[token]++ }
 func (w *world) Subscribe()                              { w.asked++ }
 func (w *world) Log(text string)                         { w.logs = append(w.logs, text) }
@@ -107,8 +106,7 @@
 // answer ends the attempt s after a time.
 func (w *world) answer(s sent, o Outcome, note Note, after time.Duration) {
 	w.now += after
-	w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: o, Note: note, Final: o == OK,
-		Took: after})
+	w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: o, Note: note, Final: o == OK})
 }
 
 func (w *world) sweep() { w.b.Timer(w.now, "sweep") }
