Read once more: stale header mended, one path in release, unused fields gone

The module's opening comment still named the removed silence rule. release had two branches that did the same. Class.Deadline, Class.LateShare and a request's arrival time were set and never read. No decision changes.

--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -18,7 +18,7 @@
 	Classes        []struct {
 		Name, Effect, DedupScope string
 		Aim, Deadline, KeyTtl    int64
-		Worth, LateShare         float64
+		Worth                    float64
 	}
 	Tenants []struct {
 		Name      string
@@ -80,8 +80,7 @@
 			scope = policy.ScopeCell // the narrowest: never wrong
 		}
 		s.Classes = append(s.Classes, policy.Class{Name: c.Name, Aim: time.Duration(c.Aim),
-			Deadline: time.Duration(c.Deadline), Worth: c.Worth, LateShare: c.LateShare, Effect: effect,
-			Scope: scope, Window: time.Duration(c.KeyTtl)})
+			Worth: c.Worth, Effect: effect, Scope: scope, Window: time.Duration(c.KeyTtl)})
 	}
 	if len(s.Classes) == 0 {
 		return s, fmt.Errorf("settings: no request class")
--- a/policy/api.go
+++ b/policy/api.go
@@ -48,14 +48,12 @@
 
 // Class holds what is known of a request class.
 type Class struct {
-	Name      string
-	Aim       time.Duration // answers within it earn the full worth
-	Deadline  time.Duration // the client's patience over all its tries
-	Worth     float64       // worth of one request
-	LateShare float64       // part of the worth left after the aim
-	Effect    Effect
-	Scope     Scope         // dedup group, for Keyed
-	Window    time.Duration // how long the group remembers, for Keyed
+	Name   string
+	Aim    time.Duration // answers within it earn the full worth
+	Worth  float64       // worth of one request
+	Effect Effect
+	Scope  Scope         // dedup group, for Keyed
+	Window time.Duration // how long the group remembers, for Keyed
 }
 
 // Tenant is one of those who share the service.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,10 +7,11 @@
 // aside mode a read that misses, and every write, goes to the origin.
 //
 // The departures: a starting server's weight is cut to what it is sure to bear (warmth, coldRoom); failing
-// and silent servers are passed over (fit); a crowded one's keys go to their next (crowded, pick); what a
-// server has no room for is held or turned away (gate, steer); reads of one key share one fetch (joins,
-// release); in through mode likely fetches are limited as if the origin were a server (route, learnKey); a
-// late safe read is tried further (send); what cannot be answered by its aim is given up (giveUp).
+// servers are skipped (down); a crowded one's keys go to their next (crowded, pick); what a server has no
+// room for is held, sent to an idle origin or turned away (gate, steer); reads of one key share one fetch
+// (joins, release); in through mode likely fetches are limited as if the origin were a server (route,
+// learnKey); a safe read that hangs is cut off in time for a further try (send); what cannot be answered by
+// its aim is given up (sweep, giveUp).
 
 import (
 	"cmp"
@@ -196,8 +197,8 @@
 	return full || !b.room(s) || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
 }
 
-// pick walks down the ranking to the server that should get the request: the first that may, is fit and is
-// not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
+// pick walks down the ranking to the server that should get the request: the first that may, is not skipped
+// and not crowded. A key looks no further than its second, or than it has requests open here: a hot key so
 // spreads as far as it needs, and the others do not pay with misses. With all crowded the top one stands,
 // with all down the ranking.
 func (b *Balancer) pick(r *request) *server {
@@ -230,9 +231,9 @@
 	b.now = now
 	c := b.classes[q.Class]
 	if c == nil { // unknown: nothing may be repeated
-		c = &Class{Name: q.Class, Aim: q.Left, Deadline: q.Left, Effect: Unsafe}
+		c = &Class{Name: q.Class, Aim: q.Left, Effect: Unsafe}
 	}
-	r := &request{Request: q, class: c, at: now, aim: now + min(c.Aim, q.Left), end: now + q.Left}
+	r := &request{Request: q, class: c, aim: now + min(c.Aim, q.Left), end: now + q.Left}
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
 	b.keyed[r.Key]++
@@ -546,14 +547,12 @@
 	f := b.fetches[r.Key]
 	delete(b.fetches, r.Key)
 	for _, w := range f.waiting {
+		for _, a := range w.tries {
+			a.filled = a.filled || served
+		}
 		switch {
 		case w.ended:
-		case served:
-			for _, a := range w.tries {
-				a.filled = true
-			}
-			b.route(w)
-		case b.set.Mode == Aside:
+		case !served && b.set.Mode == Aside:
 			b.fetch(w)
 		default:
 			b.route(w)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -54,9 +54,9 @@
 func settings() Settings {
 	return Settings{
 		Classes: []Class{
-			{Name: "read", Aim: 400 * ms, Deadline: time.Second, Worth: 1},
-			{Name: "write", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Keyed, Window: 2 * time.Second},
-			{Name: "once", Aim: 400 * ms, Deadline: time.Second, Worth: 2, Effect: Unsafe, Window: 2 * time.Second},
+			{Name: "read", Aim: 400 * ms, Worth: 1},
+			{Name: "write", Aim: 400 * ms, Worth: 2, Effect: Keyed, Window: 2 * time.Second},
+			{Name: "once", Aim: 400 * ms, Worth: 2, Effect: Unsafe, Window: 2 * time.Second},
 		},
 		Balancers: 2, Tick: 5 * ms, MaxAttempts: 4, Parallel: true, MayCancel: true, Weighted: true,
 		ColdFrom: 0.2, WarmUp: 10 * time.Second, FallMultiple: 3, FallWindow: 2 * time.Second,
@@ -109,6 +109,14 @@
 	w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: o, Note: note, Final: o == OK})
 }
 
+// restart tells the balancer, a minute on, that a server has just started anew.
+func (w *world) restart(id string) {
+	w.now += time.Minute
+	s := w.b.servers[id].Server
+	s.Started = w.now
+	w.b.Members(w.now, ListChanges, []Server{s})
+}
+
 func (w *world) sweep() { w.b.Timer(w.now, "sweep") }
 
 func TestScoresAreTheSharedOnes(t *testing.T) {
@@ -231,7 +239,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			set.Parallel = c.parallel
 			w := start(t, set, 8)
-			r := &request{Request: Request{ID: "r", Left: time.Second}, class: w.b.classes[c.class], at: w.now,
+			r := &request{Request: Request{ID: "r", Left: time.Second}, class: w.b.classes[c.class],
 				end: w.now + time.Second}
 			a := &attempt{req: r, srv: w.b.servers["c00"], at: w.now}
 			r.tries = append(r.tries, a)
@@ -498,10 +506,7 @@
 func TestColdBudgetFollowsAnswersNotSends(t *testing.T) {
 	set := settings()
 	w := start(t, set, 4)
-	w.now += time.Minute
-	cold := w.b.servers["c00"].Server
-	cold.Started = w.now
-	w.b.Members(w.now, ListChanges, []Server{cold})
+	w.restart("c00")
 	for _, s := range w.b.caches {
 		s.sends.value, s.sends.when = 1000, w.now
 		s.answers.value, s.answers.when = 10, w.now
@@ -521,10 +526,7 @@
 func TestWarmthRisesEvenlyAndMovesKeysOnlyIn(t *testing.T) {
 	set := settings()
 	w := start(t, set, 6)
-	w.now += time.Minute
-	s := w.b.servers["c02"].Server
-	s.Started = w.now
-	w.b.Members(w.now, ListChanges, []Server{s})
+	w.restart("c02")
 	owner := map[string]string{}
 	prev := -1
 	for step := range 11 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -45,7 +45,6 @@
 type request struct {
 	Request
 	class    *Class
-	at       time.Duration
 	aim, end time.Duration // when the worth falls, when this try of the client is over
 	tries    []*attempt
 	out      int
