--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,7 +39,8 @@
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
-		fetches: map[string]*fetch{}, keyed: map[string]int{}, tenants: map[string]*tenant{},
+		fetches: map[string]*fetch{}, keyed: map[string]int{}, recent: recent{count: map[string]int{}},
+		tenants: map[string]*tenant{},
 		askWait: set.AskWithin / 16}
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
@@ -102,10 +103,11 @@
 
 // rank orders the ready caches for a key, best first. The slice is good until the next call.
 func (b *Balancer) rank(key string) []*server {
-	b.ranked = b.ranked[:0]
+	b.ranked, b.weights = b.ranked[:0], 0
 	for _, s := range b.caches {
 		if w := s.weight * b.warmth(s); w > 0 {
 			s.score = race(b.hrw(s.ID, key), w)
+			b.weights += w
 			b.ranked = append(b.ranked, s)
 		}
 	}
@@ -152,23 +154,19 @@
 }
 
 // coldRoom holds rule 4: a warming server gets at most this node's part of the load that would push it
-// over, told from what warm servers bear from this node, so that nodes need no agreement.
-func (b *Balancer) coldRoom(s *server) bool {
+// over, told from the answers that this node gets, so that nodes need no agreement. Under overload what is
+// sent is no measure of what servers can do. A part under one attempt cannot be counted out: it is kept in
+// the mean, by chance, and for what cannot be many nodes' hot key or further try (burnie-super, 122 nodes).
+func (b *Balancer) coldRoom(r *request, s *server) bool {
 	if b.warmth(s) == 1 {
 		return true
 	}
-	// Answers, not sends: under overload what warm servers are sent is no measure of what they can do.
-	answers, weight := 0.0, 0.0
-	for _, w := range b.caches {
-		if b.warmth(w) == 1 {
-			answers, weight = answers+w.answers.at(b.now, b.set.FallWindow), weight+w.weight
-		}
-	}
-	if weight == 0 {
-		return true
+	budget := coldSafety * b.set.FallMultiple * b.answers.at(b.now, b.set.FallWindow)
+	if part := budget * s.weight * b.warmth(s) / b.weights; part >= 1 {
+		return s.sends.at(b.now, b.set.FallWindow)+1 <= part
 	}
-	room := coldSafety * b.set.FallMultiple * b.warmth(s) * s.weight * answers / weight
-	return s.sends.at(b.now, b.set.FallWindow)+1 <= max(1, room)
+	return len(r.tries) == 0 && b.recent.count[r.Key] <= 1 &&
+		b.rng.Float64()*b.sends.at(b.now, b.set.FallWindow) <= budget
 }
 
 // tried reports whether the request was sent to s and s has not been given what it lacked since.
@@ -208,7 +206,7 @@
 	looked := 0
 	for _, s := range rank {
 		skip := b.down(s) && down < len(rank)
-		if skip || b.tried(r, s) || !b.may(r, s) || !b.coldRoom(s) {
+		if skip || b.tried(r, s) || !b.may(r, s) || !b.coldRoom(r, s) {
 			continue
 		}
 		if !b.crowded(s) && (top == nil || b.warmth(s) == 1 || !b.set.OriginFalls) {
@@ -237,6 +235,7 @@
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
 	b.keyed[r.Key]++
+	b.recent.add(r.Key, len(b.caches))
 	if t := b.tenants[q.Tenant]; t != nil { // judged as if all nodes saw as much of the tenant
 		t.asked.add(now, b.set.FallWindow)
 		due := t.Quota * b.set.FallWindow.Seconds() / float64(max(1, b.set.Balancers))
@@ -351,6 +350,7 @@
 	wait := time.Duration(0)
 	if s != b.origin {
 		b.out++
+		b.sends.add(b.now, b.set.FallWindow)
 		if a.fetch = b.set.Mode == Through && b.leads(r); a.fetch {
 			b.origin.sent = append(b.origin.sent, a)
 		}
@@ -457,8 +457,8 @@
 	if res.Outcome == OK && !a.origin {
 		b.timed(float64(b.now - a.at))
 	}
-	if res.Outcome == OK || res.Outcome == Miss {
-		s.answers.add(b.now, b.set.FallWindow)
+	if !a.origin && (res.Outcome == OK || res.Outcome == Miss) {
+		b.answers.add(b.now, b.set.FallWindow)
 	}
 	// Guards against skipping a server that answers others, or one that the origin let down.
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
--- a/policy/state.go
+++ b/policy/state.go
@@ -27,7 +27,6 @@
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
 	sends     fading        // own sends lately
-	answers   fading        // requests it served for this node lately
 }
 
 type attempt struct {
@@ -75,7 +74,7 @@
 	classes map[string]*Class
 	servers map[string]*server
 	caches  []*server // ready, by id
-	weights float64   // their sum
+	weights float64   // the sum of their weights as ranked last
 	origin  *server
 	open    map[string]*request
 	order   []*request     // open requests by arrival
@@ -84,6 +83,9 @@
 	hash    hash.Hash
 	scratch []byte
 	ranked  []*server
+	recent  recent  // keys asked for last
+	sends   fading  // attempts at caches lately
+	answers fading  // those of them that were answered
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
@@ -149,6 +151,24 @@
 
 func (f *fading) add(now, span time.Duration) { f.value = f.at(now, span) + 1 }
 
+// recent counts the keys of the last requests.
+type recent struct {
+	keys  []string // oldest first
+	count map[string]int
+}
+
+// add takes a key in and forgets those beyond the last size.
+func (c *recent) add(key string, size int) {
+	c.keys = append(c.keys, key)
+	c.count[key]++
+	for len(c.keys) > max(1, size) {
+		if c.count[c.keys[0]]--; c.count[c.keys[0]] == 0 {
+			delete(c.count, c.keys[0])
+		}
+		c.keys = c.keys[1:]
+	}
+}
+
 // holds reports whether two servers drop each other's repeats.
 func (x Scope) holds(a, s *server) bool {
 	return x == ScopeAll || a.Zone == s.Zone && (x == ScopeZone || a.Cell == s.Cell)
@@ -179,11 +199,11 @@
 // reindex sorts the listed servers into caches and origin and settles their weights: the listed one, or
 // the mean of the listed ones where it is missing.
 func (b *Balancer) reindex() {
-	b.caches, b.weights = b.caches[:0], 0
+	b.caches = b.caches[:0]
 	if b.set.Mode == Aside {
 		b.origin = nil
 	}
-	listed := 0
+	listed, sum := 0, 0.0
 	for _, s := range b.servers {
 		switch {
 		case s.State != Ready:
@@ -198,19 +218,17 @@
 	slices.SortFunc(b.caches, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
 	for _, s := range b.caches {
 		if s.Weight >= 0 && b.set.Weighted {
-			b.weights += s.Weight
+			sum += s.Weight
 			listed++
 		}
 	}
 	mean := 1.0
-	if listed > 0 && b.weights > 0 {
-		mean = b.weights / float64(listed)
+	if listed > 0 && sum > 0 {
+		mean = sum / float64(listed)
 	}
-	b.weights = 0
 	for _, s := range b.caches {
 		if s.weight = mean; s.Weight >= 0 && b.set.Weighted {
 			s.weight = s.Weight
 		}
-		b.weights += s.weight
 	}
 }
