--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,6 +32,7 @@
 	spillFloor  = 2               // never crowded with this few out (design page)
 	firstLimit  = 1               // attempts out at a server of which nothing is known
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
+	heatSpan    = 4               // requests remembered for each cache: a cache's mean load is missed 1 in e^4
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
@@ -235,7 +236,7 @@
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
 	b.keyed[r.Key]++
-	b.recent.add(r.Key, len(b.caches))
+	b.recent.add(r.Key, heatSpan*len(b.caches))
 	if t := b.tenants[q.Tenant]; t != nil { // judged as if all nodes saw as much of the tenant
 		t.asked.add(now, b.set.FallWindow)
 		due := t.Quota * b.set.FallWindow.Seconds() / float64(max(1, b.set.Balancers))
