--- a/policy/policy.go
+++ b/policy/policy.go
@@ -162,12 +162,12 @@
 	if b.warmth(s) == 1 {
 		return true
 	}
-	budget := coldSafety * b.set.FallMultiple * b.answers.at(b.now, b.set.FallWindow)
-	if part := budget * s.weight * b.warmth(s) / b.weights; part >= 1 {
+	budget := coldSafety * b.set.FallMultiple
+	if part := budget * b.answers.at(b.now, b.set.FallWindow) * s.weight * b.warmth(s) / b.weights; part >= 1 {
 		return s.sends.at(b.now, b.set.FallWindow)+1 <= part
 	}
 	return len(r.tries) == 0 && b.recent.count[r.Key] <= 1 &&
-		b.rng.Float64()*b.sends.at(b.now, b.set.FallWindow) <= budget
+		b.rng.Float64()*b.sends.at(b.now, b.set.FallWindow) <= budget*b.served.at(b.now, b.set.FallWindow)
 }
 
 // tried reports whether the request was sent to s and s has not been given what it lacked since.
@@ -461,6 +461,9 @@
 	if !a.origin && (res.Outcome == OK || res.Outcome == Miss) {
 		b.answers.add(b.now, b.set.FallWindow)
 	}
+	if !a.origin && res.Outcome == OK {
+		b.served.add(b.now, b.set.FallWindow)
+	}
 	// Guards against skipping a server that answers others, or one that the origin let down.
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -509,12 +509,14 @@
 	w.restart("c00")
 	for _, s := range w.b.caches {
 		s.sends.value, s.sends.when = 1000, w.now
-		s.answers.value, s.answers.when = 10, w.now
+		w.b.answers.value, w.b.answers.when = 40, w.now
 	}
 	s := w.b.servers["c00"]
 	s.sends.value = 0
+	w.b.now = w.now
+	w.b.rank("any")
 	n := 0
-	for w.b.now = w.now; w.b.coldRoom(s) && n < 100; n++ {
+	for r := (&request{}); w.b.coldRoom(r, s) && n < 100; n++ {
 		s.sends.add(w.now, set.FallWindow)
 	}
 	if limit := int(set.FallMultiple * set.ColdFrom * 10); n < 1 || n > limit {
@@ -523,6 +525,52 @@
 	}
 }
 
+// With many nodes each one's part of a cold server's budget is under one attempt; one each pushed it over
+// (burnie-super with 122 nodes, deploy+hot_caller), above all for a hot key.
+func TestColdBudgetHoldsInTheMeanOverManyNodes(t *testing.T) {
+	set := settings()
+	set.Balancers = 200
+	hot, fresh := 0, 0
+	for node := range set.Balancers {
+		w := start(t, set, 10)
+		w.b.rng = rand.New(rand.NewSource(int64(node)))
+		key := "hot" // seen by each node, as by all
+		for i := range heatSpan * 10 {
+			if i%5 > 0 {
+				key = fmt.Sprint("k", node, "-", i)
+			} else {
+				key = "hot"
+			}
+			w.request(fmt.Sprint(i), "read", key)
+			w.now += 200 * ms
+			w.answer(w.last(), OK, NoNote, 100*ms)
+		}
+		for _, top := range ranking(w, "hot")[:1] {
+			s := w.b.servers[top].Server
+			s.Started = w.now - 9*time.Second // nearly warm: still the hot key's top, mostly
+			w.b.Members(w.now, ListChanges, []Server{s})
+			w.request("x", "read", "hot")
+			if w.last().id == "x" && w.last().server == top {
+				hot++
+			}
+			w.now += time.Second
+			for i := range 10 {
+				id := fmt.Sprint("y", i)
+				w.request(id, "read", fmt.Sprint("new", node, "-", i))
+				if w.last().id == id && w.last().server == top {
+					fresh++
+				}
+			}
+		}
+	}
+	if hot > 0 {
+		t.Errorf("%d of %d nodes sent a hot key to the cold server", hot, set.Balancers)
+	}
+	if natural := set.Balancers; fresh < natural/10 || fresh > natural {
+		t.Errorf("%d fresh keys reached the cold server, want %d to %d", fresh, natural/10, natural)
+	}
+}
+
 func TestWarmthRisesEvenlyAndMovesKeysOnlyIn(t *testing.T) {
 	set := settings()
 	w := start(t, set, 6)
--- a/policy/state.go
+++ b/policy/state.go
@@ -86,6 +86,7 @@
 	recent  recent  // keys asked for last
 	sends   fading  // attempts at caches lately
 	answers fading  // those of them that were answered
+	served  fading  // those of them that were answered with what was asked for
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
