--- a/policy/policy.go
+++ b/policy/policy.go
@@ -178,7 +178,7 @@
 // crowded reports whether a server holds far more of this node's requests than its share, or all it can.
 func (b *Balancer) crowded(s *server) bool {
 	share := float64(b.out) * s.weight * b.warmth(s) / b.weights
-	return !b.room(s) || b.strained(s) || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
+	return !b.room(s) || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
 }
 
 // width is how many of a key's first servers share it: as many as leave each at most half a cache's mean
@@ -189,8 +189,8 @@
 	return 1 + int(n*float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))/max(n, float64(len(b.recent.keys))))
 }
 
-// show sends the last notes to one other node, with each request, where a node sees fewer requests than there are
-// caches in the time in which one may fall: too few to know hot keys and jammed servers (burnie-super, 492 nodes).
+// show sends the last notes to one other node, with each request, where a node sees fewer requests than there
+// are caches in the time in which one may fall: too few to know hot keys and jammed servers (burnie-super).
 func (b *Balancer) show() {
 	b.asked.add(b.now, b.set.FallWindow)
 	if n := b.set.Balancers; b.set.MayTell && n > 1 && b.asked.value < float64(len(b.caches)) {
@@ -198,7 +198,7 @@
 	}
 }
 
-// strained reports, by chance, whether to spare a server that answers late: it gets twice what it answers in time.
+// strained reports, by chance, whether to spare a server that answers late: it gets twice its timely answers.
 func (b *Balancer) strained(s *server) bool {
 	late, timely := s.late.at(b.now, skipSpell), s.timely.at(b.now, skipSpell)
 	return b.rng.Float64()*(late+timely+1) < late-timely
@@ -206,7 +206,8 @@
 
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
 // and not crowded, looking no further than the key's second, its width, or than it has requests open here: the
-// others do not pay with misses. With all crowded the first looked at stands, with all down the ranking.
+// others do not pay with misses. With all crowded the first looked at that is not strained stands: without that
+// what many nodes send jams all servers with work that comes late (burnie-super, 501 nodes).
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	down, width := count(rank, b.down), b.width(r.Key)
@@ -223,13 +224,20 @@
 		return nil
 	}
 	start := b.rng.Intn(min(width, len(able)))
+	var top *server
 	for i := range able {
 		s := able[(start+i)%len(able)]
+		if b.strained(s) {
+			continue
+		}
 		if !b.crowded(s) && (i == 0 || b.warmth(s) == 1 || !b.set.OriginFalls) {
 			return s
 		}
+		if top == nil {
+			top = s
+		}
 	}
-	return able[start]
+	return top
 }
 
 // ---- a request's life -----------------------------------------------------------------------------
