--- a/policy/policy.go
+++ b/policy/policy.go
@@ -33,7 +33,6 @@
 	retryPart   = 0.2             // retry budget: time-outs for each answer; more work is not made by strain
 	heatSpan    = 4               // requests remembered for each cache: a cache's mean load is missed 1 in e^4
 	shown       = 32              // notes shown in a message: half of the most that one may hold
-	missSpan    = 16              // likely fetches that tell how likely they are
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
@@ -43,7 +42,7 @@
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
 	}
-	b.askWait, b.missing = set.AskWithin/16, 1
+	b.askWait = set.AskWithin / 16
 	b.late, b.usual = float64(b.shortest)/2, float64(b.shortest)/4 // until answers tell
 	act.Timer(b.period(), "sweep")
 	if set.MustAsk {
@@ -165,14 +164,10 @@
 // room reports whether one more attempt may be out at s. A limit under one is that part of the time: without
 // it many nodes with one attempt each would still crowd a server (hobart-prices i2f1cd8).
 func (b *Balancer) room(s *server) bool {
-	part := 1.0 // of an attempt that counts; of likely fetches only those that miss reach the origin
-	if s == b.origin && b.set.Mode == Through {
-		part = b.missing
-	}
-	if s.limit < part && float64(b.now-s.freed) < (part/s.limit-1)*b.usual {
+	if s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
 		return false
 	}
-	return float64(len(s.sent))*part < s.limit
+	return float64(len(s.sent)) < s.limit
 }
 
 // down reports whether a server's straight failures keep it from all but one trial a spell.
@@ -283,7 +278,7 @@
 		if b.joins(r) {
 			return
 		}
-		if b.down(b.origin) && b.rng.Float64() < b.missing {
+		if b.down(b.origin) {
 			b.giveUp(r)
 			return
 		}
@@ -518,13 +513,10 @@
 	if a.req.Key == "" || res.Outcome != OK && res.Outcome != Errored && res.Outcome != TimedOut {
 		return
 	}
-	if res.Note == NoteMiss || a.fetch && res.Outcome == TimedOut && b.rng.Float64() < b.missing {
+	if res.Note == NoteMiss || a.fetch && res.Outcome == TimedOut {
 		b.steer(b.origin, a.at, res.Outcome == Errored)
 		b.health(b.origin, a.req.class.Aim, res.Outcome)
 	}
-	if a.fetch && res.Note != NoNote { // few nodes know what the caches hold by now (hobart-prices, 342 nodes)
-		b.missing += (float64(btoi(res.Note != NoteHit)) - b.missing) / missSpan
-	}
 	if res.Outcome == OK {
 		a.srv.holds[a.req.Key] = true
 	} else {
--- a/policy/state.go
+++ b/policy/state.go
@@ -99,7 +99,6 @@
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
 	askWait time.Duration
-	missing float64 // part of likely fetches that were fetches
 
 	shortest time.Duration // of the classes' aims
 	own      []note        // the last made here
@@ -212,13 +211,6 @@
 	return list
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // drop takes an attempt that has ended off the server's.
 func (s *server) drop(a *attempt, now time.Duration) {
 	s.freed = now
