--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -338,9 +338,6 @@
 	a.W.end()
 }
 
-// Close implements policy.Actions.
-func (a Actor) Close(server string) { a.one("ShutIdle", "Server", server) }
-
 // Tell implements policy.Actions.
 func (a Actor) Tell(to int, data []byte) {
 	a.W.open("Post", a.Instance)
--- a/policy/api.go
+++ b/policy/api.go
@@ -166,7 +166,6 @@
 	Cancel(id string, n int)
 	Timer(after time.Duration, token string)
 	Subscribe()
-	Close(server string)      // the connections to it that carry nothing
 	Tell(to int, data []byte) // to another balancer, by its position; it may come late or not at all
 	Log(text string)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -451,7 +451,6 @@
 		defer b.admit(b.origin)
 	}
 	defer b.admit(a.srv)
-	b.yield(a.srv)
 	switch {
 	case r.ended && r.out == 0:
 		delete(b.open, r.ID)
@@ -488,22 +487,11 @@
 			b.note(noteOf(s.ID, answerNote(late)))
 		}
 	}
-	if res.Outcome == ConnectFailed {
-		s.unmet = b.now
-	}
 	if o := res.Outcome; o == OK || o == Miss || o == Errored || o == Full {
 		s.heard = b.now
 	}
 }
 
-// yield gives back the connections to a server that has refused one lately, once they carry nothing: it has too
-// few for all nodes, and one that idles here keeps another node out (hobart-prices i394882, 342 nodes).
-func (b *Balancer) yield(s *server) {
-	if s.unmet > 0 && b.now-s.unmet < skipSpell && len(s.sent) == 0 && s != b.origin {
-		b.act.Close(s.ID)
-	}
-}
-
 // health counts straight failures; from the third on the server is skipped for a spell.
 func (b *Balancer) health(s *server, spell time.Duration, o Outcome) {
 	switch o {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -20,7 +20,6 @@
 	logs   []string
 	asked  int
 	told   []told
-	closed []string
 	cold   bool // no key counts as hot
 	timers map[string]int
 	tries  map[string]int
@@ -57,7 +56,6 @@
 func (w *world) Cancel(string, int)                      {}
 func (w *world) Timer(after time.Duration, token string) { w.timers[token]++ }
 func (w *world) Tell(to int, data []byte)                { w.told = append(w.told, told{to, data}) }
-func (w *world) Close(server string)                     { w.closed = append(w.closed, server) }
 func (w *world) Subscribe()                              { w.asked++ }
 func (w *world) Log(text string)                         { w.logs = append(w.logs, text) }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,7 +31,6 @@
 	fails     int             // straight failures
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
-	unmet     time.Duration // when it last gave no connection
 	sends     fading        // own sends lately
 	late      fading        // late answers lately, as noted by this node and others
 	timely    fading        // and those in time
