--- a/policy/policy.go
+++ b/policy/policy.go
@@ -198,17 +198,12 @@
 	}
 }
 
-// spare reports, by chance, whether to pass over a server for what was bad: it gets twice what was good.
-func (b *Balancer) spare(bad, good *fading) bool {
-	x, y := bad.at(b.now, skipSpell), good.at(b.now, skipSpell)
-	return x > y && b.rng.Float64()*(x+y+1) < x-y
+// strained reports, by chance, whether to spare a server that answers late: it gets twice its timely answers.
+func (b *Balancer) strained(s *server) bool {
+	late, timely := s.late.at(b.now, skipSpell), s.timely.at(b.now, skipSpell)
+	return b.rng.Float64()*(late+timely+1) < late-timely
 }
 
-// strained tells what answers late or not at all; cut off, what is dead, for all nodes that hear of it: one by
-// one they would meet each of many dead servers thrice (hobart-prices i394882, 342 nodes).
-func (b *Balancer) strained(s *server) bool { return b.spare(&s.late, &s.timely) }
-func (b *Balancer) cutOff(s *server) bool   { return b.spare(&s.none, &s.timely) }
-
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
 // and not crowded, looking no further than the key's second, its width, or than it has requests open here: the
 // others do not pay with misses. With all crowded the first looked at that is not strained stands: without that
@@ -218,7 +213,7 @@
 	down, width := count(rank, b.down), b.width(r.Key)
 	var able []*server
 	for _, s := range rank {
-		skip := (b.down(s) || b.cutOff(s)) && down < len(rank)
+		skip := b.down(s) && down < len(rank)
 		if !skip && !b.tried(r, s) && b.may(r, s) && b.coldRoom(r, s) {
 			if able = append(able, s); len(able) >= max(2, width, b.keyed[r.Key]) {
 				break
@@ -476,7 +471,7 @@
 
 // learn keeps a server's signs of life, its limit and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
-	s := a.srv
+	s, o := a.srv, res.Outcome
 	if !a.origin {
 		b.tally(res.Outcome, b.now-a.at)
 	}
@@ -484,19 +479,13 @@
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
-	// Over half the aim leaves too little for a further try. Writes take as long as they take.
-	o, late := res.Outcome, b.now-a.at > a.req.class.Aim/2 && !a.req.Write
 	if o != Moot && o != Cancelled && o != ConnectFailed {
-		b.steer(s, a.at, o == Full || late)
-	}
-	switch {
-	case a.origin || o == Moot || o == Cancelled:
-	case o == ConnectFailed || o == Reset:
-		b.note(noteOf(s.ID, noAnswer))
-	case late || o == Full || o == TimedOut || o == Errored && res.Note != NoteMiss:
-		b.note(noteOf(s.ID, lateAnswer))
-	default:
-		b.note(noteOf(s.ID, timelyAnswer))
+		// Over half the aim leaves too little for a further try. Writes take as long as they take.
+		late := o == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
+		b.steer(s, a.at, late)
+		if !a.origin {
+			b.note(noteOf(s.ID, answerNote(late || o == TimedOut || o == Reset)))
+		}
 	}
 	if o == OK || o == Miss || o == Errored || o == Full {
 		s.heard = b.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,7 +34,6 @@
 	sends     fading        // own sends lately
 	late      fading        // late answers lately, as noted by this node and others
 	timely    fading        // and those in time
-	none      fading        // and those that gave no connection, or broke it
 }
 
 type attempt struct {
@@ -132,7 +131,6 @@
 	keyAsked note = iota
 	timelyAnswer
 	lateAnswer
-	noAnswer // no connection, or it broke
 )
 
 func (n note) kind() note   { return n & 3 }
@@ -145,6 +143,13 @@
 	return note(h.Sum32())&^3 | kind
 }
 
+func answerNote(late bool) note {
+	if late {
+		return lateAnswer
+	}
+	return timelyAnswer
+}
+
 // note remembers that a key was asked for here, or how a server answered, to be shown to others.
 func (b *Balancer) note(n note) {
 	b.take(n)
@@ -159,8 +164,6 @@
 		b.recent.add(n.digest(), heatSpan*len(b.caches))
 	case s != nil && n.kind() == lateAnswer:
 		s.late.add(b.now, skipSpell)
-	case s != nil && n.kind() == noAnswer:
-		s.none.add(b.now, skipSpell)
 	case s != nil:
 		s.timely.add(b.now, skipSpell)
 	}
