--- a/policy/policy.go
+++ b/policy/policy.go
@@ -483,8 +483,8 @@
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
 		late := o == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
 		b.steer(s, a.at, late)
-		if !a.origin {
-			b.note(noteOf(s.ID, answerNote(late || o == TimedOut || o == Reset)))
+		if !a.origin && o != Reset { // which is no answer
+			b.note(noteOf(s.ID, answerNote(late || o == TimedOut)))
 		}
 	}
 	if o == OK || o == Miss || o == Errored || o == Full {
