--- a/policy/policy.go
+++ b/policy/policy.go
@@ -531,10 +531,13 @@
 	case float64(len(s.sent)+1) < s.limit/2:
 	case strained:
 		if sentAt >= s.cutAt {
-			s.limit, s.cutAt, s.strained = max(1/float64(max(1, b.set.Balancers)), s.limit/2), b.now, true
+			floor := max(1/float64(max(1, b.set.Balancers)), b.usual/float64(skipSpell)) // a trial a spell
+			s.limit, s.cutAt, s.strained = max(floor, s.limit/2), b.now, true
 		}
 	case !s.strained:
 		s.limit++
+	case s.limit < 1 && b.now-sentAt < b.shortest/4: // well in time: few answers must do to recover
+		s.limit *= 2
 	default:
 		s.limit += min(s.limit/4, 1/s.limit)
 	}
