--- a/policy/policy.go
+++ b/policy/policy.go
@@ -482,7 +482,9 @@
 	if o != Moot && o != Cancelled && o != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
 		late := o == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
-		b.steer(s, a.at, late)
+		if !a.judged {
+			b.steer(s, a.at, late)
+		}
 		if !a.origin && o != Reset { // which is no answer
 			b.note(noteOf(s.ID, answerNote(late || o == TimedOut)))
 		}
@@ -531,8 +533,11 @@
 	case float64(len(s.sent)+1) < s.limit/2:
 	case strained:
 		if sentAt >= s.cutAt {
-			floor := max(1/float64(max(1, b.set.Balancers)), b.usual/float64(skipSpell)) // a trial a spell
-			s.limit, s.cutAt, s.strained = max(floor, s.limit/2), b.now, true
+			if s.limit <= 1 { // half of what is sent, however little that is (launceston-platform, 456 nodes)
+				used := s.sends.at(b.now, b.set.FallWindow) * b.usual / float64(max(1, b.set.FallWindow))
+				s.limit = max(min(s.limit, used), 2*b.usual/float64(skipSpell)) // down to a trial a spell
+			}
+			s.limit, s.cutAt, s.strained = max(s.limit/2, 1/float64(max(1, b.set.Balancers))), b.now, true
 		}
 	case !s.strained:
 		s.limit++
@@ -599,6 +604,12 @@
 		b.admit(s)
 	}
 	for _, r := range slices.Clone(b.order) {
+		for _, a := range r.tries { // news that waits for the end comes too late (launceston-platform big-2)
+			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
+				a.judged = true
+				b.steer(a.srv, a.at, true)
+			}
+		}
 		if r.out == 0 && (b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period() >= r.end) {
 			b.giveUp(r)
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,6 +42,7 @@
 	srv    *server
 	at     time.Duration
 	done   bool
+	judged bool // known to be late before its end
 	clean  bool // proven never to have run
 	filled bool // what it missed has been stored there since
 	origin bool
