--- a/internal/simhost/simhost_test.go
+++ b/internal/simhost/simhost_test.go
@@ -32,8 +32,8 @@
 	if err := Run(strings.NewReader(setUp+order), &out); err != nil {
 		t.Fatal(err)
 	}
-	want := `{"kind":"WakeAt","I":"node_0","Span":10000000,"Ref":"sweep"}
-{"kind":"Next","frame":1}
+	want := `{"kind":"Next","frame":1}
+{"kind":"WakeAt","I":"node_0","Span":10000000,"Ref":"sweep"}
 {"kind":"Place","I":"node_0","Handle":"c:1","Server":"10.0.0.1:80","MaxWait":400000000}
 {"kind":"Next","frame":2}
 `
@@ -42,6 +42,40 @@
 	}
 }
 
+// What sparse nodes tell each other goes out and comes in; garbled bytes and an impossible place among the nodes
+// do no harm.
+func TestPeerMessages(t *testing.T) {
+	for _, c := range []struct {
+		name, fleet string
+		told        int
+	}{
+		{"two nodes", `"Balancers":2,"Position":1`, 1},
+		{"alone", `"Balancers":1,"Position":0`, 0},
+		{"none stated", `"Position":0`, 0},
+		{"a negative number", `"Balancers":-5,"Position":0`, 0},
+		{"no such place", `"Balancers":2,"Position":7`, 0},
+		{"far too many", `"Balancers":1000000000,"Position":3`, 1},
+	} {
+		in := strings.Replace(setUp, `"Balancers":1`, c.fleet, 1)
+		in = strings.Replace(in, `"SendCap":3`, `"SendCap":3,"MayTell":true`, 1)
+		in = strings.Replace(in, `"Scale":1}]`, `"Scale":1},{"Server":"10.0.0.2:80","Lifecycle":"in_service"}]`, 1)
+		in = strings.Replace(in, `"Limits"`, `"Guarantees":{"OverloadFor":2000000000},"Limits"`, 1)
+		said := `{"kind":"NeighbourSays","I":"node_0","SrcPeer":0,"Bytes":"%"}` + "\n"
+		in += strings.Replace(order, `{"kind":"Order"`, strings.ReplaceAll(said, "%", "!!")+
+			strings.ReplaceAll(said, "%", "AAAA")+strings.ReplaceAll(said, "%", "AAAAAAAA")+`{"kind":"Order"`, 1)
+		var out bytes.Buffer
+		if err := Run(strings.NewReader(in), &out); err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if n := strings.Count(out.String(), `{"kind":"Post","I":"node_0","Target":`); n != c.told {
+			t.Errorf("%s: told %d times, want %d:\n%s", c.name, n, c.told, out.String())
+		}
+		if c.told > 0 && strings.Contains(out.String(), `"Target":1,`) && c.name == "two nodes" {
+			t.Errorf("%s: told itself", c.name)
+		}
+	}
+}
+
 var malformed = []struct{ name, input, want string }{
 	{"not JSON", "{\"kind\":\"Batch\",\"SimTime\":2,\"frame\":5}\nhello\n", "batch 5, line 2: not a message"},
 	{"no batch", `{"kind":"Eob"}` + "\n", `"Eob" where a batch should open`},
--- a/internal/simwire/settings.go
+++ b/internal/simwire/settings.go
@@ -57,6 +57,7 @@
 		FallMultiple: g.FallMultiple, FallWindow: time.Duration(g.OverloadFor),
 		OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
 	}
+	s.MayTell = s.MayTell && s.Position >= 0 && s.Position < s.Balancers // else it is unclear who the others are
 	if !l.RetryAfter {
 		s.MaxAdvice = 0
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -31,7 +31,7 @@
 	firstLimit  = 1               // attempts out at a server of which nothing is known
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
 	retryPart   = 0.2             // retry budget: time-outs for each answer; more work is not made by strain
-	heatSpan    = 4               // requests remembered for each cache: a cache's mean load is missed 1 in e^4
+	heatSpan    = 4               // requests remembered for each cache: a mean load goes unseen once in e^4
 	shown       = 32              // notes shown in a message: half of the most that one may hold
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
@@ -44,17 +44,12 @@
 	}
 	b.askWait = set.AskWithin / 16
 	b.late, b.usual = float64(b.shortest)/2, float64(b.shortest)/4 // until answers tell
-	act.Timer(b.period(), "sweep")
 	if set.MustAsk {
 		act.Subscribe()
 	}
 	return b
 }
 
-func (b *Balancer) period() time.Duration { return max(2*b.set.Tick, time.Millisecond) }
-
-// ---- the list -------------------------------------------------------------------------------------
-
 // Members takes news of the server list.
 func (b *Balancer) Members(now time.Duration, kind ListKind, list []Server) {
 	b.now = now
@@ -140,20 +135,20 @@
 	return r.class.Effect == Safe || !slices.ContainsFunc(r.tries, func(a *attempt) bool { return !a.clean })
 }
 
-// coldRoom holds rule 4: a warming server gets at most this node's part of the load that would push it
-// over, told from the answers that this node gets, so that nodes need no agreement. Under overload what is
-// sent is no measure of what servers can do. A part under one attempt cannot be counted out: it is kept in
-// the mean, by chance, and for what cannot be many nodes' hot key or further try (burnie-super, 122 nodes).
+// coldRoom holds rule 4: a warming server gets at most this node's part of the load that would push it over,
+// told from the reads that this node gets answered: under overload what is sent, or missed and not fetched,
+// says nothing of what servers can do (burnie-super overload). A part under one attempt cannot be counted
+// out: it is kept in the mean, by chance, and not for what may be many nodes' hot key or a further try.
 func (b *Balancer) coldRoom(r *request, s *server) bool {
 	if b.warmth(s) == 1 {
 		return true
 	}
-	budget := coldSafety * b.set.FallMultiple
-	if part := budget * b.answers.at(b.now, b.set.FallWindow) * s.weight * b.warmth(s) / b.weights; part >= 1 {
+	budget := coldSafety * b.set.FallMultiple * b.answers.at(b.now, b.set.FallWindow)
+	if part := budget * s.weight * b.warmth(s) / b.weights; part >= 1 {
 		return s.sends.at(b.now, b.set.FallWindow)+1 <= part
 	}
 	return len(r.tries) == 0 && b.recent.count[noteOf(r.Key, keyAsked)] <= 1 &&
-		b.rng.Float64()*b.sends.at(b.now, b.set.FallWindow) <= budget*b.served.at(b.now, b.set.FallWindow)
+		b.rng.Float64()*b.sends.at(b.now, b.set.FallWindow) <= budget
 }
 
 // tried reports whether the request was sent to s and s has not been given what it lacked since.
@@ -161,8 +156,8 @@
 	return slices.ContainsFunc(r.tries, func(a *attempt) bool { return a.srv == s && !a.filled })
 }
 
-// room reports whether one more attempt may be out at s. A limit under one is that part of the time: without
-// it many nodes with one attempt each would still crowd a server (hobart-prices i2f1cd8).
+// room reports whether one more attempt may be out at s. A limit under one is that part of the time: one each
+// of many nodes would still crowd a server (hobart-prices i2f1cd8).
 func (b *Balancer) room(s *server) bool {
 	if s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
 		return false
@@ -186,7 +181,8 @@
 // has two requests open for it (burnie-super, 122 nodes).
 func (b *Balancer) width(key string) int {
 	n := float64(len(b.caches))
-	return 1 + int(n*float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))/max(n, float64(len(b.recent.keys))))
+	again := float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))
+	return 1 + int(again*n/max(n, float64(len(b.recent.keys))))
 }
 
 // show sends the last notes to one other node, with each request, where a node sees fewer requests than there
@@ -205,9 +201,9 @@
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
-// and not crowded, looking no further than the key's second, its width, or than it has requests open here: the
-// others do not pay with misses. With all crowded the first looked at that is not strained stands: without that
-// what many nodes send jams all servers with work that comes late (burnie-super, 501 nodes).
+// and not crowded, looking no further than the key's second, its width, or what it has open here: the others
+// do not pay with misses. With all crowded the first that is not strained stands: what many nodes send would
+// jam all servers with work that comes late (burnie-super, 501 nodes).
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	down, width := count(rank, b.down), b.width(r.Key)
@@ -250,6 +246,10 @@
 	b.open[q.ID] = r
 	b.order = append(b.order, r)
 	b.keyed[r.Key]++
+	if !b.awake { // hundreds of nodes have nothing to look at most of the time
+		b.awake = true
+		b.act.Timer(b.period, "sweep")
+	}
 	b.note(noteOf(r.Key, keyAsked))
 	b.show()
 	if t := b.tenants[q.Tenant]; t != nil { // judged as if all nodes saw as much of the tenant
@@ -347,11 +347,9 @@
 		}
 		r := s.queue[best]
 		s.queue = slices.Delete(s.queue, best, best+1)
-		switch r.held = nil; {
-		case r.ended:
-		case s == b.origin && b.set.Mode == Aside:
+		if r.held = nil; s == b.origin && b.set.Mode == Aside {
 			b.fetch(r)
-		default:
+		} else {
 			b.route(r)
 		}
 	}
@@ -383,12 +381,12 @@
 
 // giveUp ends a request unserved, at once; an attempt still out may yet answer it.
 func (b *Balancer) giveUp(r *request) {
-	if r.ended || r.out > 0 {
+	switch {
+	case r.ended || r.out > 0:
 		return
-	}
-	if r.mayRefuse() {
+	case r.mayRefuse():
 		b.act.Refuse(r.ID, min(b.set.MaxAdvice, r.class.Aim))
-	} else {
+	default:
 		b.act.Fail(r.ID)
 	}
 	b.end(r, false)
@@ -397,31 +395,15 @@
 // end closes a request: its other attempts are called off, and reads that waited for its fetch move on.
 func (b *Balancer) end(r *request, served bool) {
 	r.ended = true
-	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
-		delete(b.keyed, r.Key)
-	}
-	if s := r.held; s != nil {
-		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
-	}
 	for _, a := range r.tries {
 		if !a.done && b.set.MayCancel {
 			b.act.Cancel(r.ID, a.n)
 		}
 	}
-	if r.out == 0 {
-		delete(b.open, r.ID)
-	}
+	b.forget(r)
 	b.release(r, served)
 }
 
-// Begun notes that an answer has started to flow.
-func (b *Balancer) Begun(now time.Duration, id string, n int) {
-	b.now = now
-	if r := b.open[id]; r != nil && n < len(r.tries) {
-		r.tries[n].srv.heard = now
-	}
-}
-
 // Abandoned notes that nobody waits for a request any more.
 func (b *Balancer) Abandoned(now time.Duration, id string) {
 	b.now = now
@@ -472,9 +454,7 @@
 // learn keeps a server's signs of life, its limit and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
 	s, o := a.srv, res.Outcome
-	if !a.origin {
-		b.tally(res.Outcome, b.now-a.at)
-	}
+	b.tally(a, o)
 	// Guards against skipping a server that answers others, or one that the origin let down.
 	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
@@ -489,9 +469,6 @@
 			b.note(noteOf(s.ID, answerNote(late || o == TimedOut)))
 		}
 	}
-	if o == OK || o == Miss || o == Errored || o == Full {
-		s.heard = b.now
-	}
 }
 
 // health counts straight failures; from the third on the server is skipped for a spell.
@@ -562,8 +539,7 @@
 	}
 }
 
-// release moves on the reads that waited for r's fetch: to the caches, which now hold the key, or, if the
-// fetch failed, to the origin, the first of them in its place.
+// release moves on the reads that waited for r's fetch: to the caches, or, if it failed, to the origin.
 func (b *Balancer) release(r *request, served bool) {
 	if !b.leads(r) {
 		return
@@ -584,8 +560,6 @@
 	}
 }
 
-// ---- time -----------------------------------------------------------------------------------------
-
 // Timer handles the module's own timers.
 func (b *Balancer) Timer(now time.Duration, token string) {
 	b.now = now
@@ -593,8 +567,10 @@
 	case "list":
 		b.act.Subscribe()
 	case "sweep":
-		b.act.Timer(b.period(), "sweep")
 		b.sweep()
+		if b.awake = len(b.order) > 0; b.awake {
+			b.act.Timer(b.period, "sweep")
+		}
 	}
 }
 
@@ -610,7 +586,7 @@
 				b.steer(a.srv, a.at, true)
 			}
 		}
-		if r.out == 0 && (b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period() >= r.end) {
+		if r.out == 0 && (b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period >= r.end) {
 			b.giveUp(r)
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -93,15 +93,16 @@
 	ranked  []*server
 	recent  recent  // keys asked for last
 	sends   fading  // attempts at caches lately
-	answers fading  // those of them that were answered
+	answers fading  // reads answered lately
 	lost    fading  // those of them that timed out
-	served  fading  // those of them that were answered with what was asked for
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
 	askWait time.Duration
 
 	shortest time.Duration // of the classes' aims
+	period   time.Duration // between looks at what is open
+	awake    bool          // a look is due
 	own      []note        // the last made here
 	byDigest map[note]*server
 	asked    fading // requests lately
@@ -113,6 +114,7 @@
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
 		fetches: map[string]*fetch{}, keyed: map[string]int{}, recent: recent{count: map[note]int{}},
 		tenants: map[string]*tenant{}, shortest: math.MaxInt64}
+	b.period = max(2*set.Tick, time.Millisecond)
 	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
 	for i := range set.Classes {
 		c := &b.set.Classes[i]
@@ -178,18 +180,40 @@
 	}
 }
 
-// tally counts how an attempt at a cache ended.
-func (b *Balancer) tally(o Outcome, took time.Duration) {
-	span := b.set.FallWindow
-	switch o {
-	case OK:
-		b.timed(float64(took))
-		b.served.add(b.now, span)
-		b.answers.add(b.now, span)
-	case Miss:
-		b.answers.add(b.now, span)
-	case TimedOut:
-		b.lost.add(b.now, span)
+// Begun notes that an answer has started to flow.
+func (b *Balancer) Begun(now time.Duration, id string, n int) {
+	b.now = now
+	if r := b.open[id]; r != nil && n < len(r.tries) {
+		r.tries[n].srv.heard = now
+	}
+}
+
+// forget takes a request that has ended off all that holds it.
+func (b *Balancer) forget(r *request) {
+	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
+		delete(b.keyed, r.Key)
+	}
+	if s := r.held; s != nil {
+		s.queue = slices.DeleteFunc(s.queue, func(x *request) bool { return x == r })
+	}
+	if r.out == 0 {
+		delete(b.open, r.ID)
+	}
+}
+
+// tally counts how an attempt ended. A miss counts as answered when the origin has answered it.
+func (b *Balancer) tally(a *attempt, o Outcome) {
+	if o == OK || o == Miss || o == Errored || o == Full {
+		a.srv.heard = b.now
+	}
+	if o == OK && !(a.origin && a.req.Write) {
+		b.answers.add(b.now, b.set.FallWindow)
+	}
+	if o == OK && !a.origin {
+		b.timed(float64(b.now - a.at))
+	}
+	if o == TimedOut && !a.origin {
+		b.lost.add(b.now, b.set.FallWindow)
 	}
 }
 
