--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1020,3 +1020,147 @@
 		t.Errorf("still spared %d of 1000 times long after", n)
 	}
 }
+
+// A limit at its floor rose by a quarter a trial, and trials came once in 20 s: 456 nodes refused for 25 s after
+// the origin was well again (launceston-platform big-2).
+func TestLimitsUnderOneRecover(t *testing.T) {
+	set := settings()
+	set.Mode, set.Balancers = Aside, 456
+	w := start(t, set, 4)
+	o := w.b.origin
+	o.limit = 1
+	for range 20 {
+		w.now += time.Second
+		w.b.now = w.now
+		o.sends.add(w.now, set.FallWindow)
+		w.b.steer(o, w.now, true)
+	}
+	if gap := time.Duration(w.b.usual / o.limit); gap > skipSpell {
+		t.Errorf("after a slow spell one trial in %v, want one in %v", gap, skipSpell)
+	}
+	n := 0
+	for ; o.limit < 0.5 && n < 20; n++ {
+		w.now += skipSpell
+		w.b.now = w.now
+		w.b.steer(o, w.now-10*ms, false)
+	}
+	if n > 8 {
+		t.Errorf("%d answers well in time until the limit was half of one again", n)
+	}
+}
+
+// A node that sends the origin one read a second is not slowed by a limit of a half, a quarter or an eighth.
+func TestALateAnswerHalvesWhatIsSent(t *testing.T) {
+	set := settings()
+	set.Mode, set.Balancers = Aside, 456
+	w := start(t, set, 4)
+	o := w.b.origin
+	o.limit = 1
+	for range 10 {
+		w.now += time.Second
+		o.sends.add(w.now, set.FallWindow)
+	}
+	w.b.now = w.now
+	w.b.steer(o, w.now, true)
+	o.freed = w.now
+	w.b.now = w.now + 900*ms
+	if w.b.room(o) {
+		t.Error("room for the next read a second on: what is sent has not been halved")
+	}
+	w.b.now = w.now + skipSpell
+	if !w.b.room(o) {
+		t.Error("no trial after a spell")
+	}
+}
+
+// News of a slow origin that waits for the attempt's end comes when the origin is jammed (launceston-platform
+// big-2).
+func TestAHangingAttemptCutsTheLimitAtOnce(t *testing.T) {
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 4)
+	o := w.b.origin
+	w.request("r", "read", "k")
+	w.answer(w.last(), Miss, NoNote, ms)
+	fetch := w.last()
+	before := o.limit
+	w.now += set.Classes[0].Aim/2 + 10*ms
+	w.sweep()
+	if o.limit >= before {
+		t.Fatalf("limit %v after half the aim, was %v", o.limit, before)
+	}
+	cut := o.limit
+	w.answer(fetch, TimedOut, NoNote, 100*ms)
+	if o.limit != cut {
+		t.Errorf("limit %v after the end, %v before: the attempt counted twice", o.limit, cut)
+	}
+}
+
+// Misses of one hot key, never fetched, passed for answers and let a cold server be pushed over (burnie-super
+// overload).
+func TestAMissCountsOnceItIsFetched(t *testing.T) {
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 4)
+	w.request("r", "read", "k")
+	w.answer(w.last(), Miss, NoNote, ms)
+	if n := w.b.answers.value; n != 0 {
+		t.Errorf("a miss counts as %v answers", n)
+	}
+	w.answer(w.last(), OK, NoNote, ms)
+	if n := w.b.answers.value; n < 0.99 {
+		t.Errorf("a miss that the origin answered counts as %v", n)
+	}
+}
+
+// Hundreds of nodes woke each 10 ms with nothing to look at.
+func TestNoTimerWithNothingOpen(t *testing.T) {
+	w := start(t, settings(), 4)
+	if n := w.timers["sweep"]; n != 0 {
+		t.Fatalf("%d timers at the start", n)
+	}
+	w.request("r", "read", "k")
+	w.request("s", "read", "l")
+	if n := w.timers["sweep"]; n != 1 {
+		t.Fatalf("%d timers for two requests, want one", n)
+	}
+	w.sweep()
+	if n := w.timers["sweep"]; n != 2 {
+		t.Fatalf("%d timers while requests are open, want a second", n)
+	}
+	for _, s := range append([]sent(nil), w.sends...) {
+		w.answer(s, OK, NoteHit, ms)
+	}
+	w.sweep()
+	if n := w.timers["sweep"]; n != 2 {
+		t.Errorf("%d timers after all has ended, want no third", n)
+	}
+	if w.request("t", "read", "m"); w.timers["sweep"] != 3 {
+		t.Error("no timer for the next request")
+	}
+}
+
+// Fleets jammed with overdue work drained only once requests were refused (burnie-super i7420a6, 501 nodes).
+func TestWithAllStrainedARequestIsRefused(t *testing.T) {
+	w := start(t, settings(), 4)
+	for _, s := range w.b.caches {
+		for range 200 {
+			w.b.note(noteOf(s.ID, lateAnswer))
+		}
+	}
+	refused := 0
+	for i := range 100 {
+		id := fmt.Sprint(i)
+		w.request(id, "read", id)
+		if w.ended[id] == "refused" && w.tries[id] == 0 {
+			refused++
+		}
+	}
+	if refused < 80 {
+		t.Errorf("%d of 100 requests refused with all servers late", refused)
+	}
+	w.request("write", "once", "x")
+	if w.ended["write"] == "failed" {
+		t.Error("an unsafe request that was never sent failed; it may be refused")
+	}
+}
