--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	spillFloor  = 2               // never crowded with this few out (design page)
 	firstLimit  = 1               // attempts out at a server of which nothing is known
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
-	retryPart   = 0.2             // retry budget: time-outs for each answer; more work is not made by strain
+	strainPart  = 0.2             // late ones for each answer that are chance: beyond it nothing is added to strain
 	heatSpan    = 4               // requests remembered for each cache: a mean load goes unseen once in e^4
 	shown       = 32              // notes shown in a message: half of the most that one may hold
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
@@ -194,10 +194,10 @@
 	}
 }
 
-// strained reports, by chance, whether to spare a server that answers late: it gets twice its timely answers.
+// strained reports, by chance, whether to spare a server that answers late, the more the more of it is late.
 func (b *Balancer) strained(s *server) bool {
 	late, timely := s.late.at(b.now, skipSpell), s.timely.at(b.now, skipSpell)
-	return b.rng.Float64()*(late+timely+1) < late-timely
+	return b.rng.Float64()*(late+timely+1) < late-strainPart*timely
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
@@ -370,7 +370,7 @@
 		}
 		more := r.class.Effect == Safe && len(r.tries) < b.set.MaxAttempts
 		if span := b.set.FallWindow; more && b.now < r.aim &&
-			b.lost.at(b.now, span) <= retryPart*b.answers.at(b.now, span) {
+			b.lost.at(b.now, span) <= strainPart*b.answers.at(b.now, span) {
 			// Guards against a server that never answers: half of what is left of the aim is for a further
 			// try, but what is merely slow (twice as slow as the slowest twentieth) is let finish.
 			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
