--- a/policy/policy.go
+++ b/policy/policy.go
@@ -30,7 +30,7 @@
 	spillFloor  = 2               // never crowded with this few out (design page)
 	firstLimit  = 1               // attempts out at a server of which nothing is known
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
-	strainPart  = 0.2             // late ones for each answer that are chance: beyond it nothing is added to strain
+	strainPart  = 0.2             // late ones for each answer that may be chance; beyond it, strain
 	heatSpan    = 4               // requests remembered for each cache: a mean load goes unseen once in e^4
 	shown       = 32              // notes shown in a message: half of the most that one may hold
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
@@ -219,7 +219,12 @@
 	if len(able) == 0 {
 		return nil
 	}
-	start := b.rng.Intn(min(width, len(able)))
+	start, best := 0, 0.0
+	for i, s := range able[:min(width, len(able))] { // a hot key's requests race as keys do
+		if x := race(b.hrw(s.ID, r.ID), s.weight*b.warmth(s)); x > best {
+			start, best = i, x
+		}
+	}
 	var top *server
 	for i := range able {
 		s := able[(start+i)%len(able)]
