--- a/policy/policy.go
+++ b/policy/policy.go
@@ -182,7 +182,7 @@
 func (b *Balancer) width(key string) int {
 	n := float64(len(b.caches))
 	again := float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))
-	return 1 + int(2*again*n/max(n, float64(len(b.recent.keys))))
+	return 1 + int(again*n/max(n, float64(len(b.recent.keys))))
 }
 
 // show sends the last notes to one other node, with each request, where a node sees fewer requests than there
