--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,12 +7,12 @@
 // aside mode a read that misses, and every write, goes to the origin.
 //
 // The departures: a starting server's weight is cut to what it is sure to bear (warmth, coldRoom); failing
-// servers are skipped (down); a crowded one's keys go to their next (crowded, pick); what a server has no
-// room for is held, sent to an idle origin or turned away (gate, steer); reads of one key share one fetch
-// (joins, release); in through mode likely fetches are limited as if the origin were a server (route,
-// learnKey); a safe read that hangs is cut off in time for a further try, within a budget (send); what cannot
-// be answered by its aim is given up (sweep, giveUp); a hot key spreads over its first servers (width); nodes
-// that see little show each other what they saw (show), and servers that answer late are spared (strained).
+// servers are skipped (down); a crowded one's keys go to their next (crowded, pick); a hot key spreads (load,
+// pick); what a server has no room for is held, sent to an idle origin or turned away (gate, steer); reads of
+// one key share one fetch (joins, release); in through mode likely fetches are limited as if the origin were
+// a server (route, learnKey); a safe read that hangs is cut off for a further try, within a budget (send);
+// what cannot be answered by its aim is given up (sweep, giveUp); nodes that see little show each other what
+// they saw (show), and servers that answer late are spared (strained).
 
 import (
 	"cmp"
@@ -176,13 +176,10 @@
 	return !b.room(s) || float64(len(s.sent)) > max(spillFloor, spillFactor*share)
 }
 
-// width is how many of a key's first servers share it: as many as leave each at most half a cache's mean
-// load of it, told from the last requests. This guards against a key that outruns its server while no node
-// has two requests open for it (burnie-super, 122 nodes).
-func (b *Balancer) width(key string) int {
-	n := float64(len(b.caches))
-	again := float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))
-	return 1 + int(again*n/max(n, float64(len(b.recent.keys))))
+// load is how many caches' mean load a key brings, told from its repeats among the last requests.
+func (b *Balancer) load(key string) float64 {
+	n, again := float64(len(b.caches)), float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))
+	return again * n / max(n, float64(len(b.recent.keys)))
 }
 
 // show sends the last notes to one other node, with each request, where a node sees fewer requests than there
@@ -201,26 +198,27 @@
 }
 
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
-// and not crowded, looking no further than the key's second, its width, or what it has open here: the others
-// do not pay with misses. With all crowded the first that is not strained stands: what many nodes send would
-// jam all servers with work that comes late (burnie-super, 501 nodes).
+// and not crowded, looking no further than the key's second, what it has open here, or what can carry a key
+// that outruns its server with no two requests open at any node (burnie-super, 122 nodes): others do not pay
+// with misses. With all crowded the first that is not strained stands: what many nodes send would jam all
+// servers with work that comes late (burnie-super, 501 nodes).
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
-	down, width := count(rank, b.down), b.width(r.Key)
+	down, wide, rest := count(rank, b.down), 0, b.load(r.Key)
 	var able []*server
 	for _, s := range rank {
 		skip := b.down(s) && down < len(rank)
 		if !skip && !b.tried(r, s) && b.may(r, s) && b.coldRoom(r, s) {
-			if able = append(able, s); len(able) >= max(2, width, b.keyed[r.Key]) {
+			if able = append(able, s); wide == 0 || rest > 0 { // a hot key starts at as many as can carry it
+				wide, rest = wide+1, rest-s.weight*b.warmth(s)*float64(len(rank))/b.weights
+			}
+			if rest <= 0 && len(able) >= max(2, b.keyed[r.Key]) {
 				break
 			}
 		}
 	}
-	if len(able) == 0 {
-		return nil
-	}
 	start, best := 0, 0.0
-	for i, s := range able[:min(width, len(able))] { // a hot key's requests race as keys do
+	for i, s := range able[:wide] { // its requests race as keys do
 		if x := race(b.hrw(s.ID, r.ID), s.weight*b.warmth(s)); x > best {
 			start, best = i, x
 		}
@@ -241,8 +239,6 @@
 	return top
 }
 
-// ---- a request's life -----------------------------------------------------------------------------
-
 // Request takes a new request.
 func (b *Balancer) Request(now time.Duration, q Request) {
 	b.now = now
@@ -513,14 +509,13 @@
 func (b *Balancer) steer(s *server, sentAt time.Duration, strained bool) {
 	switch {
 	case float64(len(s.sent)+1) < s.limit/2:
+	case strained && sentAt < s.cutAt:
 	case strained:
-		if sentAt >= s.cutAt {
-			if s.limit <= 1 { // half of what is sent, however little that is (launceston-platform, 456 nodes)
-				used := s.sends.at(b.now, b.set.FallWindow) * b.usual / float64(max(1, b.set.FallWindow))
-				s.limit = max(min(s.limit, used), 2*b.usual/float64(skipSpell)) // down to a trial a spell
-			}
-			s.limit, s.cutAt, s.strained = max(s.limit/2, 1/float64(max(1, b.set.Balancers))), b.now, true
+		if s.limit <= 1 { // half of what is sent, however little that is (launceston-platform, 456 nodes)
+			used := s.sends.at(b.now, b.set.FallWindow) * b.usual / float64(max(1, b.set.FallWindow))
+			s.limit = max(min(s.limit, used), 2*b.usual/float64(skipSpell)) // down to a trial a spell
 		}
+		s.limit, s.cutAt, s.strained = max(s.limit/2, 1/float64(max(1, b.set.Balancers))), b.now, true
 	case !s.strained:
 		s.limit++
 	case s.limit < 1 && b.now-sentAt < b.shortest/4: // well in time: few answers must do to recover
@@ -530,8 +525,6 @@
 	}
 }
 
-// ---- the origin, in aside mode --------------------------------------------------------------------
-
 // fetch sends a read that missed, or a write, to the origin; reads of one key share one fetch.
 func (b *Balancer) fetch(r *request) {
 	if !r.Write && r.Key != "" && b.joins(r) {
