--- a/policy/policy.go
+++ b/policy/policy.go
@@ -68,8 +68,6 @@
 	}
 }
 
-// ---- the ranking ----------------------------------------------------------------------------------
-
 // hrw is the shared score of a server for a key: blake2b, 8 bytes, over id, a zero byte and key.
 func (b *Balancer) hrw(id, key string) uint64 {
 	b.scratch = append(append(append(b.scratch[:0], id...), 0), key...)
@@ -87,15 +85,19 @@
 // rank orders the ready caches for a key, best first. The slice is good until the next call.
 func (b *Balancer) rank(key string) []*server {
 	b.ranked, b.weights = b.ranked[:0], 0
-	for _, s := range b.caches {
+	scores := b.scores(key)
+	for i, s := range b.caches {
 		if w := s.weight * b.warmth(s); w > 0 {
-			s.score = race(b.hrw(s.ID, key), w)
+			s.score = race(scores[i], w)
 			b.weights += w
 			b.ranked = append(b.ranked, s)
 		}
 	}
 	slices.SortFunc(b.ranked, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(y.score, x.score), strings.Compare(y.ID, x.ID))
+		if x.score == y.score {
+			return strings.Compare(y.ID, x.ID)
+		}
+		return cmp.Compare(y.score, x.score)
 	})
 	return b.ranked
 }
@@ -109,8 +111,6 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
 }
 
-// ---- where a request may go -----------------------------------------------------------------------
-
 // may holds rules 1 to 3: whether the request may be sent to s now. Every send passes through it.
 func (b *Balancer) may(r *request, s *server) bool {
 	if r.ended || b.now >= r.end || s.State != Ready || len(r.tries) >= b.set.MaxAttempts {
@@ -574,10 +574,8 @@
 
 // sweep sends what servers have room for by now, and gives up what is held and can no longer be answered.
 func (b *Balancer) sweep() {
-	for _, s := range append(b.caches, b.origin) {
-		b.admit(s)
-	}
 	for _, r := range slices.Clone(b.order) {
+		b.admit(r.held)
 		for _, a := range r.tries { // news that waits for the end comes too late (launceston-platform big-2)
 			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
 				a.judged = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -102,8 +102,9 @@
 
 	shortest time.Duration // of the classes' aims
 	period   time.Duration // between looks at what is open
-	awake    bool          // a look is due
-	own      []note        // the last made here
+	memo     map[string][]uint64
+	awake    bool   // a look is due
+	own      []note // the last made here
 	byDigest map[note]*server
 	asked    fading // requests lately
 }
@@ -114,6 +115,7 @@
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
 		fetches: map[string]*fetch{}, keyed: map[string]int{}, recent: recent{count: map[note]int{}},
 		tenants: map[string]*tenant{}, shortest: math.MaxInt64}
+	b.memo = map[string][]uint64{}
 	b.period = max(2*set.Tick, time.Millisecond)
 	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
 	for i := range set.Classes {
@@ -201,6 +203,23 @@
 	}
 }
 
+// scores gives the caches' scores for a key, kept for some keys while the list stays: hashing is most of the work
+// (hobart-prices i7d9609, 614 nodes and 137 caches, was cut off for it).
+func (b *Balancer) scores(key string) []uint64 {
+	list, known := b.memo[key]
+	if !known {
+		if len(b.memo) >= len(b.caches) {
+			clear(b.memo)
+		}
+		list = make([]uint64, len(b.caches))
+		for i, s := range b.caches {
+			list[i] = b.hrw(s.ID, key)
+		}
+		b.memo[key] = list
+	}
+	return list
+}
+
 // tally counts how an attempt ended. A miss counts as answered when the origin has answered it.
 func (b *Balancer) tally(a *attempt, o Outcome) {
 	if o == OK || o == Miss || o == Errored || o == Full {
@@ -360,7 +379,7 @@
 		}
 	}
 	slices.SortFunc(b.caches, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
-	b.byDigest = map[note]*server{}
+	b.byDigest, b.memo = map[note]*server{}, map[string][]uint64{}
 	for _, s := range b.caches {
 		b.byDigest[noteOf(s.ID, 0)] = s
 	}
