--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1147,8 +1147,11 @@
 
 // Fleets jammed with overdue work drained only once requests were refused (burnie-super i7420a6, 501 nodes).
 func TestWithAllStrainedARequestIsRefused(t *testing.T) {
-	w := start(t, settings(), 4)
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 4)
 	for _, s := range w.b.caches {
+		s.limit = 1000 // there is room: only lateness speaks against them
 		for range 200 {
 			w.b.note(noteOf(s.ID, lateAnswer))
 		}
@@ -1169,3 +1172,88 @@
 		t.Error("an unsafe request that was never sent failed; it may be refused")
 	}
 }
+
+// Scores are kept while the list stays: kept beyond it they would rank servers by another's score. Memory stays
+// bounded.
+func TestKeptScoresFollowTheList(t *testing.T) {
+	set := settings()
+	w := start(t, set, 6)
+	for i := range 100 {
+		ranking(w, fmt.Sprint(i))
+	}
+	if n := len(w.b.memo); n > 6 {
+		t.Errorf("scores of %d keys kept with 6 caches", n)
+	}
+	before := ranking(w, "99")
+	gone := w.b.servers[before[2]].Server
+	gone.State = Gone
+	w.b.Members(w.now, ListChanges, []Server{gone})
+	want := append(append([]string(nil), before[:2]...), before[3:]...)
+	if got := ranking(w, "99"); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("ranking %v after %s left, want %v", got, before[2], want)
+	}
+}
+
+// By count a light server had as much of a hot key as a heavy one and jammed (burnie-super with half-core caches);
+// a key whose top can carry it stays there.
+func TestHotKeysGoByWeight(t *testing.T) {
+	w := start(t, settings(), 10)
+	top := ranking(w, "hot")[0]
+	var list []Server
+	for _, s := range w.b.caches {
+		e := s.Server
+		e.Weight = 1
+		if s.ID == top {
+			e.Weight = 9
+		}
+		list = append(list, e)
+	}
+	w.b.Members(w.now, ListChanges, list)
+	met := map[string]int{}
+	for i := range 40 {
+		key := fmt.Sprint("k", i)
+		if i%4 == 0 {
+			key = "hot" // a quarter: over two caches' mean load, less than the heavy one's part
+		}
+		if w.request(fmt.Sprint(i), "read", key); key == "hot" {
+			met[w.last().server]++
+		}
+		w.answer(w.last(), OK, NoteHit, 10*ms)
+		w.now += time.Second
+	}
+	if len(met) != 1 || met[top] == 0 {
+		t.Errorf("a key that its heavy top can carry met %v, want %s alone", met, top)
+	}
+}
+
+// Under overload each node's part shrinks with what is answered, and further tries stay off cold servers
+// (burnie-super rules-3, overload).
+func TestColdPartShrinksWithAnswers(t *testing.T) {
+	set := settings()
+	set.Balancers = 200
+	w := start(t, set, 10)
+	w.restart("c00")
+	s := w.b.servers["c00"]
+	passed := func(r *request, sends, answers float64) (n int) {
+		w.b.now = w.now
+		w.b.rank("any")
+		w.b.sends.value, w.b.sends.when = sends, w.now
+		w.b.answers.value, w.b.answers.when = answers, w.now
+		for range 1000 {
+			if w.b.coldRoom(r, s) {
+				n++
+			}
+		}
+		return n
+	}
+	first := &request{Request: Request{Key: "new"}}
+	if n := passed(first, 6, 6); n != 1000 {
+		t.Errorf("%d of 1000 fresh keys pass while all is answered", n)
+	}
+	if n := passed(first, 15, 1); n < 50 || n > 200 { // 0.5 * 3 * 1 / 15
+		t.Errorf("%d of 1000 fresh keys pass with one answer for 15 sends, want about 100", n)
+	}
+	if n := passed(&request{Request: first.Request, tries: []*attempt{{}}}, 6, 6); n > 0 {
+		t.Errorf("%d of 1000 further tries pass", n)
+	}
+}
