--- a/policy/policy.go
+++ b/policy/policy.go
@@ -44,8 +44,8 @@
 	}
 	b.askWait = set.AskWithin / 16
 	b.late, b.usual = float64(b.shortest)/2, float64(b.shortest)/4 // until answers tell
-	if set.MustAsk { // hundreds of nodes that ask at once starve the list service
-		act.Timer(time.Duration(b.rng.Float64()*float64(b.askWait)), "list")
+	if set.MustAsk {
+		act.Subscribe()
 	}
 	return b
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1257,3 +1257,22 @@
 		t.Errorf("%d of 1000 further tries pass", n)
 	}
 }
+
+// A fleet that changes for days must not fill the memory with servers long gone, nor may one be sent to again.
+func TestServersLongGoneAreForgotten(t *testing.T) {
+	w := start(t, settings(), 3)
+	for i := range 200 {
+		old, fresh := fleet(w.b.set, 3)[:2], Server{ID: fmt.Sprint("n", i), Weight: 1}
+		w.b.Members(w.now, ListWhole, append(old, fresh))
+	}
+	if n := len(w.b.servers); n > 5 {
+		t.Errorf("%d servers remembered of 3 listed", n)
+	}
+	for i := range 50 {
+		id := fmt.Sprint("r", i)
+		w.request(id, "read", id)
+		if s := w.last(); s.id == id && s.server != "c00" && s.server != "c01" && s.server != "n199" {
+			t.Errorf("sent to %s, which is gone", s.server)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -369,6 +369,8 @@
 	listed, sum := 0, 0.0
 	for _, s := range b.servers {
 		switch {
+		case s.State == Gone && len(s.sent) == 0 && len(s.queue) == 0:
+			delete(b.servers, s.ID) // a fleet that changes for days must not fill the memory
 		case s.State != Ready:
 		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
 			if b.origin == nil || s.ID < b.origin.ID {
