--- a/policy/state.go
+++ b/policy/state.go
@@ -94,17 +94,17 @@
 	recent  recent  // keys asked for last
 	sends   fading  // attempts at caches lately
 	answers fading  // reads answered lately
-	lost    fading  // those of them that timed out
+	lost    fading  // attempts at caches that timed out lately
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
 	askWait time.Duration
 
-	shortest time.Duration // of the classes' aims
-	period   time.Duration // between looks at what is open
-	memo     map[string][]uint64
-	awake    bool   // a look is due
-	own      []note // the last made here
+	shortest time.Duration       // of the classes' aims
+	period   time.Duration       // between looks at what is open
+	memo     map[string][]uint64 // scores of some keys, while the list stays
+	awake    bool                // a look is due
+	own      []note              // the last made here
 	byDigest map[note]*server
 	asked    fading // requests lately
 }
@@ -114,9 +114,8 @@
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
 		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
 		fetches: map[string]*fetch{}, keyed: map[string]int{}, recent: recent{count: map[note]int{}},
-		tenants: map[string]*tenant{}, shortest: math.MaxInt64}
-	b.memo = map[string][]uint64{}
-	b.period = max(2*set.Tick, time.Millisecond)
+		tenants: map[string]*tenant{}, memo: map[string][]uint64{}, shortest: math.MaxInt64,
+		period: max(2*set.Tick, time.Millisecond)}
 	b.hash, _ = blake2b.New(8, nil) // fails only for a bad size or key
 	for i := range set.Classes {
 		c := &b.set.Classes[i]
@@ -384,8 +383,6 @@
 	b.byDigest, b.memo = map[note]*server{}, map[string][]uint64{}
 	for _, s := range b.caches {
 		b.byDigest[noteOf(s.ID, 0)] = s
-	}
-	for _, s := range b.caches {
 		if s.Weight >= 0 && b.set.Weighted {
 			sum += s.Weight
 			listed++
