--- a/cmd/lapisshelf/node_test.go
+++ b/cmd/lapisshelf/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -180,13 +181,19 @@
 func TestBadClientLines(t *testing.T) {
 	c := startCache(t, holding("v"))
 	n := start(t, startDiscovery(t, serving("s-1", c.ln.Addr().String(), "m2")), nil)
-	for _, x := range []struct {
+	for i, x := range []struct {
 		name, in string
 		closes   bool
 	}{
 		{"unknown command", "get k\r\n", false},
 		{"no id", "mg k v Pc=read,d=100\r\n", false},
 		{"no class", "mg k v O1 Pd=100\r\n", false},
+		{"no such class", "mg k v O1 Pc=reads,d=100\r\n", false},
+		{"no length", "ms k ten O1 Pc=put,d=100\r\n", false},
+		{"negative length", "ms k -4 O1 Pc=put,d=100\r\n", false},
+		{"two ids", "mg k v O1 O2 Pc=read,d=100\r\n", false},
+		{"not readable", "mg k\xc3\xa4 v O1 Pc=read,d=100\r\n", false},
+		{"value far too large", "ms k 60000000 O1 Pc=put,d=100\r\n" + strings.Repeat("x", 300), true},
 		{"deadline is no number", "mg k v O1 Pc=read,d=soon\r\n", false},
 		{"deadline is past", "mg k v O1 Pc=read,d=0\r\n", false},
 		{"key too long", "mg " + strings.Repeat("k", 251) + " v O1 Pc=read,d=100\r\n", false},
@@ -208,11 +215,85 @@
 				}
 				return
 			}
-			cl.send("mg k v O9 Pc=read,d=2000\r\n")
-			cl.want("VA 1 O9", "v")
+			cl.send(fmt.Sprintf("mg k v O9%d Pc=read,d=2000\r\n", i))
+			cl.want(fmt.Sprintf("VA 1 O9%d", i), "v")
 		})
 	}
-	if len(c.seen()) != 8 {
+	if len(c.seen()) != 13 {
+		t.Errorf("the cache was sent %q", c.seen())
+	}
+}
+
+// Who is owed an error or an end gets it though it sends nothing more, and takes nothing of the others'.
+func TestClientsThatOweTheRest(t *testing.T) {
+	c := startCache(t, holding("v"))
+	n := start(t, startDiscovery(t, serving("s-1", c.ln.Addr().String(), "m2")), func(config map[string]any) {
+		config["limits"] = map[string]any{"sockets": 128}
+	})
+	kept := n.dial()
+	kept.send("mg k v Okept Pc=read,d=2500\r\n")
+	kept.want("VA 1 Okept", "v")
+	var owing []*client
+	for i := range 300 { // more than there are descriptors
+		cl := n.dial()
+		cl.send([]string{"", "mg k", "ms k 70 O1 Pc=put,d=100\r\nhalf", "ms k 70000 O1 Pc=put,d=100\r\nhalf"}[i%4])
+		owing = append(owing, cl)
+	}
+	for i := range 20 { // behind them all
+		cl := n.dial()
+		cl.send(fmt.Sprintf("mg key%d v O%d Pc=read,d=2500\r\n", i, i))
+		cl.want(fmt.Sprintf("VA 1 O%d", i), "v")
+	}
+	for i, cl := range owing {
+		cl.conn.SetReadDeadline(time.Now().Add(patience))
+		if text, err := io.ReadAll(cl.in); errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatalf("client %d has neither an error nor an end: %q", i, text)
+		}
+	}
+}
+
+// The id of another's request, open or just answered, is no request: it neither gets that one's value nor ends it.
+func TestAnIDInUse(t *testing.T) {
+	asked := make(chan bool, 1)
+	answer := make(chan bool)
+	c := startCache(t, func(line string, v []byte) string {
+		asked <- true
+		<-answer
+		return holding("v")(line, v)
+	})
+	n := start(t, startDiscovery(t, serving("s-1", c.ln.Addr().String(), "m2")), patientReads)
+	cl, other := n.dial(), n.dial()
+	cl.send("mg k v O1 Pc=read,d=2900\r\n")
+	<-asked
+	for range 2 {
+		other.send("mg k v O1 Pc=read,d=2900\r\n")
+		other.want("CLIENT_ERROR request id in use", "")
+		if answer != nil {
+			answer <- true
+			answer = nil
+			cl.want("VA 1 O1", "v")
+		}
+	}
+}
+
+// Hundreds of commands that are none end their connection, and a connection that goes on sending is not read for long.
+func TestManyBadCommands(t *testing.T) {
+	c := startCache(t, holding("v"))
+	n := start(t, startDiscovery(t, serving("s-1", c.ln.Addr().String(), "m2")), nil)
+	for _, text := range []string{strings.Repeat("mg k v O1 Pc=none,d=100\r\n", 600),
+		"ms k 60000000 O1 Pc=put,d=100\r\n" + strings.Repeat("x", 60000000)} {
+		cl := n.dial()
+		go io.WriteString(cl.conn, text)
+		cl.conn.SetReadDeadline(time.Now().Add(patience))
+		got, err := io.ReadAll(cl.in)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Error("the connection goes on")
+		}
+		if len(got) > 600 {
+			t.Errorf("%d bytes of answers", len(got))
+		}
+	}
+	if len(c.seen()) > 0 {
 		t.Errorf("the cache was sent %q", c.seen())
 	}
 }
@@ -235,6 +316,12 @@
 		{name: "answers another request", reply: func(string, []byte) string { return "VA 1 Oother\r\nx\r\n" }},
 		{name: "answers twice", reply: func(line string, _ []byte) string { return "SERVER_ERROR busy\r\nEN " + opaque(line) + "\r\n" }},
 		{name: "says nothing", reply: func(string, []byte) string { return "" }},
+		{name: "answers a read with a receipt", reply: func(line string, _ []byte) string { return "HD " + opaque(line) + " c1\r\n" }},
+		{name: "says what it misses for nobody", reply: func(string, []byte) string { return "EN\r\n" }},
+		{name: "has 3 GB", reply: func(line string, _ []byte) string {
+			return "VA 3000000000 " + opaque(line) + "\r\n" + strings.Repeat("x", 1<<20)
+		}},
+		{name: "never ends its line", reply: func(string, []byte) string { return strings.Repeat("x", 100000) }},
 		{name: "begins a value", reply: func(line string, _ []byte) string { return "VA 9 " + opaque(line) + "\r\nhal" }},
 	} {
 		t.Run(x.name, func(t *testing.T) {
@@ -262,6 +349,79 @@
 	}
 }
 
+// A good answer stays good whatever else comes with it, and none of that becomes another request's answer.
+func TestGoodAnswersWithMore(t *testing.T) {
+	for name, reply := range map[string]func(string, []byte) string{
+		"a second copy": func(line string, v []byte) string {
+			return holding(strings.Fields(line)[1])(line, v) + holding(strings.Fields(line)[1])(line, v)
+		},
+		"noise": func(line string, v []byte) string {
+			return holding(strings.Fields(line)[1])(line, v) + "\x00\xff\r\n\r\n"
+		},
+		"an unreadable report": func(line string, _ []byte) string {
+			key := strings.Fields(line)[1]
+			return fmt.Sprintf("VA %d %s h1 L=;\x00\xff O77 c8 h0\r\n%s\r\n", len(key), opaque(line), key)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCache(t, reply)
+			n := start(t, startDiscovery(t, serving("s-1", c.ln.Addr().String(), "m2")), nil)
+			cl := n.dial()
+			for i := range 20 {
+				cl.send(fmt.Sprintf("mg key%d v O%d Pc=read,d=2500\r\n", i, i))
+				cl.want(fmt.Sprintf("VA %d O%d", len(fmt.Sprintf("key%d", i)), i), fmt.Sprintf("key%d", i))
+			}
+			if len(c.seen()) != 20 {
+				t.Errorf("sent %d times", len(c.seen()))
+			}
+		})
+	}
+}
+
+// A spoilt answer of the origin, which tells no id, is never passed on: a read is asked again, an unsafe write fails.
+func TestSpoiltAnswersOfTheOrigin(t *testing.T) {
+	for name, spoilt := range map[string]string{
+		"two lengths":         "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello",
+		"a length and chunks": "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+		"no length":           "HTTP/1.1 200 OK\r\n\r\nhello",
+		"a length too long":   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
+		"3 GB":                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhello",
+		"no such status":      "HTTP/1.1 2x0 OK\r\nContent-Length: 5\r\n\r\nhello",
+		"noise":               "\xde\xad\xbe\xef\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var asked atomic.Int64
+			o := startOrigin(t, func(w http.ResponseWriter, r *http.Request) {
+				if asked.Add(1) > 1 {
+					io.WriteString(w, "whole")
+					return
+				}
+				conn, out, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				out.WriteString(spoilt)
+				out.Flush()
+				if name == "no length" {
+					conn.Close()
+				}
+			})
+			c := startCache(t, missing)
+			n := start(t, startDiscovery(t, serving("s-1", c.ln.Addr().String(), "m2"), serving("s-0", o.addr, "origin")), nil)
+			cl := n.dial()
+			cl.send("mg k v O1 Pc=read,d=2500\r\n")
+			cl.want("VA 5 O1", "whole")
+			asked.Store(0)
+			cl.send("ms k 2 O2 Pc=pay,d=2500\r\nhi\r\n")
+			cl.want("SERVER_ERROR failed", "")
+			if got := asked.Load(); got != 1 {
+				t.Errorf("the origin was asked %d times to pay", got)
+			}
+		})
+	}
+}
+
 // Rule 2 on sockets: what may have run is repeated only where that is harmless, and is never refused.
 func TestWritesAreNotRepeated(t *testing.T) {
 	for _, x := range []struct {
@@ -420,8 +580,8 @@
 		eventually(t, "the log tells of a bad file: "+name, func() bool {
 			return strings.Count(n.log(), "event=reload_failed") > bad
 		})
-		cl.send("mg k v O1 Pc=read,d=2900\r\n")
-		cl.want("VA 1 O1", "1")
+		cl.send(fmt.Sprintf("mg k v Obad%d Pc=read,d=2900\r\n", bad))
+		cl.want(fmt.Sprintf("VA 1 Obad%d", bad), "1")
 	}
 	n.reload(at(second))
 	sent := 1
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -16,6 +16,7 @@
 	ErrMalformed = errors.New("malformed answer")
 	ErrLarge     = errors.New("answer too large")
 	ErrCutOff    = errors.New("answer cut off")
+	ErrFraming   = errors.New("two lengths")
 )
 
 // Answer is one answer. Its slices are parts of the bytes that were parsed, or, for a body in chunks, a copy.
@@ -23,19 +24,28 @@
 	Status int
 	Body   []byte
 	Close  bool // the connection carries nothing after this answer
+	Whole  bool // its own words tell where the body ends, not the connection's end
 	head   []byte
 }
 
 // Header gives a header's value, empty where it is not there.
 func (a *Answer) Header(name string) []byte {
+	value, _ := a.find(name)
+	return value
+}
+
+// find gives the first value of a header and how many there are.
+func (a *Answer) find(name string) (first []byte, count int) {
 	for rest := a.head; len(rest) > 0; {
 		var line []byte
 		line, rest = cutLine(rest)
 		if key, value, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(key, []byte(name)) {
-			return bytes.TrimSpace(value)
+			if count++; count == 1 {
+				first = bytes.TrimSpace(value)
+			}
 		}
 	}
-	return nil
+	return first, count
 }
 
 // cutLine cuts data at its first line's end; the line is without it.
@@ -120,13 +130,21 @@
 	if a.Status == 204 || a.Status == 304 {
 		return 0, nil
 	}
-	if coding := a.Header("Transfer-Encoding"); len(coding) > 0 {
+	coding, codings := a.find("Transfer-Encoding")
+	text, lengths := a.find("Content-Length")
+	// Guards against a body cut short: of two lengths the first was taken for true, and a part of a value was passed on
+	// as the whole (launceston-platform, rude+garble 3: 56 requests lost).
+	if lengths+codings > 1 {
+		return 0, ErrFraming
+	}
+	a.Whole = lengths+codings == 1
+	if codings > 0 {
 		if !bytes.EqualFold(coding, []byte("chunked")) {
 			return 0, ErrMalformed
 		}
 		return a.chunks(data, limit, ended)
 	}
-	if text := a.Header("Content-Length"); len(text) > 0 {
+	if lengths > 0 {
 		n, err := strconv.ParseUint(string(text), 10, 31)
 		switch {
 		case err != nil:
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -9,6 +9,9 @@
 	"golang.org/x/sys/unix"
 )
 
+// mostPassed is how many bytes are passed over of a connection that only waits for the other end to finish.
+const mostPassed = 256 << 10
+
 // shortOf is how long accepting rests when the system has no descriptor or memory for a connection.
 const shortOf = 50 * time.Millisecond
 
@@ -32,6 +35,7 @@
 	closed  bool
 	failed  bool   // its end has been put off until the owner can be told
 	linger  *Timer // set once it only waits for the other end to finish
+	passed  int    // bytes passed over since
 	last    bool   // it closes when out is empty
 }
 
@@ -263,6 +267,11 @@
 		c.end(err)
 	case n == 0:
 		c.end(io.EOF)
+	case c.last:
+		// Guards against one who goes on sending at full speed to a connection that is over.
+		if c.passed += n; c.passed > mostPassed {
+			c.release()
+		}
 	default:
 		c.handler.Data(c.loop.buffer[:n])
 	}
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -13,6 +13,8 @@
 	MaxLine  = 4096     // bytes of a line, without its end
 	MaxKey   = 250      // bytes of a key
 	MaxValue = 64 << 10 // bytes of a value
+	MaxSkip  = 1 << 20  // bytes of a value too large that are passed over
+	MaxID    = 64       // bytes of a request's id
 )
 
 // What can be wrong with a command.
@@ -20,7 +22,8 @@
 	ErrLine    = errors.New("bad command line format") // the next command follows
 	ErrFraming = errors.New("line too long")           // where the next command begins is not known
 	ErrLarge   = errors.New("object too large for cache")
-	ErrChunk   = errors.New("bad data chunk") // the value did not end where it should
+	ErrHuge    = errors.New("object far too large") // not worth reading to its end
+	ErrChunk   = errors.New("bad data chunk")       // the value did not end where it should
 	ErrAnswer  = errors.New("malformed answer")
 )
 
@@ -48,17 +51,19 @@
 }
 
 // Next parses the first command. It returns how many bytes that took: 0 when more must come first. With an error
-// the bytes hold a bad command, which has been used up unless the error is ErrFraming.
+// the bytes hold a bad command, which has been used up; where used is 0 nobody knows where the next one begins, or it is
+// too far off.
 func Next(data []byte) (c Command, used int, err error) {
 	line, used, err := cutLine(data)
 	if used == 0 || err != nil {
 		return Command{}, 0, err
 	}
 	c.Line = line
-	if control(line) { // a stray carriage return could end a header line towards the origin
+	if !plain(line) { // a stray carriage return could end a header line towards the origin
 		return c, used, ErrLine
 	}
 	var size int
+	var twice bool
 	switch name, rest := word(line); string(name) {
 	case "mn":
 		c.Kind = Noop
@@ -66,7 +71,7 @@
 	case "mg":
 		c.Kind = Get
 		c.Key, rest = word(rest)
-		c.flags(rest)
+		twice = c.flags(rest)
 	case "ms":
 		c.Kind = Set
 		c.Key, rest = word(rest)
@@ -77,16 +82,19 @@
 			return c, used, ErrLine // no length: what follows is taken for a line
 		}
 		size = n
-		c.flags(rest)
+		twice = c.flags(rest)
 	default:
 		return c, used, ErrLine
 	}
-	if len(c.Key) == 0 || len(c.Key) > MaxKey || len(c.ID) == 0 {
+	if len(c.Key) == 0 || len(c.Key) > MaxKey || len(c.ID) == 0 || len(c.ID) > MaxID || twice {
 		err = ErrLine
 	}
 	if size > MaxValue {
 		err = ErrLarge
 	}
+	if size > MaxSkip {
+		return c, 0, ErrHuge
+	}
 	if c.Kind != Set {
 		return c, used, err
 	}
@@ -104,29 +112,26 @@
 	return c, used + size + 2, nil
 }
 
-// flags takes the flags that the balancer reads.
-func (c *Command) flags(rest []byte) {
-	eachFlag(rest, func(f []byte) {
-		switch f[0] {
-		case 'O':
+// flags takes the flags that the balancer reads and reports whether one of them stands twice: a server could take the
+// other for the one that is meant.
+func (c *Command) flags(rest []byte) (twice bool) {
+	for len(rest) > 0 {
+		var f []byte
+		f, rest = word(rest)
+		switch {
+		case len(f) == 0:
+		case f[0] == 'O':
+			twice = twice || c.ID != nil
 			c.ID = f[1:]
-		case 'P':
+		case f[0] == 'P':
+			twice = twice || c.Info != nil
 			c.Info = f[1:]
 			// Parts of one line end where its buffer ends. Guards against counting back from the rest of the line, which
 			// was off by the spaces behind P when a flag follows it: d then went on as another number.
 			c.InfoPos = cap(c.Line) - cap(c.Info)
 		}
-	})
-}
-
-// eachFlag gives the words of the rest of a line one by one; none is empty.
-func eachFlag(rest []byte, take func(f []byte)) {
-	for len(rest) > 0 {
-		var f []byte
-		if f, rest = word(rest); len(f) > 0 {
-			take(f)
-		}
 	}
+	return twice
 }
 
 // cutLine takes the first line; used is 0 when it has not come whole.
@@ -164,14 +169,14 @@
 	return first, rest
 }
 
-// control reports whether a line holds a control character.
-func control(line []byte) bool {
+// plain reports whether a line is printable ASCII: servers close on what they can't read, whatever else waits there.
+func plain(line []byte) bool {
 	for _, b := range line {
-		if b < ' ' || b == 0x7f {
-			return true
+		if b < ' ' || b >= 0x7f {
+			return false
 		}
 	}
-	return false
+	return true
 }
 
 // number reads a length; no sign, and nothing that a value could not be skipped by.
@@ -288,10 +293,12 @@
 	default:
 		return a, 0, ErrAnswer
 	}
-	a.flags(rest)
-	if (a.Status == Value || a.Status == Stored) && len(a.ID) == 0 {
+	if !a.flags(rest) {
 		return a, 0, ErrAnswer
 	}
+	if (a.Status == Value || a.Status == Stored || a.Status == Absent) && len(a.ID) == 0 {
+		return a, 0, ErrAnswer // which request it answers must be told
+	}
 	if size >= 0 {
 		if len(data) < used+size+2 {
 			return Answer{}, 0, nil
@@ -305,21 +312,33 @@
 	return a, used, nil
 }
 
-func (a *Answer) flags(rest []byte) {
-	eachFlag(rest, func(f []byte) {
-		switch f[0] {
-		case 'O':
+// flags takes the flags up to the load report, which ends the line and may hold anything. It reports whether they make
+// sense: none of those read here stands twice.
+func (a *Answer) flags(rest []byte) bool {
+	for len(rest) > 0 {
+		var f []byte
+		f, rest = word(rest)
+		switch {
+		case len(f) == 0:
+		case f[0] == 'L':
+			return true
+		case f[0] == 'O':
+			if a.ID != nil {
+				return false
+			}
 			a.ID = f[1:]
-		case 'c':
-			a.Receipt = f[1:]
-		case 'h':
-			if len(f) == 2 && (f[1] == '0' || f[1] == '1') {
-				a.Hit = f[1]
+		case f[0] == 'c':
+			if a.Receipt != nil {
+				return false
 			}
-		case 'Z':
+			a.Receipt = f[1:]
+		case f[0] == 'h' && len(f) == 2 && (f[1] == '0' || f[1] == '1'):
+			a.Hit = f[1]
+		case f[0] == 'Z':
 			a.Waits = len(f) == 1
 		}
-	})
+	}
+	return true
 }
 
 // AppendValue writes the answer that serves a read.
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -23,8 +23,14 @@
 	if err != nil || used == 0 {
 		return answer{}, 0, err
 	}
-	if t != nil && len(m.ID) > 0 && !bytes.Equal(m.ID, t.call.command.ID) {
-		return answer{}, 0, meta.ErrAnswer // another request's answer
+	if t != nil {
+		c := &t.call.command
+		switch {
+		case len(m.ID) > 0 && !bytes.Equal(m.ID, c.ID): // another request's answer
+			return answer{}, 0, meta.ErrAnswer
+		case m.Status == meta.Value && c.Kind != meta.Get, m.Status == meta.Stored && c.Kind != meta.Set:
+			return answer{}, 0, meta.ErrAnswer // an answer to another kind of request
+		}
 	}
 	a := answer{value: m.Value, receipt: m.Receipt}
 	switch m.Status {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -20,6 +20,12 @@
 	lingerFor     = time.Second
 	restFor       = 700 * time.Millisecond // idle for so long, a connection has no request on its way
 	lookEvery     = 50 * time.Millisecond  // how often a full house and a leaving node look for what can be closed
+	owesFor       = 2 * time.Second        // how long a connection may owe the rest of a command, its first included
+	owesShort     = 50 * time.Millisecond  // and in a full house, with nothing unread
+	idleFor       = 5 * time.Second        // how long a connection with nothing open is kept
+	idleShort     = 2 * time.Second        // and with most of the room taken
+	tidyEvery     = 250 * time.Millisecond // how often those are looked for
+	mostBad       = 16                     // bad commands after which a connection is closed
 	listenTries   = 20
 	listenGap     = 100 * time.Millisecond
 )
@@ -30,6 +36,8 @@
 	listener *loop.Listener
 	all      map[*client]bool
 	idle     *list.List // those with nothing open, longest unused first
+	owing    *list.List // those that owe the rest of a command, longest first
+	seen     ids        // of requests lately
 	closing  bool       // connections close between requests
 	retry    *loop.Timer
 }
@@ -41,11 +49,15 @@
 	input   []byte
 	skip    int           // bytes still to come of a bad command
 	calls   []*call       // in the order in which they came; the first unanswered one holds up the others
-	place   *list.Element // among the idle
+	place   *list.Element // among the idle or the owing
+	list    *list.List    // the one of them that place is in
 	used    time.Duration // when bytes last went either way
+	since   time.Duration // when it came to owe the rest of a command
+	bad     int           // commands that were none
+	asked   bool          // a whole command has come
 	slow    *loop.Timer   // set while answers stand unread
 	taken   int64         // what the client had taken when slow was set
-	owed    int           // bytes of answers that it has yet to take, as counted by the node
+	owed    int           // bytes held for it, answers not taken and commands not whole, as counted by the node
 	waiting int           // of these, what waits for answers before them
 	last    bool          // nothing more is taken: it closes after the answers owed
 	excess  bool          // accepted into the reserve
@@ -57,7 +69,9 @@
 
 // listen opens the node's address.
 func (s *clients) listen() error {
-	s.all, s.idle = map[*client]bool{}, list.New()
+	s.seen = newIDs(s.node.cfg.MemoryMB)
+	s.all, s.idle, s.owing = map[*client]bool{}, list.New(), list.New()
+	s.node.loop.After(tidyEvery, s.tidy)
 	var err error
 	for range listenTries { // the process that had the address before may still be going
 		if s.listener, err = s.node.loop.Listen(s.node.cfg.Listen, s.accept); !errors.Is(err, syscall.EADDRINUSE) {
@@ -80,7 +94,8 @@
 // accept takes a connection. In a full house it stands in the reserve, to have its request refused: one that waits
 // unread in the system's queue is lost.
 func (s *clients) accept(fd int) {
-	c := &client{node: s.node, used: s.node.loop.Now()}
+	now := s.node.loop.Now()
+	c := &client{node: s.node, used: now, since: now}
 	conn, err := s.node.loop.Accept(fd, c)
 	if err != nil {
 		log.Printf("event=accept_failed error=%q", err)
@@ -88,7 +103,7 @@
 	}
 	c.conn = conn
 	s.all[c] = true
-	c.place = s.idle.PushBack(c)
+	c.rest(s.owing)
 	s.node.count.clientsIn++
 	s.thin()
 	c.excess = s.full()
@@ -99,13 +114,16 @@
 	if s.closing {
 		return
 	}
+	// Guards against requests that wait unread for a descriptor, and are lost by it, while others are idle. First go
+	// those who connect and say nothing, or half of something: clients send as soon as they are connected.
+	for s.full() && s.evict(owesShort) {
+	}
 	if s.full() {
-		// Guards against requests that wait unread for a descriptor, and are lost by it, while others are idle. One used
-		// a moment ago is not idle: clients open another when all they have are busy, so its next request is likely
-		// on its way, and closing would lose it (787 of 19119 on an overload day with 80 descriptors).
-		if oldest := s.idle.Front(); oldest != nil && oldest.Value.(*client).rested() {
+		// One used a moment ago is not idle: clients open another when all they have are busy, so its next request is
+		// likely on its way, and closing would lose it (787 of 19119 on an overload day with 80 descriptors).
+		if oldest := front(s.idle); oldest != nil && oldest.rested() {
 			s.node.count.clientsShed++
-			oldest.Value.(*client).finish()
+			oldest.finish()
 		} else if s.node.links > s.node.linkLeast() {
 			s.node.shed()
 		}
@@ -119,6 +137,48 @@
 	}
 }
 
+// front is the first of a list, nil where it is empty.
+func front(l *list.List) *client {
+	if e := l.Front(); e != nil {
+		return e.Value.(*client)
+	}
+	return nil
+}
+
+// evict closes the connection that has owed the rest of a command longest, if that is as long as told and nothing of
+// it has come unread.
+func (s *clients) evict(owed time.Duration) bool {
+	c := front(s.owing)
+	if c == nil || s.node.loop.Now()-c.since < owed || c.conn.Stale() {
+		return false
+	}
+	s.node.count.clientsShed++
+	c.cut()
+	return true
+}
+
+// tidy closes connections that have owed the rest of a command or been idle for too long, so that neither those who say
+// nothing nor those who ask once and stay take the descriptors of others.
+func (s *clients) tidy() {
+	now := s.node.loop.Now()
+	for c := front(s.owing); c != nil && now-c.since >= owesFor; c = front(s.owing) {
+		s.node.count.clientsBad++
+		c.cut()
+	}
+	most := idleFor
+	if n := s.node; 2*n.loop.Open() > n.room() {
+		most = idleShort
+	}
+	for c := front(s.idle); c != nil && now-c.used >= most; c = front(s.idle) {
+		if c.conn.Stale() {
+			break // its next request has come, or its end: either is read next
+		}
+		s.node.count.clientsIdle++
+		c.finish()
+	}
+	s.node.loop.After(tidyEvery, s.tidy)
+}
+
 // leave closes the listener. From then on a connection closes with its next answer, so that its client learns of the
 // end before it sends again; those that get no request close once they have rested.
 func (s *clients) leave() {
@@ -154,7 +214,6 @@
 		return
 	}
 	c.used = c.node.loop.Now()
-	c.unrest() // a part of a request has come at least
 	if c.skip > 0 {
 		n := min(c.skip, len(data))
 		c.skip -= n
@@ -186,9 +245,8 @@
 		m, used, err := meta.Next(data)
 		switch {
 		case err != nil:
-			c.node.count.badLines++
-			c.say("CLIENT_ERROR " + err.Error() + "\r\n")
-			if used == 0 {
+			c.reject(err)
+			if used == 0 || c.last {
 				c.last = true
 				return nil
 			}
@@ -209,6 +267,8 @@
 // command handles one whole command.
 func (c *client) command(m meta.Command) {
 	n := c.node
+	c.asked = true
+	c.unrest() // it owes nothing, whatever room is made below
 	if m.Kind == meta.Noop {
 		if n.ready {
 			c.say("MN\r\n")
@@ -218,18 +278,25 @@
 		return
 	}
 	wait, err := n.patience(m.Info)
+	// Guards against one who sends the id of another's request: an open one would be taken for that request, and a
+	// refusal would be taken for that request's. Each request has an id of its own, also a retry.
+	if err == nil && (n.calls[string(m.ID)] != nil || n.clients.seen.has(m.ID)) {
+		n.count.sameID++
+		err = errors.New("request id in use")
+	}
 	if err != nil {
-		n.count.badLines++
-		c.say("CLIENT_ERROR " + err.Error() + "\r\n")
+		c.reject(err)
 		return
 	}
+	n.clients.seen.add(m.ID, n.loop.Now())
 	n.count.taken++
-	if c.excess = c.excess && n.clients.full(); c.excess {
+	// Whoever asks goes before those who may be about to.
+	if c.excess = c.excess && n.clients.full() && !n.clients.evict(0); c.excess {
 		c.refuse()
 		c.parting = true // its descriptor is wanted
 		return
 	}
-	if n.full(len(m.Value)) || n.calls[string(m.ID)] != nil { // an open request's id would be taken for that request
+	if n.full(len(m.Value)) {
 		c.refuse()
 		return
 	}
@@ -244,6 +311,16 @@
 	n.take(k, now)
 }
 
+// reject answers what is no request, and ends a connection on which there is nothing else.
+func (c *client) reject(err error) {
+	c.node.count.badLines++
+	c.say("CLIENT_ERROR " + err.Error() + "\r\n")
+	if c.bad++; c.bad >= mostBad {
+		c.node.count.clientsBad++
+		c.last = true
+	}
+}
+
 // refuse turns a request away that the module has not seen.
 func (c *client) refuse() {
 	c.node.count.full++
@@ -263,15 +340,15 @@
 // patience is how long the client waits: told by the request, else the longest that its class allows.
 func (n *Node) patience(info []byte) (time.Duration, error) {
 	class := meta.Text(info, "c")
-	if class == "" {
-		return 0, errors.New("no class")
+	longest, known := n.cfg.Transport.Deadlines[class]
+	if !known {
+		// Guards against what servers turn away: each such answer told against a healthy server, and three skipped it
+		// (launceston-platform, rude+garble 3: all nine caches skipped at once).
+		return 0, errors.New("no such class")
 	}
 	text := meta.Text(info, "d")
 	if text == "" {
-		if d := n.cfg.Transport.Deadlines[class]; d > 0 {
-			return d, nil
-		}
-		return 0, errors.New("no deadline")
+		return longest, nil
 	}
 	if whole, _, ok := strings.Cut(text, "."); ok {
 		text = whole
@@ -280,7 +357,7 @@
 	if err != nil || ms <= 0 {
 		return 0, errors.New("bad deadline")
 	}
-	return time.Duration(ms) * time.Millisecond, nil
+	return min(time.Duration(ms)*time.Millisecond, longest), nil
 }
 
 // keep copies a command out of the buffer it was parsed from.
@@ -328,16 +405,21 @@
 		return // the rest is done when that is over
 	}
 	closing := c.last || c.parting || c.node.clients.closing
-	if len(c.calls) == 0 && len(c.input) == 0 && c.conn.Pending() == 0 {
-		c.calls = nil
+	owes := len(c.input) > 0 || c.skip > 0 || !c.asked // the rest of a command
+	switch {
+	case len(c.calls) > 0 || c.conn.Pending() > 0:
+		c.unrest()
+	case c.last || closing && !owes && !c.conn.Stale():
 		// Guards against closing on a request that has come but was not read yet, which would lose it.
-		if c.last || closing && !c.conn.Stale() {
-			c.finish()
-			return
-		}
-		if c.place == nil {
-			c.place = c.node.clients.idle.PushBack(c)
-		}
+		c.finish()
+		return
+	case owes:
+		c.rest(c.node.clients.owing)
+	default:
+		c.rest(c.node.clients.idle)
+	}
+	if len(c.calls) == 0 {
+		c.calls = nil
 	}
 	blocked := len(c.calls) >= mostPipelined || c.conn.Pending() >= mostUnsent
 	c.conn.Pause(blocked || closing && len(c.calls) > 0)
@@ -363,11 +445,23 @@
 	c.flush()
 }
 
-// unrest takes the connection off the idle ones.
+// rest puts the connection among the idle or the owing ones. Who comes to owe is given time from then on, who just
+// connected from then.
+func (c *client) rest(l *list.List) {
+	if c.list == l && l == c.node.clients.owing {
+		return
+	}
+	if c.unrest(); l == c.node.clients.owing && c.asked {
+		c.since = c.node.loop.Now()
+	}
+	c.list, c.place = l, l.PushBack(c)
+}
+
+// unrest takes the connection off the list it is in.
 func (c *client) unrest() {
 	if c.place != nil {
-		c.node.clients.idle.Remove(c.place)
-		c.place = nil
+		c.list.Remove(c.place)
+		c.list, c.place = nil, nil
 	}
 }
 
@@ -401,10 +495,11 @@
 	c.End(nil)
 }
 
-// account keeps the node's count of answers not taken yet and, past its bound, gives up the one that owes most.
+// account keeps the node's count of what is held for clients, answers that they have yet to take and commands that
+// they have yet to end, and, past its bound, gives up the one for which most is held.
 func (c *client) account() {
 	n := c.node
-	owed := c.waiting + c.conn.Pending()
+	owed := c.waiting + c.conn.Pending() + cap(c.input)
 	if c.gone {
 		owed = 0
 	}
@@ -443,10 +538,20 @@
 	}
 }
 
+// cut closes a connection that is owed nothing at once, whatever may still come on it.
+func (c *client) cut() {
+	c.conn.Close()
+	c.drop()
+}
+
 // finish closes the connection between requests.
 func (c *client) finish() {
 	if !c.gone {
-		c.conn.Finish(lingerFor)
+		linger := lingerFor
+		if c.bad > 0 || !c.asked { // whose next bytes nobody wants
+			linger /= 4
+		}
+		c.conn.Finish(linger)
 		c.drop()
 	}
 }
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -13,7 +13,8 @@
 	full, badLines, clientsIn, clientsShed, clientsSlow int64
 	attempts, links, linksShed, pipelined, dialsFailed  int64
 	badAnswers, lists, listsBad, listsFailed, panics    int64
-	reloads, reloadsBad                                 int64
+	surplus, reloads, reloadsBad                        int64
+	clientsBad, clientsIdle, sameID                     int64
 	outcomes                                            [policy.Moot + 1]int64
 }
 
@@ -36,11 +37,13 @@
 	put("overdue", c.overdue)
 	put("full_house", c.full)
 	put("bad_lines", c.badLines)
+	put("same_id", c.sameID)
 	put("attempts", c.attempts)
 	for o, name := range outcomeNames {
 		put(name, c.outcomes[o])
 	}
 	put("bad_answers", c.badAnswers)
+	put("surplus_answers", c.surplus)
 	put("server_conns", c.links)
 	put("server_conns_shed", c.linksShed)
 	put("pipelined", c.pipelined)
@@ -48,6 +51,8 @@
 	put("clients", c.clientsIn)
 	put("clients_shed", c.clientsShed)
 	put("clients_slow", c.clientsSlow)
+	put("clients_bad", c.clientsBad)
+	put("clients_idle", c.clientsIdle)
 	put("lists", c.lists)
 	put("lists_bad", c.listsBad)
 	put("lists_failed", c.listsFailed)
--- /dev/null
+++ b/internal/node/ids.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"hash/maphash"
+	"time"
+)
+
+const (
+	idsFor    = 3 * time.Second // about how long an id is remembered
+	idsEachMB = 128             // how many of a generation for each megabyte of memory
+)
+
+// ids remembers what requests were called lately, in two generations: neither grows beyond its bound nor is made anew.
+type ids struct {
+	seed   maphash.Seed
+	most   int
+	recent map[uint64]struct{}
+	older  map[uint64]struct{}
+	begun  time.Duration // the recent generation
+}
+
+func newIDs(memoryMB int) ids {
+	return ids{seed: maphash.MakeSeed(), most: max(1, memoryMB*idsEachMB),
+		recent: map[uint64]struct{}{}, older: map[uint64]struct{}{}}
+}
+
+func (s *ids) has(id []byte) bool {
+	h := maphash.Bytes(s.seed, id)
+	_, recent := s.recent[h]
+	_, older := s.older[h]
+	return recent || older
+}
+
+func (s *ids) add(id []byte, now time.Duration) {
+	if len(s.recent) >= s.most || now-s.begun >= idsFor {
+		clear(s.older)
+		s.recent, s.older, s.begun = s.older, s.recent, now
+	}
+	s.recent[maphash.Bytes(s.seed, id)] = struct{}{}
+}
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -37,6 +37,8 @@
 	}
 	a := answer{close: h.Close}
 	switch {
+	case h.Status == 200 && !h.Whole:
+		return answer{}, 0, meta.ErrAnswer // guards against a value cut short by the connection's end
 	case h.Status == 200 && t != nil && t.call.command.Kind == meta.Set:
 		a.outcome, a.stored, a.receipt = policy.OK, true, bytes.TrimSpace(h.Body)
 		if bytes.ContainsFunc(a.receipt, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"log"
 	"net/netip"
 	"slices"
@@ -20,8 +21,13 @@
 	pipelines() bool
 }
 
-// mostInput is how many bytes of an unfinished answer are kept: a value and what stands around it.
-const mostInput = 160 << 10
+const (
+	// mostInput is how many bytes of an unfinished answer are kept: a value and what stands around it.
+	mostInput = 160 << 10
+	// usualStall is how long an answer may stop in its midst where the settings tell no connect time-out: what has
+	// begun to come goes on about as soon as a connection comes up.
+	usualStall = 250 * time.Millisecond
+)
 
 // pool holds the connections to one server. An attempt gets one to itself as long as descriptors last: giving it up
 // closes the connection, and an answer behind another comes late.
@@ -42,7 +48,7 @@
 	conn  *loop.Conn
 	tries []*try // written, in order; nil where an attempt was given up and only its answer is owed
 	input []byte
-	timer *loop.Timer // connecting: the time-out; idle: when to retire
+	timer *loop.Timer // connecting: the time-out; idle: when to retire; in an answer's midst: when to give it up
 	since time.Duration
 	up    bool
 	gone  bool
@@ -330,6 +336,9 @@
 // Data implements loop.Handler.
 func (l *link) Data(data []byte) {
 	l.pool.heard = l.pool.node.loop.Now()
+	if len(l.tries) > 0 {
+		l.timer.Stop()
+	}
 	kept := len(l.input) > 0
 	if kept {
 		l.input = append(l.input, data...)
@@ -337,7 +346,9 @@
 	}
 	for len(data) > 0 && !l.gone {
 		if len(l.tries) == 0 {
-			l.bad("an answer to nothing")
+			// What comes behind a good answer does not spoil that one, but must never become the next request's answer.
+			l.pool.node.count.surplus++
+			l.over()
 			return
 		}
 		t := l.tries[0]
@@ -346,6 +357,10 @@
 			l.bad("malformed answer")
 			return
 		}
+		if used > 0 && t != nil && t.last > l.conn.Written() {
+			l.bad("an answer before its request") // surplus of the one before
+			return
+		}
 		if used == 0 {
 			break
 		}
@@ -376,12 +391,20 @@
 	default:
 		l.input = append([]byte(nil), data...)
 	}
+	if len(l.input) > 0 {
+		// Guards against an answer that says it is longer than it is: its connection stays open and silent, and without
+		// this the attempt would last until its time-out.
+		l.timer = l.pool.node.loop.After(l.pool.node.stall(), func() { l.bad("an answer that stops in its midst") })
+	}
 	if len(l.tries) > 0 && !l.carries() { // guards against a descriptor held for answers that nobody waits for
 		l.over()
 	}
 	l.rest()
 }
 
+// stall is how long an answer may stop in its midst.
+func (n *Node) stall() time.Duration { return cmp.Or(n.cfg.Transport.ConnectTimeout, usualStall) }
+
 // finish ends an attempt with its answer.
 func (l *link) finish(t *try, a answer) {
 	t.link = nil
