--- a/cmd/lapisshelf/node_test.go
+++ b/cmd/lapisshelf/node_test.go
@@ -195,6 +195,8 @@
 		{"not readable", "mg k\xc3\xa4 v O1 Pc=read,d=100\r\n", false},
 		{"value far too large", "ms k 60000000 O1 Pc=put,d=100\r\n" + strings.Repeat("x", 300), true},
 		{"deadline is no number", "mg k v O1 Pc=read,d=soon\r\n", false},
+		{"deadline is empty", "mg k v O1 Pc=read,d=,k=1\r\n", false},
+		{"no deadline", "mg k v O1 Pc=read\r\n", false},
 		{"deadline is past", "mg k v O1 Pc=read,d=0\r\n", false},
 		{"key too long", "mg " + strings.Repeat("k", 251) + " v O1 Pc=read,d=100\r\n", false},
 		{"value too large", "ms k 65537 O1 Pc=put,d=100\r\n" + strings.Repeat("x", 65537) + "\r\n", false},
@@ -219,7 +221,7 @@
 			cl.want(fmt.Sprintf("VA 1 O9%d", i), "v")
 		})
 	}
-	if len(c.seen()) != 13 {
+	if len(c.seen()) != 15 {
 		t.Errorf("the cache was sent %q", c.seen())
 	}
 }
@@ -386,6 +388,7 @@
 		"no length":           "HTTP/1.1 200 OK\r\n\r\nhello",
 		"a length too long":   "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello",
 		"3 GB":                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nhello",
+		"a line in the head":  "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 5\r\n\r\nhello",
 		"no such status":      "HTTP/1.1 2x0 OK\r\nContent-Length: 5\r\n\r\nhello",
 		"noise":               "\xde\xad\xbe\xef\r\n\r\n",
 	} {
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -116,6 +116,14 @@
 		return a, ErrMalformed
 	}
 	a.head = rest
+	for len(rest) > 0 {
+		var header []byte
+		if header, rest = cutLine(rest); len(header) > 0 && !isHeader(header) {
+			// Guards against a head with noise in it: what else it says, a length above all, can't be trusted
+			// (launceston-platform, rude+garble 3: 20 requests lost to heads with a line without a colon).
+			return a, ErrMalformed
+		}
+	}
 	switch option := a.Header("Connection"); {
 	case bytes.EqualFold(option, []byte("close")):
 		a.Close = true
@@ -125,6 +133,17 @@
 	return a, nil
 }
 
+// isHeader reports whether a line begins with a name and a colon. The value may be anything.
+func isHeader(line []byte) bool {
+	end := bytes.IndexByte(line, ':')
+	for _, b := range line[:max(0, end)] {
+		if b <= ' ' || b >= 0x7f {
+			return false
+		}
+	}
+	return end > 0
+}
+
 // body takes the body and returns its length on the wire, -1 when more must come first.
 func (a *Answer) body(data []byte, limit int, ended bool) (int, error) {
 	if a.Status == 204 || a.Status == 304 {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -337,7 +337,7 @@
 // most is how many bytes of values the node may hold, and of answers as many again.
 func (n *Node) most() int { return n.cfg.MemoryMB << 20 / heldPart }
 
-// patience is how long the client waits: told by the request, else the longest that its class allows.
+// patience is how long the client waits, as the request tells; no longer than its class allows.
 func (n *Node) patience(info []byte) (time.Duration, error) {
 	class := meta.Text(info, "c")
 	longest, known := n.cfg.Transport.Deadlines[class]
@@ -346,10 +346,7 @@
 		// (launceston-platform, rude+garble 3: all nine caches skipped at once).
 		return 0, errors.New("no such class")
 	}
-	text := meta.Text(info, "d")
-	if text == "" {
-		return longest, nil
-	}
+	text := meta.Text(info, "d") // an empty one is no number either: servers turn it away
 	if whole, _, ok := strings.Cut(text, "."); ok {
 		text = whole
 	}
