--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -12,8 +12,8 @@
 const (
 	MaxLine  = 4096     // bytes of a line, without its end
 	MaxKey   = 250      // bytes of a key
-	MaxValue = 64 << 10 // bytes of a value
-	MaxSkip  = 1 << 20  // bytes of a value too large that are passed over
+	MaxValue = 64 << 10 // bytes of a value, usually; the caller says how many it has room for
+	MaxSkip  = 4        // times that room: a larger value is not passed over
 	MaxID    = 64       // bytes of a request's id
 )
 
@@ -50,10 +50,10 @@
 	Skip int
 }
 
-// Next parses the first command. It returns how many bytes that took: 0 when more must come first. With an error
+// Next parses the first command, whose value may hold at most so many bytes. It returns how many bytes that took: 0 when more must come first. With an error
 // the bytes hold a bad command, which has been used up; where used is 0 nobody knows where the next one begins, or it is
 // too far off.
-func Next(data []byte) (c Command, used int, err error) {
+func Next(data []byte, most int) (c Command, used int, err error) {
 	line, used, err := cutLine(data)
 	if used == 0 || err != nil {
 		return Command{}, 0, err
@@ -89,10 +89,10 @@
 	if len(c.Key) == 0 || len(c.Key) > MaxKey || len(c.ID) == 0 || len(c.ID) > MaxID || twice {
 		err = ErrLine
 	}
-	if size > MaxValue {
+	if size > most {
 		err = ErrLarge
 	}
-	if size > MaxSkip {
+	if size > MaxSkip*most {
 		return c, 0, ErrHuge
 	}
 	if c.Kind != Set {
@@ -257,8 +257,8 @@
 	Waits   bool // Z: another fetch of the key is out
 }
 
-// NextAnswer parses the first answer. It returns how many bytes that took: 0 when more must come first.
-func NextAnswer(data []byte) (a Answer, used int, err error) {
+// NextAnswer parses the first answer, whose value may hold at most so many bytes. It returns how many bytes that took: 0 when more must come first.
+func NextAnswer(data []byte, most int) (a Answer, used int, err error) {
 	line, used, err := cutLine(data)
 	if err != nil {
 		return a, 0, ErrAnswer
@@ -273,7 +273,7 @@
 		var length []byte
 		length, rest = word(rest)
 		n, ok := number(length)
-		if !ok || n > MaxValue {
+		if !ok || n > most {
 			return a, 0, ErrAnswer
 		}
 		a.Status, size = Value, n
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -242,7 +242,7 @@
 	c.parsing = true
 	defer func() { c.parsing = false }()
 	for len(data) > 0 && !c.gone && !c.last && len(c.calls) < mostPipelined && c.conn.Pending() < mostUnsent {
-		m, used, err := meta.Next(data)
+		m, used, err := meta.Next(data, c.node.valueMost())
 		switch {
 		case err != nil:
 			c.reject(err)
@@ -337,6 +337,10 @@
 // most is how many bytes of values the node may hold, and of answers as many again.
 func (n *Node) most() int { return n.cfg.MemoryMB << 20 / heldPart }
 
+// valueMost is how many bytes a value may hold: many must have room at once. Values over the usual size do come
+// (launceston-platform, rate+silent+leave: up to 360 KB, each taken for a spoilt answer, and the servers skipped for it).
+func (n *Node) valueMost() int { return max(meta.MaxValue, n.cfg.MemoryMB<<20/valuePart) }
+
 // patience is how long the client waits, as the request tells; no longer than its class allows.
 func (n *Node) patience(info []byte) (time.Duration, error) {
 	class := meta.Text(info, "c")
@@ -428,7 +432,7 @@
 
 // waits reports whether the input begins with a whole command, which had to wait.
 func (c *client) waits() bool {
-	_, used, err := meta.Next(c.input)
+	_, used, err := meta.Next(c.input, c.node.valueMost())
 	return used > 0 || err != nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,8 @@
 	ownSockets = 14
 	// heldPart bounds the values of writes and of answers that are kept, as a part of the memory limit.
 	heldPart = 4
+	// valuePart bounds one value, as a part of the memory limit.
+	valuePart = 64
 	// failed is the answer that promises nothing.
 	failed = "SERVER_ERROR failed\r\n"
 )
@@ -49,7 +51,8 @@
 	discovery discovery
 	links     int // connections to servers
 	held      int // bytes of writes kept
-	owed      int // bytes of answers that clients have yet to take
+	owed      int // bytes of answers that clients have yet to take, and of commands not whole
+	coming    int // bytes of answers that are not whole
 	shedding  bool
 	count     counters
 	ready     bool
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -11,7 +11,10 @@
 )
 
 // originProtocol speaks HTTP/1.1 to the origin, one request at a time on a connection.
-type originProtocol struct{ host string }
+type originProtocol struct {
+	host string
+	most int // bytes of a value
+}
 
 func (originProtocol) pipelines() bool { return false }
 
@@ -30,8 +33,8 @@
 	return httpc.AppendRequest(buf, "GET", target, p.host, headers, nil)
 }
 
-func (originProtocol) answer(data []byte, t *try, ended bool) (answer, int, error) {
-	h, used, err := httpc.Next(data, meta.MaxValue, ended)
+func (p originProtocol) answer(data []byte, t *try, ended bool) (answer, int, error) {
+	h, used, err := httpc.Next(data, p.most, ended)
 	if err != nil || used == 0 {
 		return answer{}, 0, err
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -22,8 +22,8 @@
 }
 
 const (
-	// mostInput is how many bytes of an unfinished answer are kept: a value and what stands around it.
-	mostInput = 160 << 10
+	// mostAround is how many bytes may stand around an answer's value.
+	mostAround = 64 << 10
 	// usualStall is how long an answer may stop in its midst where the settings tell no connect time-out: what has
 	// begun to come goes on about as soon as a connection comes up.
 	usualStall = 250 * time.Millisecond
@@ -48,6 +48,7 @@
 	conn  *loop.Conn
 	tries []*try // written, in order; nil where an attempt was given up and only its answer is owed
 	input []byte
+	held  int         // bytes of input, as counted by the node
 	timer *loop.Timer // connecting: the time-out; idle: when to retire; in an answer's midst: when to give it up
 	since time.Duration
 	up    bool
@@ -73,9 +74,9 @@
 		p.addr = addr
 	}
 	if kind := n.cfg.Settings.OriginKind; kind != "" && s.Kind == kind {
-		p.proto = originProtocol{host: p.addr.String()}
+		p.proto = originProtocol{host: p.addr.String(), most: n.valueMost()}
 	} else {
-		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn}
+		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn, most: n.valueMost()}
 	}
 	p.listed = s.State == policy.Ready
 }
@@ -242,12 +243,19 @@
 	l.unrest()
 	l.conn.Close()
 	l.input = nil
+	l.account()
 	p := l.pool
 	p.links = slices.DeleteFunc(p.links, func(x *link) bool { return x == l })
 	p.node.links--
 	p.forget()
 }
 
+// account keeps the node's count of the bytes of answers that are not whole.
+func (l *link) account() {
+	l.pool.node.coming += cap(l.input) - l.held
+	l.held = cap(l.input)
+}
+
 // over ends the connection and all that is out on it: what was not written whole has never run, the rest may have.
 func (l *link) over() {
 	if l.gone {
@@ -353,7 +361,7 @@
 		}
 		t := l.tries[0]
 		a, used, err := l.pool.proto.answer(data, t, false)
-		if err != nil || used == 0 && len(data) > mostInput {
+		if err != nil || used == 0 && len(data) > l.pool.node.valueMost()+mostAround {
 			l.bad("malformed answer")
 			return
 		}
@@ -391,6 +399,11 @@
 	default:
 		l.input = append([]byte(nil), data...)
 	}
+	l.account()
+	if l.pool.node.coming > l.pool.node.most() {
+		l.bad("no room for more answers at once")
+		return
+	}
 	if len(l.input) > 0 {
 		// Guards against an answer that says it is longer than it is: its connection stays open and silent, and without
 		// this the attempt would last until its time-out.
