--- a/cmd/lapisshelf/node_test.go
+++ b/cmd/lapisshelf/node_test.go
@@ -368,6 +368,55 @@
 	}
 }
 
+// Kept connections that end at their next request cost a further try each and tell nothing of their server.
+func TestKeptConnectionsThatEnd(t *testing.T) {
+	var cutting atomic.Bool
+	ln := listen(t)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			asked := 0
+			go (&cache{reply: func(line string, v []byte) string {
+				if asked++; asked > 1 && cutting.Load() {
+					return "close"
+				}
+				time.Sleep(20 * time.Millisecond)
+				return holding("v")(line, v)
+			}}).serve(conn)
+		}
+	}()
+	good := startCache(t, holding("v"))
+	n := start(t, startDiscovery(t, serving("s-1", ln.Addr().String(), "m2"), serving("s-2", good.ln.Addr().String(), "m2")),
+		patientReads)
+	cl, sent := n.dial(), 0
+	ask := func(count int) {
+		for range count {
+			sent++
+			cl.send(fmt.Sprintf("mg key%d v O%d Pc=read,d=2900\r\n", sent, sent))
+		}
+		for range count {
+			cl.answer()
+		}
+	}
+	for range 8 { // connections are opened as the node sends more at once
+		ask(24)
+	}
+	cutting.Store(true)
+	for range 40 {
+		ask(1)
+	}
+	n.signal(syscall.SIGUSR1)
+	eventually(t, "three kept connections at least were cut", func() bool {
+		return regexp.MustCompile(` reset=([3-9]|\d\d)`).MatchString(n.log())
+	})
+	if strings.Contains(n.log(), "skip:") {
+		t.Error("the server is skipped for its connections")
+	}
+}
+
 // A good answer stays good whatever else comes with it, and none of that becomes another request's answer.
 func TestGoodAnswersWithMore(t *testing.T) {
 	for name, reply := range map[string]func(string, []byte) string{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	receipt []byte
 	stored  bool // served without a value: a receipt
 	close   bool // the connection carries nothing after it
+	kept    bool // of a reset: the connection had answered before
 }
 
 // New builds a node that listens and follows the list. Nothing happens until the loop runs.
@@ -230,7 +231,8 @@
 		}
 		n.reply(c, text, &n.count.served)
 	}
-	res := policy.Result{ID: c.id, N: t.n, Server: t.pool.id, Outcome: a.outcome, Note: a.note, Final: c.answered}
+	res := policy.Result{ID: c.id, N: t.n, Server: t.pool.id, Outcome: a.outcome, Note: a.note, Final: c.answered,
+		Kept: a.kept}
 	n.guard("result", func() { n.policy.Result(n.loop.Now(), res) })
 	n.settle(c)
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -44,16 +44,17 @@
 
 // link is one connection to a server. It is given back in drop alone.
 type link struct {
-	pool  *pool
-	conn  *loop.Conn
-	tries []*try // written, in order; nil where an attempt was given up and only its answer is owed
-	input []byte
-	held  int         // bytes of input, as counted by the node
-	timer *loop.Timer // connecting: the time-out; idle: when to retire; in an answer's midst: when to give it up
-	since time.Duration
-	up    bool
-	gone  bool
-	old   bool // the server has moved or the connection is ending: nothing new goes here
+	pool   *pool
+	conn   *loop.Conn
+	tries  []*try // written, in order; nil where an attempt was given up and only its answer is owed
+	input  []byte
+	held   int         // bytes of input, as counted by the node
+	timer  *loop.Timer // connecting: the time-out; idle: when to retire; in an answer's midst: when to give it up
+	since  time.Duration
+	up     bool
+	gone   bool
+	served bool // an answer has come on it
+	old    bool // the server has moved or the connection is ending: nothing new goes here
 }
 
 // pool brings the connections to a listed server in line with its entry.
@@ -267,7 +268,7 @@
 		if t == nil {
 			continue
 		}
-		end := answer{outcome: policy.Reset}
+		end := answer{outcome: policy.Reset, kept: l.served}
 		if t.last > written {
 			end.outcome = policy.ConnectFailed
 		}
@@ -373,6 +374,7 @@
 			break
 		}
 		data = data[used:]
+		l.served = true
 		l.tries = l.tries[1:]
 		l.old = l.old || a.close
 		if len(data) == 0 {
--- a/policy/api.go
+++ b/policy/api.go
@@ -156,6 +156,7 @@
 	Outcome Outcome
 	Note    Note
 	Final   bool // nothing more is owed for the request
+	Kept    bool // a reset of a connection that had answered before: its end, not the server's, as far as that tells
 }
 
 // Actions is what a balancer may do. Each call takes effect at the time of the event being handled.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -456,8 +456,8 @@
 func (b *Balancer) learn(a *attempt, res Result) {
 	s, o := a.srv, res.Outcome
 	b.tally(a, o)
-	// Guards against skipping a server that answers others, or one that the origin let down.
-	if res.Outcome == OK || (res.Outcome != TimedOut || s.heard <= a.at) && res.Note != NoteMiss {
+	// Guards against skipping one that answers others, for a connection's end, or as the origin let it down.
+	if o == OK || (o != TimedOut && o != Reset || s.heard <= a.at && !res.Kept) && res.Note != NoteMiss {
 		b.health(s, skipSpell, res.Outcome)
 	}
 	if o != Moot && o != Cancelled && o != ConnectFailed {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -360,6 +360,31 @@
 	}
 }
 
+// The end of a connection that had answered before, or of one of a server that answers others, says nothing of the
+// server: where networks cut connections now and then, three in a row come often.
+func TestAConnectionsEndIsNoFailureOfItsServer(t *testing.T) {
+	for _, kept := range []bool{true, false} {
+		w := start(t, settings(), 4)
+		w.cold = true
+		top := ranking(w, "k")[0]
+		w.b.servers[top].limit = 9
+		for i := range failsToSkip + 2 {
+			w.request(fmt.Sprint("cut", i), "read", "k")
+			s := w.last()
+			if s.server != top {
+				t.Fatalf("kept %v: request %d went to %s, want %s", kept, i, s.server, top)
+			}
+			if !kept {
+				w.request(fmt.Sprint("other", i), "read", "k")
+				w.answer(w.last(), OK, NoteHit, ms)
+			}
+			w.now += ms
+			w.b.Result(w.now, Result{ID: s.id, N: s.n, Server: s.server, Outcome: Reset, Kept: kept})
+			w.answer(w.last(), OK, NoteHit, ms)
+		}
+	}
+}
+
 // A busy server answers others: a time-out there says that it is late, not dead.
 func TestTimeoutOfAnAnsweringServerIsNoFailure(t *testing.T) {
 	w := start(t, settings(), 4)
