--- a/policy/policy.go
+++ b/policy/policy.go
@@ -232,9 +232,7 @@
 		if !b.crowded(s) && (i == 0 || b.warmth(s) == 1 || !b.set.OriginFalls) {
 			return s
 		}
-		if top == nil {
-			top = s
-		}
+		top = cmp.Or(top, s)
 	}
 	return top
 }
@@ -341,8 +339,7 @@
 	for s != nil && len(s.queue) > 0 && b.room(s) {
 		best := 0
 		for i, r := range s.queue {
-			o := s.queue[best]
-			if r.before(o) {
+			if r.before(s.queue[best]) {
 				best = i
 			}
 		}
@@ -464,7 +461,7 @@
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
 		late := o == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
 		if !a.judged {
-			b.steer(s, a.at, late)
+			b.steer(s, a.at, late && (o == Full || !a.alone()))
 		}
 		if !a.origin && o != Reset { // which is no answer
 			b.note(noteOf(s.ID, answerNote(late || o == TimedOut)))
@@ -472,6 +469,10 @@
 	}
 }
 
+// alone reports whether an attempt is late by itself, others sent after it having been answered well in time:
+// that is its own work or connection, not the server's queue. With one out at a time the latest says all.
+func (a *attempt) alone() bool { return a.srv.limit > 1 && a.srv.prompt > a.at }
+
 // health counts straight failures; from the third on the server is skipped for a spell.
 func (b *Balancer) health(s *server, spell time.Duration, o Outcome) {
 	switch o {
@@ -577,7 +578,7 @@
 	for _, r := range slices.Clone(b.order) {
 		b.admit(r.held)
 		for _, a := range r.tries { // news that waits for the end comes too late (launceston-platform big-2)
-			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
+			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 && !a.alone() {
 				a.judged = true
 				b.steer(a.srv, a.at, true)
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -507,6 +507,34 @@
 	}
 }
 
+// An attempt that hangs while others sent after it are answered well in time, as on a connection that fell silent, does
+// not halve its server's limit; with nothing answered after it, it does.
+func TestAnAttemptLateByItselfIsNoStrain(t *testing.T) {
+	for _, alone := range []bool{true, false} {
+		w := start(t, settings(), 1)
+		s := w.b.caches[0]
+		s.limit, s.strained, s.holds["k"], s.holds["l"] = 3, true, true, true
+		w.request("hangs", "read", "k")
+		hangs := w.last()
+		w.now += ms
+		w.request("other", "read", "l")
+		other := w.last()
+		if alone {
+			w.answer(other, OK, NoteHit, ms)
+		}
+		limit := s.limit
+		w.now = w.b.open[hangs.id].aim - 2*ms - time.Duration(w.b.usual)
+		w.sweep()
+		if cut := s.limit < limit; cut == alone {
+			t.Errorf("alone %v: limit %v after %v", alone, s.limit, limit)
+		}
+		w.answer(hangs, TimedOut, NoNote, 0)
+		if cut := s.limit < limit; cut == alone {
+			t.Errorf("alone %v, at its end: limit %v after %v", alone, s.limit, limit)
+		}
+	}
+}
+
 func TestWhatWouldWaitInVainIsTurnedAwayAtOnce(t *testing.T) {
 	w := start(t, settings(), 1)
 	w.b.servers["c00"].holds["k"] = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,7 @@
 	fails     int             // straight failures
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
+	prompt    time.Duration // when the latest attempt that was answered well within its aim was sent
 	sends     fading        // own sends lately
 	late      fading        // late answers lately, as noted by this node and others
 	timely    fading        // and those in time
@@ -224,6 +225,9 @@
 	if o == OK || o == Miss || o == Errored || o == Full {
 		a.srv.heard = b.now
 	}
+	if (o == OK || o == Miss) && b.now-a.at <= a.req.class.Aim/2 {
+		a.srv.prompt = max(a.srv.prompt, a.at)
+	}
 	if o == OK && !(a.origin && a.req.Write) {
 		b.answers.add(b.now, b.set.FallWindow)
 	}
