--- a/policy/policy.go
+++ b/policy/policy.go
@@ -301,12 +301,6 @@
 	return f.leader != r
 }
 
-// leads reports whether the request is one whose answer others wait for.
-func (b *Balancer) leads(r *request) bool {
-	f := b.fetches[r.Key]
-	return f != nil && f.leader == r
-}
-
 // gate sends a request to s, or holds it for s while s has no room, if it can still be answered after that.
 func (b *Balancer) gate(r *request, s *server) {
 	if b.room(s) {
@@ -578,9 +572,13 @@
 	for _, r := range slices.Clone(b.order) {
 		b.admit(r.held)
 		for _, a := range r.tries { // news that waits for the end comes too late (launceston-platform big-2)
-			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 && !a.alone() {
-				a.judged = true
-				b.steer(a.srv, a.at, true)
+			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
+				if a.judged = true; !a.alone() {
+					b.steer(a.srv, a.at, true)
+				} else if quiet := b.now-a.srv.cutAt > b.set.FallWindow; quiet && a.origin && b.now < r.aim &&
+					r.class.Effect == Safe && b.set.MayCancel { // its connection fell silent: sent again
+					b.act.Cancel(r.ID, a.n)
+				}
 			}
 		}
 		if r.out == 0 && (b.now+time.Duration(b.usual) >= r.aim || b.now+2*b.period >= r.end) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -23,6 +23,7 @@
 	cold   bool // no key counts as hot
 	timers map[string]int
 	tries  map[string]int
+	off    map[string]int // attempts called off
 	onSend func(id, server string)
 	onEnd  func(id, how string)
 }
@@ -53,7 +54,7 @@
 }
 func (w *world) Refuse(id string, _ time.Duration)       { w.end(id, "refused") }
 func (w *world) Fail(id string)                          { w.end(id, "failed") }
-func (w *world) Cancel(string, int)                      {}
+func (w *world) Cancel(id string, _ int)                 { w.off[id]++ }
 func (w *world) Timer(after time.Duration, token string) { w.timers[token]++ }
 func (w *world) Tell(to int, data []byte)                { w.told = append(w.told, told{to, data}) }
 func (w *world) Subscribe()                              { w.asked++ }
@@ -73,7 +74,8 @@
 
 // start returns a balancer with n ready caches, and an origin in aside mode.
 func start(t *testing.T, set Settings, n int) *world {
-	w := &world{t: t, now: time.Hour, ended: map[string]string{}, timers: map[string]int{}, tries: map[string]int{}}
+	w := &world{t: t, now: time.Hour, ended: map[string]string{}, timers: map[string]int{}, tries: map[string]int{},
+		off: map[string]int{}}
 	if set.Mode == Aside {
 		set.OriginKind = "origin"
 	}
@@ -535,6 +537,60 @@
 	}
 }
 
+// A read that hangs alone at the origin, as on a connection that fell silent, is called off in time for a further try;
+// not while the origin is strained, when what takes long only takes long, and never a write.
+func TestAReadThatHangsAtTheOriginIsSentAgain(t *testing.T) {
+	for _, x := range []struct {
+		name          string
+		class         string
+		alone, strain bool
+		off           int
+	}{
+		{"alone", "read", true, false, 1},
+		{"with the others", "read", false, false, 0},
+		{"alone, at a strained origin", "read", true, true, 0},
+		{"a write", "write", true, false, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			set := settings()
+			set.Mode = Aside
+			w := start(t, set, 1)
+			w.b.origin.limit, w.b.caches[0].limit = 3, 9
+			atOrigin := func(id, class string) sent {
+				w.request(id, class, id)
+				if class == "read" {
+					w.answer(w.last(), Miss, NoteMiss, 0)
+				}
+				if w.last().server != "o" {
+					t.Fatalf("%s is sent to %s", id, w.last().server)
+				}
+				return w.last()
+			}
+			w.now += time.Minute
+			hangs, began := atOrigin("hangs", x.class), w.now
+			w.now += ms
+			if other := atOrigin("other", "read"); x.alone {
+				w.answer(other, OK, NoNote, ms)
+			}
+			if x.strain {
+				w.b.origin.cutAt = w.now
+			}
+			w.now = began + w.b.open["hangs"].class.Aim*3/5
+			w.sweep()
+			w.sweep()
+			if w.off["hangs"] != x.off {
+				t.Errorf("called off %d times, want %d", w.off["hangs"], x.off)
+			}
+			if x.off > 0 {
+				w.answer(hangs, Cancelled, NoNote, 0)
+				if again := w.last(); again.id != "hangs" || again.server != "o" || again.n == hangs.n {
+					t.Errorf("not sent again, last was %v", again)
+				}
+			}
+		})
+	}
+}
+
 func TestWhatWouldWaitInVainIsTurnedAwayAtOnce(t *testing.T) {
 	w := start(t, settings(), 1)
 	w.b.servers["c00"].holds["k"] = true
--- a/policy/state.go
+++ b/policy/state.go
@@ -203,6 +203,12 @@
 	}
 }
 
+// leads reports whether the request is one whose answer others wait for.
+func (b *Balancer) leads(r *request) bool {
+	f := b.fetches[r.Key]
+	return f != nil && f.leader == r
+}
+
 // scores gives the caches' scores for a key, kept for some keys while the list stays: hashing is most of the work
 // (hobart-prices i7d9609, 614 nodes and 137 caches, was cut off for it).
 func (b *Balancer) scores(key string) []uint64 {
