Read again: one loop over a line's words, one bound on values, a name of its own for idleMost

The bound on values was copied into each pool's protocol beside the one that Data derives, so that after a reload with other memory the two differed: it is derived once and passed on. clients.patience stood beside Node.patience with another meaning. Two overlong comments are wrapped.

--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"errors"
+	"iter"
 	"strconv"
 )
 
@@ -50,9 +51,9 @@
 	Skip int
 }
 
-// Next parses the first command, whose value may hold at most so many bytes. It returns how many bytes that took: 0 when more must come first. With an error
-// the bytes hold a bad command, which has been used up; where used is 0 nobody knows where the next one begins, or it is
-// too far off.
+// Next parses the first command, whose value may hold at most so many bytes. It returns how many bytes that took: 0
+// when more must come first. With an error the bytes hold a bad command, which has been used up; where used is 0 nobody
+// knows where the next one begins, or it is too far off.
 func Next(data []byte, most int) (c Command, used int, err error) {
 	line, used, err := cutLine(data)
 	if used == 0 || err != nil {
@@ -115,11 +116,8 @@
 // flags takes the flags that the balancer reads and reports whether one of them stands twice: a server could take the
 // other for the one that is meant.
 func (c *Command) flags(rest []byte) (twice bool) {
-	for len(rest) > 0 {
-		var f []byte
-		f, rest = word(rest)
+	for f := range words(rest) {
 		switch {
-		case len(f) == 0:
 		case f[0] == 'O':
 			twice = twice || c.ID != nil
 			c.ID = f[1:]
@@ -169,6 +167,18 @@
 	return first, rest
 }
 
+// words gives the words of the rest of a line one by one; none is empty.
+func words(rest []byte) iter.Seq[[]byte] {
+	return func(yield func([]byte) bool) {
+		for len(rest) > 0 {
+			var f []byte
+			if f, rest = word(rest); len(f) > 0 && !yield(f) {
+				return
+			}
+		}
+	}
+}
+
 // plain reports whether a line is printable ASCII: servers close on what they can't read, whatever else waits there.
 func plain(line []byte) bool {
 	for _, b := range line {
@@ -257,7 +267,8 @@
 	Waits   bool // Z: another fetch of the key is out
 }
 
-// NextAnswer parses the first answer, whose value may hold at most so many bytes. It returns how many bytes that took: 0 when more must come first.
+// NextAnswer parses the first answer, whose value may hold at most so many bytes. It returns how many bytes that took: 0
+// when more must come first.
 func NextAnswer(data []byte, most int) (a Answer, used int, err error) {
 	line, used, err := cutLine(data)
 	if err != nil {
@@ -315,11 +326,8 @@
 // flags takes the flags up to the load report, which ends the line and may hold anything. It reports whether they make
 // sense: none of those read here stands twice.
 func (a *Answer) flags(rest []byte) bool {
-	for len(rest) > 0 {
-		var f []byte
-		f, rest = word(rest)
+	for f := range words(rest) {
 		switch {
-		case len(f) == 0:
 		case f[0] == 'L':
 			return true
 		case f[0] == 'O':
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -9,7 +9,7 @@
 )
 
 // cacheProtocol speaks the meta commands to a cache server.
-type cacheProtocol struct{ perConn, most int }
+type cacheProtocol struct{ perConn int }
 
 func (p cacheProtocol) pipelines() bool { return p.perConn > 1 }
 
@@ -18,8 +18,8 @@
 	return meta.AppendForward(buf, &t.call.command, max(1, wait.Milliseconds()))
 }
 
-func (p cacheProtocol) answer(data []byte, t *try, _ bool) (answer, int, error) {
-	m, used, err := meta.NextAnswer(data, p.most)
+func (cacheProtocol) answer(data []byte, t *try, most int, _ bool) (answer, int, error) {
+	m, used, err := meta.NextAnswer(data, most)
 	if err != nil || used == 0 {
 		return answer{}, 0, err
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -167,7 +167,7 @@
 		s.node.count.clientsBad++
 		c.cut()
 	}
-	most := s.patience()
+	most := s.idleMost()
 	for c := front(s.idle); c != nil && now-c.used >= most; c = front(s.idle) {
 		if c.conn.Stale() {
 			break // its next request has come, or its end: either is read next
@@ -178,10 +178,10 @@
 	s.node.loop.After(tidyEvery, s.tidy)
 }
 
-// patience is how long a connection with nothing open is kept. It shrinks evenly as clients near what they may hold.
+// idleMost is how long a connection with nothing open is kept. It shrinks evenly as clients near what they may hold.
 // Guards against clients who ask once and stay: with all that they may hold idle, no request comes any more, though the
 // node has room (launceston-platform rfa7819: three in four, at 128 idle connections closed after 2 s each).
-func (s *clients) patience() time.Duration {
+func (s *clients) idleMost() time.Duration {
 	n := s.node
 	used := float64(len(s.all)-s.owing.Len()) * heldByClients / float64(n.cfg.Sockets)
 	switch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -336,7 +336,7 @@
 		log.Printf("event=reload_ignored listen=%s why=%q", cfg.Listen, "the address is given up only at the end")
 	}
 	n.cfg.MemoryMB, n.cfg.Sockets = cfg.MemoryMB, cfg.Sockets
-	if moved := cfg.Discovery != n.cfg.Discovery; moved {
+	if cfg.Discovery != n.cfg.Discovery {
 		n.cfg.Discovery = cfg.Discovery
 		n.discovery.move()
 	}
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -11,10 +11,7 @@
 )
 
 // originProtocol speaks HTTP/1.1 to the origin, one request at a time on a connection.
-type originProtocol struct {
-	host string
-	most int // bytes of a value
-}
+type originProtocol struct{ host string }
 
 func (originProtocol) pipelines() bool { return false }
 
@@ -33,8 +30,8 @@
 	return httpc.AppendRequest(buf, "GET", target, p.host, headers, nil)
 }
 
-func (p originProtocol) answer(data []byte, t *try, ended bool) (answer, int, error) {
-	h, used, err := httpc.Next(data, p.most, ended)
+func (originProtocol) answer(data []byte, t *try, most int, ended bool) (answer, int, error) {
+	h, used, err := httpc.Next(data, most, ended)
 	if err != nil || used == 0 {
 		return answer{}, 0, err
 	}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -15,8 +15,9 @@
 type protocol interface {
 	// request writes an attempt that the node will wait for so long.
 	request(buf []byte, t *try, wait time.Duration) []byte
-	// answer takes the first answer off what has come; used is 0 when more must come first.
-	answer(data []byte, t *try, ended bool) (a answer, used int, err error)
+	// answer takes the first answer, whose value may hold so many bytes, off what has come; used is 0 when more must
+	// come first.
+	answer(data []byte, t *try, most int, ended bool) (a answer, used int, err error)
 	// pipelines reports whether a request may be written behind another.
 	pipelines() bool
 }
@@ -75,9 +76,9 @@
 		p.addr = addr
 	}
 	if kind := n.cfg.Settings.OriginKind; kind != "" && s.Kind == kind {
-		p.proto = originProtocol{host: p.addr.String(), most: n.valueMost()}
+		p.proto = originProtocol{host: p.addr.String()}
 	} else {
-		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn, most: n.valueMost()}
+		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn}
 	}
 	p.listed = s.State == policy.Ready
 }
@@ -333,7 +334,7 @@
 func (l *link) End(error) {
 	l.old = true
 	if len(l.tries) > 0 && l.tries[0] != nil && len(l.input) > 0 { // an answer may end with its connection
-		if a, used, err := l.pool.proto.answer(l.input, l.tries[0], true); err == nil && used > 0 {
+		if a, used, err := l.pool.proto.answer(l.input, l.tries[0], l.pool.node.valueMost(), true); err == nil && used > 0 {
 			t := l.tries[0]
 			l.tries = l.tries[1:]
 			l.finish(t, a)
@@ -348,7 +349,7 @@
 	if len(l.tries) > 0 {
 		l.timer.Stop()
 	}
-	kept := len(l.input) > 0
+	most, kept := l.pool.node.valueMost(), len(l.input) > 0
 	if kept {
 		l.input = append(l.input, data...)
 		data = l.input
@@ -361,8 +362,8 @@
 			return
 		}
 		t := l.tries[0]
-		a, used, err := l.pool.proto.answer(data, t, false)
-		if err != nil || used == 0 && len(data) > l.pool.node.valueMost()+mostAround {
+		a, used, err := l.pool.proto.answer(data, t, most, false)
+		if err != nil || used == 0 && len(data) > most+mostAround {
 			l.bad("malformed answer")
 			return
 		}
--- a/internal/node/protocol_test.go
+++ b/internal/node/protocol_test.go
@@ -44,7 +44,7 @@
 		{"moved", read, "302 Found", "", "", policy.Errored, "", false},
 	} {
 		text := fmt.Sprintf("HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s", c.status, c.header, len(c.body), c.body)
-		a, used, err := originProtocol{most: meta.MaxValue}.answer([]byte(text), c.try, false)
+		a, used, err := originProtocol{}.answer([]byte(text), c.try, meta.MaxValue, false)
 		if c.bad != (err != nil) || !c.bad && (used != len(text) || a.outcome != c.outcome) ||
 			string(a.value)+string(a.receipt) != c.text {
 			t.Errorf("%s: %+v, used %d, %v", c.name, a, used, err)
@@ -83,7 +83,7 @@
 		{"VA 1 O2\r\nx\r\n", 0, 0, true},
 		{"EN O2\r\n", 0, 0, true},
 	} {
-		a, _, err := cacheProtocol{most: meta.MaxValue}.answer([]byte(c.in), read, false)
+		a, _, err := cacheProtocol{}.answer([]byte(c.in), read, meta.MaxValue, false)
 		if c.bad != (err != nil) || a.outcome != c.outcome || a.note != c.note {
 			t.Errorf("%q: %+v, %v", c.in, a, err)
 		}
