--- /dev/null
+++ b/lab/world/cache.go
@@ -0,0 +1,428 @@
+package world
+
+import (
+	"container/list"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// coldStep is how finely a changing speed is followed.
+const coldStep = 20 * time.Millisecond
+
+// CacheSpec is what a cache server is.
+type CacheSpec struct {
+	Name         string
+	Cores        int
+	Speed        float64 // of a core, in work a second
+	Slots        int     // requests in work at once
+	Room         int     // requests that wait beyond those
+	Memory       int64   // bytes of values kept; what was used longest ago goes first
+	WarmUp       time.Duration
+	ColdFrom     float64 // part of its capacity that it starts with
+	FallMultiple float64 // of its present capacity, which while cold makes it fall over; 0: never
+	FallWindow   time.Duration
+	ReportEvery  time.Duration // how often its load report is made anew
+	ReportNoise  float64       // relative
+	Handshake    time.Duration // work of a new connection
+	Through      bool          // it fetches what it lacks, and passes on writes, itself
+	Coalesce     bool          // fetches of one key are shared, in through mode
+	Lease        time.Duration // for so long a miss is told as another's fetch; 0: that is not told
+	KeepsWork    bool          // work goes on after a cancel
+}
+
+// Ending is how a job ended at a server.
+type Ending int
+
+// The endings.
+const (
+	Hit     Ending = iota // a value that was kept
+	Fetched               // a value that was fetched for it, in through mode
+	Miss                  // there is none
+	Fetching
+	Stored // a write was carried out
+	Failed // it may have run
+)
+
+// Done is the end of a job.
+type Done struct {
+	Token   uint64
+	At      time.Duration
+	Ending  Ending
+	Version int64  // of the value
+	Receipt string // of a write
+	Fresh   bool   // a write that took effect now, no repeat of one
+	Key     string
+	Idem    string
+}
+
+// Ask is what a cache in through mode wants of the origin.
+type Ask struct {
+	Token uint64 // the job it is for
+	At    time.Duration
+	Key   string
+	Write bool
+	Idem  string
+}
+
+// Report is a load report.
+type Report struct {
+	Util  float64 // part of the cores in use
+	Queue int     // jobs that wait
+}
+
+// Cache is one cache server's process.
+type Cache struct {
+	spec    CacheSpec
+	station station
+	rng     *rand.Rand
+	began   time.Duration // of this process
+	cold    bool          // it began empty and slow
+	up      bool
+	drains  bool
+	paused  bool
+	factor  float64 // slower by it
+	stolen  float64 // part of the machine that a neighbour takes
+	kept    map[string]*list.Element
+	used    *list.List // of *object, used last in front
+	bytes   int64
+	leases  map[string]time.Duration
+	gone    map[uint64]bool     // jobs that nobody waits for
+	fetches map[string][]uint64 // through: jobs that wait for a key
+	held    map[uint64]*Job     // through: jobs that hold their slot while the origin works
+	budget  Budget
+	fell    bool
+	report  Report
+	told    time.Duration
+	done    []Done
+	asks    []Ask
+}
+
+type object struct {
+	key     string
+	version int64
+	size    int64
+}
+
+// NewCache makes a cache that runs and is warm, with nothing kept.
+func NewCache(spec CacheSpec, seed uint64) *Cache {
+	c := &Cache{spec: spec, rng: Stream(seed, "cache", spec.Name), factor: 1}
+	c.budget = Budget{Multiple: spec.FallMultiple, Span: spec.FallWindow}
+	c.station = station{cores: float64(spec.Cores), slots: spec.Slots, room: spec.Room}
+	c.empty()
+	c.up = true
+	c.setSpeed(0)
+	return c
+}
+
+func (c *Cache) empty() {
+	c.kept, c.used, c.bytes = map[string]*list.Element{}, list.New(), 0
+	c.leases, c.gone = map[string]time.Duration{}, map[uint64]bool{}
+	c.fetches, c.held = map[string][]uint64{}, map[uint64]*Job{}
+}
+
+// Warmth is the part of its capacity that the process has reached by now, between 0 and 1.
+func (c *Cache) Warmth(now time.Duration) float64 {
+	if !c.cold || c.spec.WarmUp <= 0 || now-c.began >= c.spec.WarmUp {
+		return 1
+	}
+	part := float64(now-c.began) / float64(c.spec.WarmUp)
+	return c.spec.ColdFrom + (1-c.spec.ColdFrom)*max(0, part)
+}
+
+// Capacity is the work that it can do in a second now.
+func (c *Cache) Capacity(now time.Duration) float64 {
+	return c.station.cores * c.spec.Speed * c.Warmth(now)
+}
+
+// Cold reports whether it is still warming up.
+func (c *Cache) Cold(now time.Duration) bool { return c.Warmth(now) < 1 }
+
+// Fell reports whether it was pushed over while cold; it stays down until Start.
+func (c *Cache) Fell() bool { return c.fell }
+
+// Up reports whether the process runs.
+func (c *Cache) Up() bool { return c.up && !c.fell }
+
+func (c *Cache) setSpeed(now time.Duration) {
+	c.station.speed = 0
+	if c.up && !c.fell && !c.paused {
+		c.station.speed = c.spec.Speed * c.Warmth(now) / c.factor * (1 - c.stolen)
+	}
+}
+
+// Offer brings a job.
+func (c *Cache) Offer(now time.Duration, j Job) Verdict {
+	c.advance(now)
+	if !c.Up() {
+		return Dead
+	}
+	if c.Cold(now) {
+		c.budget.Slack = max(c.budget.Slack, 2*j.Work)
+		if spent, _ := c.budget.Add(now, j.Work, c.Capacity(now), false); spent {
+			c.fell = true
+			c.end()
+			return Dead
+		}
+	}
+	if c.drains || !c.station.offer(&j) {
+		return Busy
+	}
+	return Taken
+}
+
+// Connect counts a new connection, which is work.
+func (c *Cache) Connect(now time.Duration) {
+	c.advance(now)
+	if c.spec.Handshake > 0 && c.Up() {
+		c.station.offer(&Job{Work: c.spec.Handshake})
+	}
+}
+
+// Cancel notes that nobody waits for a job any more. It may go on; nothing is told of it.
+func (c *Cache) Cancel(now time.Duration, token uint64) {
+	c.advance(now)
+	if !c.station.drop(token, true, !c.spec.KeepsWork) {
+		c.gone[token] = true
+	}
+}
+
+// Next is when something happens by itself, if nothing comes before.
+func (c *Cache) Next() (time.Duration, bool) {
+	at, ok := c.station.next()
+	if ok && (c.Cold(c.station.now) || c.paused) {
+		at = min(at, c.station.now+coldStep) // the speed changes under way
+	}
+	return at, ok
+}
+
+// Advance lets time pass and gives what has ended and what is wanted of the origin.
+func (c *Cache) Advance(now time.Duration) ([]Done, []Ask) {
+	c.advance(now)
+	done, asks := c.done, c.asks
+	c.done, c.asks = nil, nil
+	return done, asks
+}
+
+func (c *Cache) advance(now time.Duration) {
+	for c.station.now < now {
+		c.setSpeed(c.station.now)
+		to := now
+		if c.Cold(c.station.now) {
+			to = min(to, c.station.now+coldStep)
+		}
+		c.station.advance(to, c.finish)
+	}
+	c.setSpeed(now)
+}
+
+// finish ends the work of a job; in through mode what the origin must do comes behind that, with the slot held.
+func (c *Cache) finish(at time.Duration, j *Job) {
+	if j.Token == 0 {
+		return // a handshake
+	}
+	if c.gone[j.Token] && !j.Write {
+		delete(c.gone, j.Token)
+		return
+	}
+	e, kept := c.kept[j.Key]
+	switch {
+	case j.Write && c.spec.Through:
+		c.hold(at, j, true)
+	case j.Write: // only the origin takes writes
+		c.tell(Done{Token: j.Token, At: at, Ending: Miss, Key: j.Key})
+	case kept:
+		c.used.MoveToFront(e)
+		c.tell(Done{Token: j.Token, At: at, Ending: Hit, Version: e.Value.(*object).version, Key: j.Key})
+	case c.spec.Through:
+		c.hold(at, j, false)
+	default:
+		ending := Miss
+		if until, out := c.leases[j.Key]; out && at < until {
+			ending = Fetching
+		} else if c.spec.Lease > 0 {
+			c.leases[j.Key] = at + c.spec.Lease
+		}
+		c.tell(Done{Token: j.Token, At: at, Ending: ending, Key: j.Key})
+	}
+}
+
+func (c *Cache) hold(at time.Duration, j *Job, write bool) {
+	c.station.held++
+	c.held[j.Token] = j
+	if !write {
+		waits := c.fetches[j.Key]
+		c.fetches[j.Key] = append(waits, j.Token)
+		if len(waits) > 0 && c.spec.Coalesce {
+			return
+		}
+	}
+	c.asks = append(c.asks, Ask{Token: j.Token, At: at, Key: j.Key, Write: write, Idem: j.Idem})
+}
+
+// Answer brings what the origin said to an Ask, in through mode.
+func (c *Cache) Answer(now time.Duration, token uint64, d Done) {
+	c.advance(now)
+	j := c.held[token]
+	if j == nil {
+		return
+	}
+	tokens := []uint64{token}
+	if !j.Write && c.spec.Coalesce {
+		tokens = c.fetches[j.Key]
+		delete(c.fetches, j.Key)
+	}
+	if !j.Write && d.Ending != Failed {
+		c.Store(now, j.Key, d.Version, int64(j.Size))
+	}
+	for _, t := range tokens {
+		delete(c.held, t)
+		c.station.held--
+		c.tell(Done{Token: t, At: now, Ending: d.Ending, Version: d.Version, Receipt: d.Receipt, Key: j.Key})
+	}
+	c.station.refill()
+}
+
+func (c *Cache) tell(d Done) {
+	if c.gone[d.Token] {
+		delete(c.gone, d.Token)
+		return
+	}
+	c.done = append(c.done, d)
+}
+
+// Store keeps a value.
+func (c *Cache) Store(now time.Duration, key string, version, size int64) {
+	if !c.Up() || size > c.spec.Memory {
+		return
+	}
+	delete(c.leases, key)
+	if e := c.kept[key]; e != nil {
+		o := e.Value.(*object)
+		if version < o.version {
+			return
+		}
+		c.bytes += size - o.size
+		o.version, o.size = version, size
+		c.used.MoveToFront(e)
+	} else {
+		c.kept[key] = c.used.PushFront(&object{key, version, size})
+		c.bytes += size
+	}
+	for c.bytes > c.spec.Memory {
+		c.forget(c.used.Back().Value.(*object).key)
+	}
+}
+
+func (c *Cache) forget(key string) {
+	if e := c.kept[key]; e != nil {
+		c.bytes -= e.Value.(*object).size
+		c.used.Remove(e)
+		delete(c.kept, key)
+	}
+}
+
+// Void drops the copy of a key.
+func (c *Cache) Void(key string) { c.forget(key) }
+
+// Flush drops that share of the copies, by chance.
+func (c *Cache) Flush(share float64) {
+	keys := make([]string, 0, len(c.kept))
+	for k := range c.kept {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		if c.rng.Float64() < share {
+			c.forget(k)
+		}
+	}
+}
+
+// Kept is the number of values kept and their bytes.
+func (c *Cache) Kept() (values int, bytes int64) { return len(c.kept), c.bytes }
+
+// Has reports whether a value is kept, and its version.
+func (c *Cache) Has(key string) (int64, bool) {
+	if e := c.kept[key]; e != nil {
+		return e.Value.(*object).version, true
+	}
+	return 0, false
+}
+
+// Stop ends the process: what it had taken is gone. It gives the tokens of those jobs.
+func (c *Cache) Stop(now time.Duration) []uint64 {
+	c.advance(now)
+	c.up = false
+	return c.end()
+}
+
+func (c *Cache) end() []uint64 {
+	tokens := c.station.clear()
+	for t := range c.held {
+		tokens = append(tokens, t)
+	}
+	slices.Sort(tokens)
+	c.empty()
+	c.done, c.asks = nil, nil
+	c.setSpeed(c.station.now)
+	return slices.DeleteFunc(tokens, func(t uint64) bool { return t == 0 })
+}
+
+// Start begins a new process: empty and, if cold is set, slow until it is warm.
+func (c *Cache) Start(now time.Duration, cold bool) {
+	c.advance(now)
+	c.end()
+	c.budget.Reset()
+	c.up, c.fell, c.drains, c.paused, c.factor, c.stolen = true, false, false, false, 1, 0
+	c.began, c.cold = now, cold
+	c.setSpeed(now)
+}
+
+// Began is when the process started, and whether it did so cold.
+func (c *Cache) Began() (at time.Duration, cold bool) { return c.began, c.cold }
+
+// Drain makes it finish what it has and turn away what is new.
+func (c *Cache) Drain(now time.Duration, on bool) {
+	c.advance(now)
+	c.drains = on
+}
+
+// Pause makes it stand still, or go on.
+func (c *Cache) Pause(now time.Duration, on bool) {
+	c.advance(now)
+	c.paused = on
+	c.setSpeed(now)
+}
+
+// Slow makes all its work take so many times as long; 1 is as ever.
+func (c *Cache) Slow(now time.Duration, factor float64) {
+	c.advance(now)
+	c.factor = max(factor, 1e-3)
+	c.setSpeed(now)
+}
+
+// Steal gives a part of the machine to a neighbour; 0 is none.
+func (c *Cache) Steal(now time.Duration, part float64) {
+	c.advance(now)
+	c.stolen = min(max(part, 0), 1)
+	c.setSpeed(now)
+}
+
+// Report is the load report that it gives now: as old as its refreshing allows, and a little wrong.
+func (c *Cache) Report(now time.Duration) Report {
+	c.advance(now)
+	if c.told == 0 || now-c.told >= c.spec.ReportEvery {
+		noise := func() float64 { return 1 + c.spec.ReportNoise*c.rng.NormFloat64() }
+		c.report = Report{Util: math.Round(100*min(1, max(0, c.station.load()*noise()))) / 100,
+			Queue: max(0, int(math.Round(float64(len(c.station.waiting))*noise())))}
+		c.told = now
+	}
+	return c.report
+}
+
+// Holds is the number of jobs in work, holding a slot, and waiting.
+func (c *Cache) Holds() (working, waiting int) {
+	return len(c.station.work) + c.station.held, len(c.station.waiting)
+}
--- /dev/null
+++ b/lab/world/clients.go
@@ -0,0 +1,240 @@
+package world
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"strconv"
+	"time"
+)
+
+// ClientSpec is what the clients are.
+type ClientSpec struct {
+	Rate       float64 // first tries a second
+	Keys       int     // how many there are
+	Zipf       float64 // popularity of the key of rank n is 1/(n+Offset)^Zipf
+	Offset     float64
+	Drift      float64 // part of the keys that is replaced by new ones each second
+	Patience   [2]float64
+	Retries    int           // further tries of a client, at most
+	Pause      time.Duration // before a further try
+	MarksRetry bool
+	Leaves     float64 // part of the tries whose client goes away before its time is up
+	Nodes      int
+	Skew       []float64 // traffic of each node; empty: all alike
+}
+
+// ShapeKind is a departure from even traffic.
+type ShapeKind int
+
+// The kinds of shapes.
+const (
+	Surge     ShapeKind = iota // the rate is multiplied by Size
+	HotKeys                    // Count keys draw the part Size of all requests
+	HotTenant                  // the tenant numbered Who draws the part Size
+	HotNode                    // the node numbered Who is sent the part Size
+)
+
+// Shape is such a departure and when it acts.
+type Shape struct {
+	Kind     ShapeKind
+	From, To time.Duration
+	Size     float64
+	Count    int
+	Who      int
+}
+
+func (s Shape) acts(at time.Duration) bool { return at >= s.From && at < s.To }
+
+// Arrival is a client's wish, drawn ahead: its first try and what it will do if that fails. Nothing that happens in a run
+// changes it.
+type Arrival struct {
+	N        int
+	At       time.Duration
+	Class    int
+	Tenant   int // -1: none
+	Node     int
+	Key      string
+	Size     int    // bytes of the value, for a write
+	Idem     string // idempotency key, of a keyed class
+	Patience time.Duration
+	Tries    int           // at most, the first included
+	Leave    time.Duration // after which the client goes away; 0: it stays
+	Over     bool          // beyond its tenant's quota
+}
+
+// ID is the id of one of its tries, from 0.
+func (a *Arrival) ID(seed uint64, try int) string {
+	return fmt.Sprintf("%016x", digest(seed, "id", strconv.Itoa(a.N), strconv.Itoa(try)))
+}
+
+// String is the arrival as a line of a plan.
+func (a *Arrival) String() string {
+	return fmt.Sprintf("%d at=%s class=%d tenant=%d node=%d key=%s size=%d idem=%s patience=%s tries=%d leave=%s over=%t",
+		a.N, a.At, a.Class, a.Tenant, a.Node, a.Key, a.Size, a.Idem, a.Patience, a.Tries, a.Leave, a.Over)
+}
+
+// Source draws arrivals, in order. The same seed and figures give the same ones.
+type Source struct {
+	spec    ClientSpec
+	classes []Class
+	tenants []Tenant
+	shapes  []Shape
+	seed    uint64
+	end     time.Duration
+	now     time.Duration
+	n       int
+	most    float64 // the highest rate of the run
+	gaps    *rand.Rand
+	picks   *rand.Rand
+	zipf    []float64
+	shares  [3][]float64 // cumulative: classes, tenants, nodes
+	quota   []tally
+}
+
+// tally counts a tenant's requests of the present second.
+type tally struct {
+	second int64
+	count  float64
+}
+
+// NewSource makes a source that runs until end.
+func NewSource(spec ClientSpec, classes []Class, tenants []Tenant, shapes []Shape, seed uint64, end time.Duration) *Source {
+	s := &Source{spec: spec, classes: classes, tenants: tenants, shapes: shapes, seed: seed, end: end, most: spec.Rate,
+		gaps: Stream(seed, "gaps"), picks: Stream(seed, "picks"), quota: make([]tally, len(tenants))}
+	for _, x := range shapes {
+		if x.Kind == Surge && x.Size > 1 {
+			s.most *= x.Size // shapes may overlap
+		}
+	}
+	s.zipf = make([]float64, max(1, spec.Keys))
+	sum := 0.0
+	for i := range s.zipf {
+		sum += math.Pow(float64(i+1)+spec.Offset, -spec.Zipf)
+		s.zipf[i] = sum
+	}
+	for _, c := range classes {
+		s.shares[0] = append(s.shares[0], c.Share)
+	}
+	for _, t := range tenants {
+		s.shares[1] = append(s.shares[1], t.Share)
+	}
+	for i := range max(1, spec.Nodes) {
+		share := 1.0
+		if i < len(spec.Skew) {
+			share = spec.Skew[i]
+		}
+		s.shares[2] = append(s.shares[2], share)
+	}
+	for _, list := range s.shares {
+		for i := 1; i < len(list); i++ {
+			list[i] += list[i-1]
+		}
+	}
+	return s
+}
+
+// Rate is the rate of arrivals at a time.
+func (s *Source) Rate(at time.Duration) float64 {
+	r := s.spec.Rate
+	for _, x := range s.shapes {
+		if x.Kind == Surge && x.acts(at) {
+			r *= x.Size
+		}
+	}
+	return r
+}
+
+// draw picks from cumulative shares; -1 where there are none.
+func (s *Source) draw(shares []float64) int {
+	if len(shares) == 0 {
+		return -1
+	}
+	x := s.picks.Float64() * shares[len(shares)-1]
+	return min(sort.SearchFloat64s(shares, x), len(shares)-1)
+}
+
+// Next draws the next arrival; false when the run is over.
+func (s *Source) Next() (Arrival, bool) {
+	if s.most <= 0 {
+		return Arrival{}, false
+	}
+	for {
+		s.now += time.Duration(s.gaps.ExpFloat64() / s.most * float64(time.Second))
+		if s.now >= s.end {
+			return Arrival{}, false
+		}
+		if s.gaps.Float64()*s.most < s.Rate(s.now) {
+			break
+		}
+	}
+	a := Arrival{N: s.n, At: s.now, Class: s.draw(s.shares[0]), Tenant: s.draw(s.shares[1]), Node: s.draw(s.shares[2])}
+	s.n++
+	rank := sort.SearchFloat64s(s.zipf, s.picks.Float64()*s.zipf[len(s.zipf)-1])
+	key := s.key(min(rank, len(s.zipf)-1))
+	for i, x := range s.shapes {
+		if x.Kind == Surge || !x.acts(s.now) || s.picks.Float64() >= x.Size {
+			continue
+		}
+		switch x.Kind {
+		case HotKeys:
+			key = fmt.Sprintf("hot%d-%d", i, s.picks.IntN(max(1, x.Count)))
+		case HotTenant:
+			a.Tenant = x.Who
+		case HotNode:
+			a.Node = x.Who
+		}
+	}
+	c := &s.classes[a.Class]
+	a.Key = fmt.Sprintf("%x-%s", digest(s.seed, "key", key)>>40, key)
+	if c.Write {
+		a.Size = SizeOf(s.seed, c, a.Key)
+	}
+	if c.Effect == Keyed {
+		a.Idem = fmt.Sprintf("%016x", digest(s.seed, "idem", strconv.Itoa(a.N)))
+	}
+	lo, hi := s.spec.Patience[0], s.spec.Patience[1]
+	a.Patience = max(time.Millisecond, time.Duration((lo+(hi-lo)*s.picks.Float64())*float64(c.Deadline)).Truncate(time.Millisecond))
+	a.Tries = 1 + s.spec.Retries
+	if leave, part := s.picks.Float64(), s.picks.Float64(); leave < s.spec.Leaves {
+		a.Leave = time.Duration(part * float64(a.Patience))
+	}
+	if a.Tenant >= 0 {
+		a.Over = s.over(a.Tenant)
+	}
+	return a, true
+}
+
+// key names the key of a rank; drift replaces it by and by, each at times of its own.
+func (s *Source) key(rank int) string {
+	if s.spec.Drift <= 0 {
+		return "k" + strconv.Itoa(rank)
+	}
+	turn := math.Floor(s.now.Seconds()*s.spec.Drift + unit(digest(s.seed, "turn", strconv.Itoa(rank))))
+	return fmt.Sprintf("k%d.%d", rank, int(turn))
+}
+
+// over counts a tenant's request and reports whether it is beyond the quota of its second.
+func (s *Source) over(tenant int) bool {
+	quota := s.tenants[tenant].Quota
+	if quota <= 0 {
+		return false
+	}
+	t := &s.quota[tenant]
+	if second := int64(s.now / time.Second); second != t.second {
+		*t = tally{second: second}
+	}
+	t.count++
+	return t.count > quota
+}
+
+// Plan draws all arrivals.
+func (s *Source) Plan() []Arrival {
+	var all []Arrival
+	for a, ok := s.Next(); ok; a, ok = s.Next() {
+		all = append(all, a)
+	}
+	return slices.Clip(all)
+}
--- /dev/null
+++ b/lab/world/origin.go
@@ -0,0 +1,222 @@
+package world
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// OriginSpec is what the origin is.
+type OriginSpec struct {
+	Cores        int
+	Slots, Room  int
+	Work         time.Duration // of a fetch, mean
+	Sigma        float64       // of its logarithm
+	WriteFactor  float64       // a write's work over a fetch's
+	FallMultiple float64       // of its capacity, which asked for over FallFor stops it; 0: never
+	FallFor      time.Duration
+	Down         time.Duration // how long it stops then
+	Window       time.Duration // how long it drops repeats of a keyed write
+	KeepsWork    bool          // work goes on when nobody waits for it any more
+}
+
+// Origin is what holds all values. It carries out writes, each idempotency key once within its window.
+type Origin struct {
+	spec     OriginSpec
+	station  station
+	rng      *rand.Rand
+	versions map[string]int64
+	seen     map[string]*effect
+	order    []string // of seen, the oldest first
+	jobs     map[uint64]*originJob
+	receipts int64
+	factor   float64
+	until    time.Duration // stopped until then
+	paused   bool
+	stops    int
+	budget   Budget
+	done     []Done
+	lost     []uint64
+}
+
+type originJob struct {
+	Job
+	came time.Duration
+	gone bool
+}
+
+type effect struct {
+	began   time.Duration // when the first attempt that may have run came
+	receipt string
+	version int64
+}
+
+// NewOrigin makes an origin that runs.
+func NewOrigin(spec OriginSpec, seed uint64) *Origin {
+	o := &Origin{spec: spec, rng: Stream(seed, "origin"), versions: map[string]int64{}, seen: map[string]*effect{},
+		jobs: map[uint64]*originJob{}, factor: 1}
+	o.station = station{cores: float64(spec.Cores), slots: spec.Slots, room: spec.Room}
+	o.budget = Budget{Multiple: spec.FallMultiple, Span: spec.FallFor}
+	o.setSpeed(0)
+	return o
+}
+
+func (o *Origin) setSpeed(now time.Duration) {
+	o.station.speed = 1 / o.factor
+	if o.paused || now < o.until {
+		o.station.speed = 0
+	}
+}
+
+// Capacity is the work that it can do in a second.
+func (o *Origin) Capacity() float64 { return float64(o.spec.Cores) }
+
+// Version is the present version of a key's value; that of one never written is 0.
+func (o *Origin) Version(key string) int64 { return o.versions[key] }
+
+// Stops is how often it has stopped because too much was asked.
+func (o *Origin) Stops() int { return o.stops }
+
+// Stopped reports whether it is stopped now.
+func (o *Origin) Stopped(now time.Duration) bool { return now < o.until }
+
+// Offer brings a job, whose work it draws itself; it gives that work too. Where the verdict is Dead it has stopped: the
+// jobs that it had are lost, see Lost.
+func (o *Origin) Offer(now time.Duration, j Job) (Verdict, time.Duration) {
+	o.advance(now)
+	j.Work = time.Duration(float64(o.spec.Work) * logNormal(o.rng.Uint64(), o.spec.Sigma))
+	if j.Write {
+		j.Work = time.Duration(float64(j.Work) * max(o.spec.WriteFactor, 0))
+	}
+	j.Work = max(j.Work, time.Microsecond)
+	if o.Stopped(now) {
+		return Dead, j.Work
+	}
+	o.budget.Slack = 4 * o.spec.Work
+	if spent, _ := o.budget.Add(now, j.Work, o.Capacity(), false); spent {
+		o.Stop(now, o.spec.Down)
+		o.stops++
+		return Dead, j.Work
+	}
+	job := &originJob{Job: j, came: now}
+	if !o.station.offer(&job.Job) {
+		return Busy, j.Work
+	}
+	o.jobs[j.Token] = job
+	return Taken, j.Work
+}
+
+// Stop makes it lose what it has and answer nothing for a while.
+func (o *Origin) Stop(now, length time.Duration) {
+	o.advance(now)
+	o.until = now + length
+	o.lost = append(o.lost, o.station.clear()...)
+	for _, t := range o.lost {
+		delete(o.jobs, t)
+	}
+	o.budget.Reset()
+	o.setSpeed(now)
+}
+
+// Lost gives the jobs that a stop has cost since it was last asked.
+func (o *Origin) Lost() []uint64 {
+	l := o.lost
+	o.lost = nil
+	return l
+}
+
+// Cancel notes that nobody waits for a job. A write that is in work goes on.
+func (o *Origin) Cancel(now time.Duration, token uint64) {
+	o.advance(now)
+	j := o.jobs[token]
+	if j == nil {
+		return
+	}
+	if j.gone = true; o.station.drop(token, true, !o.spec.KeepsWork && !j.Write) {
+		delete(o.jobs, token)
+	}
+}
+
+// Slow makes its work take so many times as long; 1 is as ever.
+func (o *Origin) Slow(now time.Duration, factor float64) {
+	o.advance(now)
+	o.factor = max(factor, 1e-3)
+	o.setSpeed(now)
+}
+
+// Pause makes it stand still, or go on.
+func (o *Origin) Pause(now time.Duration, on bool) {
+	o.advance(now)
+	o.paused = on
+	o.setSpeed(now)
+}
+
+// Next is when something happens by itself, if nothing comes before.
+func (o *Origin) Next() (time.Duration, bool) { return o.station.next() }
+
+// Advance lets time pass and gives what has ended. What nobody waits for is given too, if it was a write that took
+// effect: its copies are void.
+func (o *Origin) Advance(now time.Duration) []Done {
+	o.advance(now)
+	d := o.done
+	o.done = nil
+	return d
+}
+
+func (o *Origin) advance(now time.Duration) {
+	for o.station.now < now {
+		o.setSpeed(o.station.now)
+		to := now
+		if o.station.now < o.until {
+			to = min(now, o.until)
+		}
+		o.station.advance(to, o.finish)
+	}
+	o.setSpeed(now)
+}
+
+func (o *Origin) finish(at time.Duration, j *Job) {
+	job := o.jobs[j.Token]
+	delete(o.jobs, j.Token)
+	if job == nil {
+		return
+	}
+	d := Done{Token: j.Token, At: at, Key: j.Key, Idem: j.Idem}
+	if !j.Write {
+		if d.Ending, d.Version = Fetched, o.versions[j.Key]; !job.gone {
+			o.done = append(o.done, d)
+		}
+		return
+	}
+	d.Ending = Stored
+	e := o.seen[j.Idem]
+	if j.Idem == "" || e == nil || job.came-e.began > o.spec.Window {
+		o.receipts++
+		o.versions[j.Key]++
+		e = &effect{began: job.came, receipt: fmt.Sprintf("R%d", o.receipts), version: o.versions[j.Key]}
+		if j.Idem != "" {
+			o.remember(j.Idem, e)
+		}
+		d.Fresh = true
+	}
+	d.Receipt, d.Version = e.receipt, e.version
+	if d.Fresh || !job.gone {
+		if job.gone {
+			d.Token = 0
+		}
+		o.done = append(o.done, d)
+	}
+}
+
+// remember keeps an effect for its window, and no longer than needed.
+func (o *Origin) remember(idem string, e *effect) {
+	for len(o.order) > 0 {
+		if old := o.seen[o.order[0]]; old != nil && o.station.now-old.began <= 2*o.spec.Window {
+			break
+		}
+		delete(o.seen, o.order[0])
+		o.order = o.order[1:]
+	}
+	o.seen[idem] = e
+	o.order = append(o.order, idem)
+}
--- /dev/null
+++ b/lab/world/world_test.go
@@ -0,0 +1,458 @@
+package world
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+func spec() CacheSpec {
+	return CacheSpec{Name: "c", Cores: 2, Speed: 1, Slots: 4, Room: 2, Memory: 1000, WarmUp: 10 * time.Second, ColdFrom: 0.2,
+		FallMultiple: 3, FallWindow: time.Second, ReportEvery: 50 * ms}
+}
+
+// Two cores share four jobs evenly: each gets half a core.
+func TestCoresAreShared(t *testing.T) {
+	c := NewCache(spec(), 1)
+	for i := range 4 {
+		if v := c.Offer(0, Job{Token: uint64(i + 1), Key: "k", Work: 10 * ms}); v != Taken {
+			t.Fatal(v)
+		}
+	}
+	if done, _ := c.Advance(19 * ms); len(done) != 0 {
+		t.Errorf("done early: %v", done)
+	}
+	if done, _ := c.Advance(21 * ms); len(done) != 4 || done[0].Ending != Miss {
+		t.Errorf("%v", done)
+	}
+}
+
+func TestWhatHasNoRoomIsTurnedAway(t *testing.T) {
+	c := NewCache(spec(), 1)
+	var got []Verdict
+	for i := range 8 {
+		got = append(got, c.Offer(0, Job{Token: uint64(i + 1), Work: 10 * ms}))
+	}
+	if fmt.Sprint(got) != fmt.Sprint([]Verdict{Taken, Taken, Taken, Taken, Taken, Taken, Busy, Busy}) {
+		t.Error(got)
+	}
+	c.Cancel(0, 6) // one that waits
+	if v := c.Offer(0, Job{Token: 9, Work: 10 * ms}); v != Taken {
+		t.Error("the place of a cancelled job stays taken")
+	}
+	c.Drain(0, true)
+	c.Cancel(0, 1)
+	if v := c.Offer(0, Job{Token: 10, Work: ms}); v != Busy {
+		t.Error("a draining server takes new work")
+	}
+	if done, _ := c.Advance(time.Second); len(done) != 5 {
+		t.Errorf("%d done of 5 that were neither cancelled nor turned away", len(done))
+	}
+}
+
+// No job is lost or done twice, whatever comes; no more work is done than the cores can do.
+func TestWorkIsConserved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		sp := spec()
+		sp.FallMultiple = 0
+		sp.KeepsWork = rapid.Bool().Draw(t, "keeps")
+		c := NewCache(sp, 1)
+		open, worked := map[uint64]time.Duration{}, time.Duration(0)
+		now, token := time.Duration(0), uint64(0)
+		take := func() {
+			done, _ := c.Advance(now)
+			for _, d := range done {
+				if _, ok := open[d.Token]; !ok {
+					t.Fatalf("%d ended, which was not open", d.Token)
+				}
+				worked += open[d.Token]
+				delete(open, d.Token)
+			}
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "gap")) * ms
+			take()
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				c.Pause(now, rapid.Bool().Draw(t, "pause"))
+			case 1:
+				c.Slow(now, rapid.Float64Range(0.5, 4).Draw(t, "slow"))
+			case 2:
+				for k := range open {
+					c.Cancel(now, k)
+					delete(open, k)
+					break
+				}
+			case 3:
+				c.Start(now, rapid.Bool().Draw(t, "cold"))
+				clear(open)
+				worked = math.MinInt64 / 2 // a new process: what the old one did is not counted
+			default:
+				token++
+				work := time.Duration(rapid.IntRange(1, 40).Draw(t, "work")) * ms
+				if c.Offer(now, Job{Token: token, Key: "k", Work: work}) == Taken {
+					open[token] = work
+				}
+			}
+			if float64(worked) > float64(now)*2*2+1e6 { // two cores, twice as quick at most
+				t.Fatalf("%v of work done in %v", worked, now)
+			}
+		}
+		c.Pause(now, false)
+		c.Slow(now, 1)
+		now += time.Hour
+		take()
+		if len(open) > 0 {
+			t.Fatalf("never ended: %v", open)
+		}
+	})
+}
+
+func TestWarmUp(t *testing.T) {
+	c := NewCache(spec(), 1)
+	c.Start(5*time.Second, true)
+	for at, want := range map[time.Duration]float64{5 * time.Second: 0.4, 10 * time.Second: 1.2, 15 * time.Second: 2, time.Minute: 2} {
+		if got := c.Capacity(at); math.Abs(got-want) > 1e-9 {
+			t.Errorf("at %v: capacity %v, want %v", at, got, want)
+		}
+	}
+}
+
+// A cold server falls over when more than the multiple of what it can do reaches it within the window, and stays down;
+// the same load on a warm one only queues.
+func TestAColdServerFallsOver(t *testing.T) {
+	for _, cold := range []bool{true, false} {
+		c := NewCache(spec(), 1)
+		c.Start(0, cold)
+		fell := -1
+		for i := range 200 {
+			if c.Offer(time.Duration(i)*5*ms, Job{Token: uint64(i + 1), Work: 10 * ms}) == Dead {
+				fell = i
+				break
+			}
+		}
+		// 3 x 0.4 x 1 s of work is 120 jobs, a little more as it warms, and two by chance.
+		if cold && (fell < 120 || fell > 180 || !c.Fell()) || !cold && fell >= 0 {
+			t.Errorf("cold %v: fell at job %d", cold, fell)
+		}
+		if cold && c.Offer(time.Hour, Job{Token: 999, Work: ms}) != Dead {
+			t.Error("it is up again by itself")
+		}
+	}
+}
+
+func TestMemoryForgetsWhatWasUsedLongestAgo(t *testing.T) {
+	c := NewCache(spec(), 1)
+	for i := range 10 {
+		c.Store(0, fmt.Sprint("k", i), 0, 200)
+	}
+	if n, bytes := c.Kept(); n != 5 || bytes != 1000 {
+		t.Errorf("%d values, %d bytes", n, bytes)
+	}
+	c.Offer(0, Job{Token: 1, Key: "k5", Work: ms})
+	c.Advance(10 * ms) // k5 is used
+	c.Store(0, "new", 0, 200)
+	if _, ok := c.Has("k5"); !ok {
+		t.Error("what was used last is gone")
+	}
+	if _, ok := c.Has("k6"); ok {
+		t.Error("what was used longest ago is kept")
+	}
+	c.Store(0, "new", 3, 200)
+	c.Store(0, "new", 2, 200) // a fetch that was overtaken by a write
+	if v, _ := c.Has("new"); v != 3 {
+		t.Errorf("version %d", v)
+	}
+	c.Void("new")
+	if _, ok := c.Has("new"); ok {
+		t.Error("a void copy is kept")
+	}
+	c.Store(0, "huge", 0, 1001)
+	if _, ok := c.Has("huge"); ok {
+		t.Error("more is kept than there is room for")
+	}
+	c.Flush(1)
+	if n, bytes := c.Kept(); n != 0 || bytes != 0 {
+		t.Errorf("%d values, %d bytes after a flush", n, bytes)
+	}
+}
+
+func TestThroughModeSharesFetches(t *testing.T) {
+	sp := spec()
+	sp.Through, sp.Coalesce = true, true
+	c := NewCache(sp, 1)
+	for i := range 3 {
+		c.Offer(0, Job{Token: uint64(i + 1), Key: "k", Work: ms, Size: 10})
+	}
+	c.Offer(0, Job{Token: 4, Key: "k", Work: ms, Write: true, Idem: "i"})
+	done, asks := c.Advance(20 * ms)
+	if len(done) != 0 || len(asks) != 2 {
+		t.Fatalf("%v %v", done, asks)
+	}
+	if c.Offer(20*ms, Job{Token: 5, Work: ms}) != Taken || c.Offer(20*ms, Job{Token: 6, Work: ms}) != Taken ||
+		c.Offer(20*ms, Job{Token: 7, Work: ms}) != Busy {
+		t.Error("what waits for the origin does not hold its slot")
+	}
+	for _, a := range asks {
+		if a.Write {
+			c.Answer(30*ms, a.Token, Done{Ending: Stored, Receipt: "R1"})
+		} else {
+			c.Answer(30*ms, a.Token, Done{Ending: Fetched, Version: 7})
+		}
+	}
+	if done, _ = c.Advance(30 * ms); len(done) != 4 {
+		t.Errorf("%v", done)
+	}
+	if v, ok := c.Has("k"); !ok || v != 7 {
+		t.Error("the value was not kept")
+	}
+}
+
+func TestLeasesTellOfAFetchUnderWay(t *testing.T) {
+	sp := spec()
+	sp.Lease = 100 * ms
+	c := NewCache(sp, 1)
+	var got []Ending
+	for i, at := range []time.Duration{0, 50 * ms, 150 * ms} {
+		c.Offer(at, Job{Token: uint64(i + 1), Key: "k", Work: ms})
+		done, _ := c.Advance(at + 5*ms)
+		got = append(got, done[0].Ending)
+	}
+	if fmt.Sprint(got) != fmt.Sprint([]Ending{Miss, Fetching, Miss}) {
+		t.Error(got)
+	}
+}
+
+func originSpec() OriginSpec {
+	return OriginSpec{Cores: 2, Slots: 4, Room: 100, Work: 10 * ms, WriteFactor: 2, FallMultiple: 2, FallFor: time.Second,
+		Down: 3 * time.Second, Window: time.Second}
+}
+
+// A keyed write takes effect once within its window, however often it comes, and again beyond it.
+func TestKeyedWritesTakeEffectOnce(t *testing.T) {
+	o := NewOrigin(originSpec(), 1)
+	offer := func(token uint64, at time.Duration) {
+		if v, _ := o.Offer(at, Job{Token: token, Key: "k", Write: true, Idem: "i"}); v != Taken {
+			t.Fatal(v)
+		}
+	}
+	offer(1, 0)
+	offer(2, ms) // before the first is through
+	offer(3, 900*ms)
+	offer(4, 1500*ms)
+	o.Cancel(1501*ms, 4) // in work: it takes effect all the same
+	fresh, receipts := 0, map[string]int{}
+	for _, d := range o.Advance(time.Minute) {
+		if d.Fresh {
+			fresh++
+		}
+		receipts[d.Receipt]++
+	}
+	if fresh != 2 || receipts["R1"] != 3 || receipts["R2"] != 1 || o.Version("k") != 2 {
+		t.Errorf("%d effects, receipts %v, version %d", fresh, receipts, o.Version("k"))
+	}
+	for i := range 1000 {
+		o.Offer(time.Hour+time.Duration(i)*time.Minute, Job{Token: uint64(10 + i), Write: true, Idem: fmt.Sprint(i)})
+	}
+	if len(o.seen) > 10 {
+		t.Errorf("%d effects remembered", len(o.seen))
+	}
+}
+
+func TestAnOriginAskedTooMuchStops(t *testing.T) {
+	o := NewOrigin(originSpec(), 1)
+	taken, dead := 0, 0
+	for i := range 2000 {
+		switch v, _ := o.Offer(time.Duration(i)*ms, Job{Token: uint64(i + 1)}); v {
+		case Taken:
+			taken++
+		case Dead:
+			dead++
+		}
+		o.Advance(time.Duration(i) * ms)
+	}
+	if o.Stops() != 1 || dead == 0 || taken == 0 || !o.Stopped(2*time.Second) || o.Stopped(10*time.Second) {
+		t.Errorf("%d stops, %d taken, %d dead", o.Stops(), taken, dead)
+	}
+	if len(o.Lost()) == 0 {
+		t.Error("what it had is not lost")
+	}
+	if v, _ := o.Offer(10*time.Second, Job{Token: 9999}); v != Taken {
+		t.Error("it never comes back")
+	}
+}
+
+func TestTheListIsLateAndForgets(t *testing.T) {
+	r := NewRoster(3, Member{ID: "a"}, Member{ID: "b"})
+	rev, all := r.Whole(0)
+	if rev != 1 || len(all) != 2 {
+		t.Fatal(rev, all)
+	}
+	r.Set(0, time.Second, Member{ID: "b", Phase: Draining})
+	r.Set(0, 500*ms, Member{ID: "c"})
+	if at, _ := r.Next(); at != 500*ms {
+		t.Errorf("next news at %v", at)
+	}
+	if r.Revision(499*ms) != 1 || r.Revision(500*ms) != 2 || r.Revision(time.Second) != 3 {
+		t.Error("changes show at the wrong time")
+	}
+	r.Set(time.Second, 0, Member{ID: "b", Phase: Deleted})
+	at, changes, known := r.Since(time.Second, 1)
+	if at != 4 || !known || len(changes) != 2 || changes[0].ID != "c" || changes[1].Phase != Deleted {
+		t.Error(at, changes, known)
+	}
+	r.Set(time.Second, 0, Member{ID: "d"})
+	if _, _, known := r.Since(time.Second, 1); known {
+		t.Error("a revision whose changes are forgotten is still told from")
+	}
+	if _, _, known := r.Since(time.Second, 99); known {
+		t.Error("a revision that never was is told from")
+	}
+	if _, changes, known := r.Since(time.Second, 2); !known || len(changes) != 2 {
+		t.Error(changes, known)
+	}
+}
+
+func source(seed uint64, shapes ...Shape) *Source {
+	classes := []Class{{Name: "read", Share: 0.9, Work: 10 * ms, Sigma: 0.3, Size: 100, Deadline: time.Second},
+		{Name: "put", Share: 0.1, Effect: Keyed, Write: true, Size: 50, SizeSigma: 0.5, Deadline: 500 * ms}}
+	return NewSource(ClientSpec{Rate: 500, Keys: 1000, Zipf: 0.9, Offset: 2, Drift: 0.01, Patience: [2]float64{0.7, 1}, Retries: 1,
+		Leaves: 0.05, Nodes: 3, Skew: []float64{2, 1, 1}}, classes, []Tenant{{"a", 3, 200}, {"b", 1, 0}}, shapes, seed, 20*time.Second)
+}
+
+func text(all []Arrival) string {
+	var b strings.Builder
+	for i := range all {
+		fmt.Fprintln(&b, all[i].String(), all[i].ID(7, 0))
+	}
+	return b.String()
+}
+
+// The same seed gives byte-equal plans, another seed another one, and a shape leaves what comes before it as it was.
+func TestPlansRepeat(t *testing.T) {
+	one := text(source(7).Plan())
+	if one != text(source(7).Plan()) {
+		t.Error("the same seed gives another plan")
+	}
+	if one == text(source(8).Plan()) {
+		t.Error("another seed gives the same plan")
+	}
+	hot := text(source(7, Shape{Kind: HotKeys, From: 10 * time.Second, To: 15 * time.Second, Size: 0.2, Count: 2}).Plan())
+	same := 0
+	for same < len(hot) && hot[same] == one[same] {
+		same++
+	}
+	if before := strings.Index(one, "at=10."); same < before {
+		t.Errorf("a hot key at 10 s changes the plan at byte %d of %d", same, before)
+	}
+}
+
+func TestArrivalsAreWhatIsAskedFor(t *testing.T) {
+	all := source(3, Shape{Kind: Surge, From: 10 * time.Second, To: 15 * time.Second, Size: 3},
+		Shape{Kind: HotKeys, From: 5 * time.Second, To: 8 * time.Second, Size: 0.3, Count: 1}).Plan()
+	seconds, keys, nodes, puts, leave, over := [20]int{}, map[string]int{}, [3]int{}, 0, 0, 0
+	hot := map[string]int{}
+	for _, a := range all {
+		seconds[a.At/time.Second]++
+		nodes[a.Node]++
+		if a.Class == 1 {
+			puts++
+			if a.Idem == "" || a.Size == 0 {
+				t.Fatalf("%s", a.String())
+			}
+		}
+		if a.Leave > 0 {
+			leave++
+		}
+		if a.Over {
+			over++
+		}
+		if a.At > 5*time.Second && a.At < 8*time.Second {
+			hot[a.Key]++
+		} else {
+			keys[a.Key]++
+		}
+		if a.Patience < 350*ms || a.Patience > time.Second {
+			t.Fatalf("patience %v", a.Patience)
+		}
+	}
+	near := func(what string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 0.15*want {
+			t.Errorf("%s: %v, want about %v", what, got, want)
+		}
+	}
+	near("first second", float64(seconds[0]), 500)
+	near("surge", float64(seconds[12]), 1500)
+	near("writes", float64(puts)/float64(len(all)), 0.1)
+	near("first node", float64(nodes[0])/float64(len(all)), 0.5)
+	near("leaving", float64(leave)/float64(len(all)), 0.05)
+	most := func(m map[string]int) (n int) {
+		for _, c := range m {
+			n = max(n, c)
+		}
+		return n
+	}
+	near("hot key", float64(most(hot))/1500, 0.3)
+	if top := float64(most(keys)) / float64(len(all)-1500); top < 0.01 || top > 0.08 {
+		t.Errorf("the most popular key has a part of %v", top)
+	}
+	if over == 0 || over > len(all)/2 {
+		t.Errorf("%d beyond the quota", over)
+	}
+}
+
+func TestWorkAndSizesHangOnTheRequestAlone(t *testing.T) {
+	c := &Class{Work: 10 * ms, Sigma: 0.5, Size: 1000, SizeSigma: 0.5}
+	sum, sizes := time.Duration(0), 0
+	for i := range 4000 {
+		id := fmt.Sprint(i)
+		if WorkOf(1, c, id) != WorkOf(1, c, id) || SizeOf(1, c, id) != SizeOf(1, c, id) {
+			t.Fatal("not the same twice")
+		}
+		sum += WorkOf(1, c, id)
+		sizes += SizeOf(1, c, id)
+	}
+	if mean := sum / 4000; mean < 95*ms/10 || mean > 105*ms/10 {
+		t.Errorf("mean work %v", mean)
+	}
+	if mean := sizes / 4000; mean < 950 || mean > 1050 {
+		t.Errorf("mean size %d", mean)
+	}
+}
+
+func TestReportsAreLate(t *testing.T) {
+	c := NewCache(spec(), 1)
+	first := c.Report(10 * ms)
+	for i := range 6 {
+		c.Offer(10*ms, Job{Token: uint64(i + 1), Work: time.Second})
+	}
+	if got := c.Report(30 * ms); got != first {
+		t.Errorf("%v before it was due", got)
+	}
+	if got := c.Report(100 * ms); got.Queue != 2 || got.Util < 0.9 {
+		t.Errorf("%v", got)
+	}
+}
+
+func TestTheBudgetCountsAnySpan(t *testing.T) {
+	b := Budget{Multiple: 2, Span: time.Second}
+	for i := range 20 { // 20 s of work a second would be too much, 2 are not
+		if spent, _ := b.Add(time.Duration(i)*50*ms, 100*ms, 1, i%2 == 0); spent {
+			t.Fatalf("spent at %d", i)
+		}
+	}
+	spent, marked := b.Add(960*ms, 100*ms, 1, true)
+	if !spent || math.Abs(marked-11.0/21) > 1e-9 {
+		t.Errorf("%v, %v marked", spent, marked)
+	}
+	if spent, _ := b.Add(3*time.Second, 100*ms, 1, true); spent {
+		t.Error("what came long ago still counts")
+	}
+}
