--- /dev/null
+++ b/cmd/lapislab/commands.go
@@ -0,0 +1,369 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lapisshelf/lab/experiment"
+	"lapisshelf/lab/report"
+	"lapisshelf/lab/stage"
+)
+
+// setup is what the commands that read an experiment have in common.
+type setup struct {
+	experiment.Options
+	node  string
+	files string // where the runs' files are kept; empty: nowhere
+	quiet bool
+}
+
+func (s *setup) flags(c *cobra.Command) {
+	f := c.Flags()
+	f.Uint64Var(&s.Seed, "seed", 0, "draw arrivals, keys and troubles from this seed (default: the file's)")
+	f.BoolVar(&s.Short, "short", false, "the file's short form")
+	f.DurationVar(&s.Length, "length", 0, "another length; times given as parts of it follow")
+	f.Float64Var(&s.Rate, "rate", 0, "another rate of requests a second")
+}
+
+func (s *setup) nodeFlags(c *cobra.Command) {
+	c.Flags().StringVar(&s.node, "node", "", "command that runs a node (default: the file's, else lapisshelf beside lapislab, else one built from this module)")
+	c.Flags().StringVar(&s.files, "files", "", "folder that keeps the nodes' configurations and logs")
+	c.Flags().BoolVar(&s.quiet, "quiet", false, "no progress on the terminal")
+}
+
+func (s *setup) read(path string) (*experiment.Experiment, error) {
+	if s.Rate < 0 || s.Length < 0 {
+		return nil, errors.New("--rate and --length must not be negative")
+	}
+	x, err := experiment.Read(path, s.Options)
+	if err == nil && x.Name == "" {
+		x.Name = strings.TrimSuffix(filepath.Base(path), ".toml")
+	}
+	return x, err
+}
+
+// place makes the folder for a run's files; done removes it if nobody asked for it.
+func (s *setup) place() (dir string, done func(), err error) {
+	if s.files != "" {
+		return s.files, func() {}, os.MkdirAll(s.files, 0o755)
+	}
+	dir, err = os.MkdirTemp("", "lapislab")
+	return dir, func() { os.RemoveAll(dir) }, err
+}
+
+// progress writes a line a second where someone watches.
+func (s *setup) progress(prefix string) func(stage.Moment) {
+	info, err := os.Stderr.Stat()
+	if s.quiet || err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
+	}
+	return func(m stage.Moment) {
+		fmt.Fprintf(os.Stderr, "\r\x1b[K%s%.0f of %.0f s  %d tries  %d attempts  %s", prefix, m.At.Seconds(), m.Length.Seconds(),
+			m.Sent, m.Attempts, m.Last)
+	}
+}
+
+// play puts a deployment up, runs it and takes it down.
+func play(ctx context.Context, x *experiment.Experiment, opt stage.Options) (*report.Run, error) {
+	s, err := stage.Open(x, opt)
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	if opt.Progress != nil {
+		defer fmt.Fprint(os.Stderr, "\r\x1b[K")
+	}
+	return report.New(x, opt.Command, s.Run(ctx)), nil
+}
+
+func runCommand() *cobra.Command {
+	var s setup
+	var jsonTo, htmlTo, pngTo string
+	c := &cobra.Command{Use: "run FILE", Short: "Play an experiment and judge it", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			x, err := s.read(args[0])
+			if err != nil {
+				return err
+			}
+			dir, done, err := s.place()
+			if err != nil {
+				return err
+			}
+			defer done()
+			command, err := nodeCommand(c.Context(), s.node, x, dir)
+			if err != nil {
+				return err
+			}
+			r, err := play(c.Context(), x, stage.Options{Command: command, Dir: dir, Progress: s.progress("")})
+			if err != nil {
+				return err
+			}
+			r.Text(c.OutOrStdout())
+			if err := write(r, jsonTo, htmlTo, pngTo); err != nil {
+				return err
+			}
+			return status(r)
+		}}
+	s.flags(c)
+	s.nodeFlags(c)
+	c.Flags().StringVar(&jsonTo, "json", "", "write the report as JSON to this file; - is standard output")
+	c.Flags().StringVar(&htmlTo, "html", "", "write a page with plots into this folder")
+	c.Flags().StringVar(&pngTo, "png", "", "write the plots into this folder")
+	return c
+}
+
+// status is the program's end after a run.
+func status(r *report.Run) error {
+	switch r.Verdict {
+	case report.Holds:
+		return nil
+	case report.Void:
+		return errStatus(statusVoid)
+	case report.Cut:
+		return errStatus(statusCut)
+	}
+	return errStatus(statusShort)
+}
+
+// jsonWriter is a report with a stable form.
+type jsonWriter interface{ JSON(io.Writer) error }
+
+func writeJSON(r jsonWriter, path string) error {
+	if path == "-" {
+		return r.JSON(os.Stdout)
+	}
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := r.JSON(f); err != nil {
+		f.Close()
+		return err
+	}
+	return f.Close()
+}
+
+func write(r *report.Run, jsonTo, htmlTo, pngTo string) error {
+	if jsonTo != "" {
+		if err := writeJSON(r, jsonTo); err != nil {
+			return err
+		}
+	}
+	if htmlTo != "" {
+		if err := r.HTML(htmlTo); err != nil {
+			return err
+		}
+	}
+	if pngTo != "" {
+		return r.PNG(pngTo)
+	}
+	return nil
+}
+
+func compareCommand() *cobra.Command {
+	var s setup
+	var a, b, jsonTo string
+	var pairs int
+	var figures []string
+	c := &cobra.Command{Use: "compare FILE --a CMD --b CMD", Args: cobra.ExactArgs(1),
+		Short: "Play an experiment with two builds or settings, in pairs of the same seed, and tell the difference",
+		RunE: func(c *cobra.Command, args []string) error {
+			if a == "" || b == "" {
+				return errors.New("compare wants --a and --b: the commands that run a node")
+			}
+			if pairs < 1 || pairs > 1000 {
+				return fmt.Errorf("--pairs %d: 1 to 1000 are allowed", pairs)
+			}
+			p := &report.Pair{Schema: report.Schema, A: a, B: b, Level: report.Confidence}
+			dir, done, err := s.place()
+			if err != nil {
+				return err
+			}
+			defer done()
+			cut := false
+			for i := range pairs {
+				first, err := s.read(args[0])
+				if err != nil {
+					return err
+				}
+				seed := first.Seed + uint64(i)
+				p.Name = first.Name
+				var runs [2]*report.Run
+				// The order changes from pair to pair, so that what drifts on the machine favours neither.
+				for k := range 2 {
+					side := (i + k) % 2
+					o := s
+					o.Seed = seed
+					x, err := o.read(args[0])
+					if err != nil {
+						return err
+					}
+					command := []string{a, b}[side]
+					if err := exists(command); err != nil {
+						return err
+					}
+					sub := filepath.Join(dir, fmt.Sprintf("%d%c", i+1, 'a'+side))
+					if err := os.MkdirAll(sub, 0o755); err != nil {
+						return err
+					}
+					prefix := fmt.Sprintf("pair %d of %d, %c: ", i+1, pairs, 'a'+side)
+					if runs[side], err = playSound(c.Context(), x, stage.Options{Command: command, Dir: sub, Progress: s.progress(prefix)}); err != nil {
+						return err
+					}
+					cut = cut || runs[side].Verdict == report.Cut
+				}
+				if cut {
+					break
+				}
+				p.Seeds = append(p.Seeds, seed)
+				p.RunsA, p.RunsB = append(p.RunsA, runs[0]), append(p.RunsB, runs[1])
+			}
+			if len(p.Seeds) == 0 {
+				return errStatus(statusCut)
+			}
+			for _, f := range figures {
+				if _, ok := p.RunsA[0].Figures[f]; !ok {
+					return fmt.Errorf("--figures: no figure %q", f)
+				}
+				p.Differences = append(p.Differences, report.Compare(p.RunsA, p.RunsB, f))
+			}
+			p.Text(c.OutOrStdout())
+			if jsonTo != "" {
+				if err := writeJSON(p, jsonTo); err != nil {
+					return err
+				}
+			}
+			switch {
+			case cut:
+				return errStatus(statusCut)
+			case slices.ContainsFunc(append(p.RunsA, p.RunsB...), func(r *report.Run) bool { return r.Verdict == report.Void }):
+				return errStatus(statusVoid)
+			case slices.ContainsFunc(append(p.RunsA, p.RunsB...), func(r *report.Run) bool { return r.Verdict == report.FallsShort }):
+				return errStatus(statusShort)
+			}
+			return nil
+		}}
+	s.flags(c)
+	s.nodeFlags(c)
+	c.Flags().Lookup("node").Hidden = true
+	c.Flags().StringVar(&a, "a", "", "command that runs a node")
+	c.Flags().StringVar(&b, "b", "", "command that runs the other node")
+	c.Flags().IntVar(&pairs, "pairs", 5, "how many pairs")
+	c.Flags().StringSliceVar(&figures, "figures", []string{"service", "worst_10s", "p50_ms", "p99_ms", "p999_ms", "refused_share",
+		"attempts_per_request", "origin_per_request", "added_p50_ms", "added_p99_ms", "node_memory_mb", "node_cpu_ms_per_1000", "broken"},
+		"which figures to tell")
+	c.Flags().StringVar(&jsonTo, "json", "", "write the comparison as JSON to this file; - is standard output")
+	return c
+}
+
+// soundTries is how often a run that is void is played.
+const soundTries = 3
+
+// playSound plays a run again while the lab was late.
+func playSound(ctx context.Context, x *experiment.Experiment, opt stage.Options) (r *report.Run, err error) {
+	for range soundTries {
+		if r, err = play(ctx, x, opt); err != nil || r.Verdict != report.Void {
+			break
+		}
+	}
+	return r, err
+}
+
+func upCommand() *cobra.Command {
+	var s setup
+	c := &cobra.Command{Use: "up FILE", Short: "Put a deployment up for hand use, until it is interrupted", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			x, err := s.read(args[0])
+			if err != nil {
+				return err
+			}
+			dir, done, err := s.place()
+			if err != nil {
+				return err
+			}
+			defer done()
+			command, err := nodeCommand(c.Context(), s.node, x, dir)
+			if err != nil {
+				return err
+			}
+			d, err := stage.Open(x, stage.Options{Command: command, Dir: dir})
+			if err != nil {
+				return err
+			}
+			defer d.Close()
+			out := c.OutOrStdout()
+			for _, line := range d.Addresses() {
+				fmt.Fprintln(out, line)
+			}
+			fmt.Fprintf(out, "files       %s\n", dir)
+			class := x.Classes[0]
+			if len(d.Nodes) > 0 {
+				fmt.Fprintf(out, "try         printf 'mg some-key v O%x Pc=%s,d=%d\\r\\n' | nc -q1 %s\n", time.Now().UnixNano(), class.Name,
+					class.Deadline.Milliseconds(), strings.Replace(d.Nodes[0].Addr(), ":", " ", 1))
+			}
+			<-c.Context().Done()
+			for _, n := range d.Nodes {
+				n.End()
+			}
+			return nil
+		}}
+	s.flags(c)
+	s.nodeFlags(c)
+	return c
+}
+
+func listCommand() *cobra.Command {
+	return &cobra.Command{Use: "list [FOLDER]", Short: "List the experiments of a folder and what each guards", Args: cobra.MaximumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			dir := filepath.Join("lab", "experiments")
+			if len(args) > 0 {
+				dir = args[0]
+			}
+			files, err := filepath.Glob(filepath.Join(dir, "*.toml"))
+			if err != nil {
+				return err
+			}
+			if len(files) == 0 {
+				return fmt.Errorf("%s holds no experiments", dir)
+			}
+			for _, path := range files {
+				x, err := experiment.Read(path, experiment.Options{})
+				if err != nil {
+					return err
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%-34s %4.0f s  %s\n", path, x.Length.D().Seconds(), x.About)
+			}
+			return nil
+		}}
+}
+
+func planCommand() *cobra.Command {
+	var s setup
+	c := &cobra.Command{Use: "plan FILE", Short: "Print what will happen in a run: troubles and arrivals, as the seed draws them", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			x, err := s.read(args[0])
+			if err != nil {
+				return err
+			}
+			out := c.OutOrStdout()
+			for _, v := range x.Servers {
+				fmt.Fprintf(out, "server %s id=%s later=%t\n", v.Name, v.ID, v.Later)
+			}
+			io.WriteString(out, stage.Timeline(x))
+			for _, a := range x.Plan() {
+				fmt.Fprintf(out, "%s %s\n", a.ID(x.Seed, 0), a.String())
+			}
+			return nil
+		}}
+	s.flags(c)
+	return c
+}
--- /dev/null
+++ b/lab/experiment/experiment.go
@@ -0,0 +1,728 @@
+// Package experiment reads experiment files: a deployment, its load, its troubles and what is expected of it. A fault in
+// a file is one line with file, line and key.
+package experiment
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"lapisshelf/internal/tomlfile"
+	"lapisshelf/lab/fault"
+	"lapisshelf/lab/judge"
+	"lapisshelf/lab/world"
+)
+
+// Span is a time span as in "250ms".
+type Span = tomlfile.Duration
+
+// File is an experiment file as it stands. Every key has a default but length, class and fleet.count.
+type File struct {
+	Name    string
+	Seed    uint64
+	Length  Span
+	Short   Short
+	Service Service
+	Class   []Class
+	Tenant  []Tenant
+	Nodes   Nodes
+	Fleet   Fleet
+	Group   []Group
+	Origin  Origin
+	List    List
+	Clients Clients
+	Fault   []fault.Spec
+	Expect  map[string]any
+}
+
+// Short is what --short changes: for CI and for a first look.
+type Short struct {
+	Length Span
+	Rate   float64
+}
+
+// Service is what the nodes are told of the deployment besides its classes.
+type Service struct {
+	Mode           string // aside or through
+	Attempts       int
+	Parallel       *bool
+	Cancel         *bool
+	RetryAfter     *bool   `toml:"retry_after"`
+	MaxRetryAfter  Span    `toml:"max_retry_after"`
+	ConnIdle       Span    `toml:"conn_idle"`
+	ConnectTimeout Span    `toml:"connect_timeout"`
+	PerConn        int     `toml:"per_conn"`
+	MostHeld       int     `toml:"most_held"`
+	AnswerSlack    Span    `toml:"answer_slack"`
+	DrainGrace     Span    `toml:"drain_grace"`
+	AskWithin      Span    `toml:"ask_within"`
+	WarmUp         Span    `toml:"warm_up"`
+	ColdFrom       float64 `toml:"cold_from"`
+	FallMultiple   float64 `toml:"fall_multiple"`
+	FallWindow     Span    `toml:"fall_window"`
+	Weights        string
+	OverWorth      float64 `toml:"over_worth"`
+	Hits           *bool   // answers tell hit or miss
+	Reports        *bool   // answers carry load reports
+}
+
+// Class is a class of requests.
+type Class struct {
+	Name      string
+	Effect    string // safe, keyed or unsafe
+	Scope     string // all, zone or cell, for keyed
+	Window    Span   // for keyed
+	Share     float64
+	Work      Span
+	Sigma     float64
+	Size      int
+	SizeSigma float64 `toml:"size_sigma"`
+	Aim       Span
+	Deadline  Span
+	Worth     float64
+	LateShare float64 `toml:"late_share"`
+	Write     bool
+}
+
+// Tenant is one who shares the service.
+type Tenant struct {
+	Name  string
+	Share float64
+	Quota float64
+}
+
+// Nodes are the balancers.
+type Nodes struct {
+	Count    int
+	Command  string // the program; empty: it is built, or found beside lapislab
+	Config   string // an operator's file for it, beside the experiment file
+	MemoryMB int    `toml:"memory_mb"`
+	Sockets  int
+	Listen   []string // addresses; empty: any on loopback
+	Direct   bool     // no nodes: clients speak to caches, key by key; measures the lab itself
+}
+
+// Fleet is the cache servers that have no group of their own.
+type Fleet struct {
+	Count     int
+	Group          // figures of each
+	Tolerance Span // of the judge; what the lab may notice late
+}
+
+// Group is a number of servers that are alike.
+type Group struct {
+	Count       int
+	Kind        string
+	Zone        string
+	Cell        int
+	Weight      float64
+	Cores       int
+	Speed       float64
+	Slots       int
+	Room        int
+	MemoryMB    float64 `toml:"memory_mb"`
+	ReportEvery Span    `toml:"report_every"`
+	ReportNoise float64 `toml:"report_noise"`
+	Handshake   Span
+	MaxConns    int  `toml:"max_conns"`
+	Coalesce    bool // in through mode: fetches of one key are shared
+	Lease       Span // a miss within it is told as another's fetch
+	KeepsWork   bool `toml:"keeps_work"`
+	Cold        bool // they start cold
+}
+
+// Origin is what is behind the caches.
+type Origin struct {
+	Cores        int
+	Slots, Room  int
+	Work         Span
+	Sigma        float64
+	WriteFactor  float64 `toml:"write_factor"`
+	FallMultiple float64 `toml:"fall_multiple"`
+	FallFor      Span    `toml:"fall_for"`
+	Down         Span
+	KeepsWork    bool `toml:"keeps_work"`
+	None         bool // there is none
+}
+
+// List is the list service.
+type List struct {
+	Delay Span
+	Keep  int
+	Whole bool
+	Wait  Span
+}
+
+// Clients are who asks.
+type Clients struct {
+	Rate       float64
+	Keys       int
+	Zipf       float64
+	Offset     float64
+	Drift      float64
+	Patience   []float64
+	Retries    int
+	Pause      Span
+	MarksRetry bool `toml:"marks_retry"`
+	Leaves     float64
+	Skew       []float64
+	Warm       float64 // part of each cache's memory that holds popular keys at the start
+}
+
+// Expectation is one line of [expect].
+type Expectation struct {
+	Figure string
+	Most   bool // at most, else at least
+	Limit  float64
+	Line   string // where it stands
+}
+
+// Experiment is a file that makes sense, with its defaults filled in.
+type Experiment struct {
+	File
+	Path     string
+	About    string // the comment at the file's head
+	Classes  []world.Class
+	Tenants  []world.Tenant
+	Servers  []Server
+	Timeline *fault.Timeline
+	Expects  []Expectation
+	Broken   []string // rules that are expected to be broken
+	Source   world.ClientSpec
+}
+
+// Server is a cache server of the plan.
+type Server struct {
+	Name   string
+	ID     string
+	Spec   world.CacheSpec
+	Member world.Member // without its address
+	Group  Group
+	Later  bool // it starts in the course of the run
+}
+
+// Options are what the command line changes.
+type Options struct {
+	Seed   uint64 // 0: the file's
+	Short  bool
+	Length time.Duration // 0: the file's
+	Rate   float64       // 0: the file's
+}
+
+// Read reads a file.
+func Read(path string, opt Options) (*Experiment, error) {
+	x := &Experiment{Path: path}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var why *os.PathError
+		if errors.As(err, &why) {
+			err = &tomlfile.Error{Path: path, Why: why.Err.Error()}
+		}
+		return nil, err
+	}
+	x.File = defaults()
+	f, err := tomlfile.Decode(path, text, &x.File)
+	if err != nil {
+		return nil, err
+	}
+	x.About = about(string(text))
+	if opt.Short {
+		if x.Short.Length > 0 {
+			x.Length = x.Short.Length
+		}
+		if x.Short.Rate > 0 {
+			x.Clients.Rate = x.Short.Rate
+		}
+	}
+	if opt.Seed != 0 {
+		x.Seed = opt.Seed
+	}
+	if opt.Length > 0 {
+		x.Length = Span(opt.Length)
+	}
+	if opt.Rate > 0 {
+		x.Clients.Rate = opt.Rate
+	}
+	if err := x.check(f); err != nil {
+		return nil, err
+	}
+	return x, nil
+}
+
+// about is the comment at a file's head.
+func about(text string) string {
+	var lines []string
+	for _, l := range strings.Split(text, "\n") {
+		rest, ok := strings.CutPrefix(l, "#")
+		if !ok {
+			break
+		}
+		lines = append(lines, strings.TrimSpace(rest))
+	}
+	return strings.Join(lines, " ")
+}
+
+func yes() *bool { b := true; return &b }
+func no() *bool  { b := false; return &b }
+
+const ms = Span(time.Millisecond)
+
+// defaults is a small deployment; docs/lab.md has the same figures.
+func defaults() File {
+	return File{Seed: 1, Length: Span(10 * time.Second),
+		Service: Service{Mode: "aside", Attempts: 6, Parallel: no(), Cancel: yes(), RetryAfter: yes(), MaxRetryAfter: 1000 * ms,
+			ConnIdle: 10000 * ms, ConnectTimeout: 250 * ms, PerConn: 8, MostHeld: 5000, AnswerSlack: 20 * ms, DrainGrace: 400 * ms,
+			AskWithin: 4000 * ms, WarmUp: 8000 * ms, ColdFrom: 0.2, FallMultiple: 3, FallWindow: 1500 * ms, Weights: "nominal",
+			OverWorth: 0.05, Hits: yes(), Reports: yes()},
+		Nodes: Nodes{Count: 2, MemoryMB: 192, Sockets: 1024},
+		Fleet: Fleet{Group: Group{Kind: "std", Zone: "a", Weight: 1, Cores: 2, Speed: 1, Slots: 16, Room: 32, MemoryMB: 2,
+			ReportEvery: 100 * ms, ReportNoise: 0.05}, Tolerance: 50 * ms},
+		Origin: Origin{Cores: 8, Slots: 64, Room: 64, Work: 10 * ms, Sigma: 0.4, WriteFactor: 1.5, FallMultiple: 2.5,
+			FallFor: 3000 * ms, Down: 3000 * ms},
+		List: List{Delay: 200 * ms},
+		Clients: Clients{Rate: 200, Keys: 2000, Zipf: 0.9, Offset: 5, Patience: []float64{0.8, 1}, Retries: 1, Pause: 200 * ms,
+			MarksRetry: true, Warm: 1},
+	}
+}
+
+// check fills in what follows from the file and says what makes no sense in it.
+func (x *Experiment) check(f *tomlfile.File) error {
+	at := tomlfile.At
+	type rule struct {
+		bad  bool
+		at   []any
+		text string
+	}
+	first := func(rules ...rule) error {
+		for _, r := range rules {
+			if r.bad {
+				return f.Errorf(r.at, "%s", r.text)
+			}
+		}
+		return nil
+	}
+	s, c, n, o := &x.Service, &x.Clients, &x.Nodes, &x.Origin
+	if err := first(
+		rule{x.Length <= 0 || x.Length.D() > 24*time.Hour, at("length"), "must be above 0 and at most 24h"},
+		rule{x.Short.Length < 0, at("short", "length"), "must not be negative"},
+		rule{s.Mode != "aside" && s.Mode != "through", at("service", "mode"), fmt.Sprintf("%q is neither aside nor through", s.Mode)},
+		rule{s.Attempts < 1 || s.Attempts > 100, at("service", "attempts"), "must be 1 to 100"},
+		rule{s.PerConn < 1, at("service", "per_conn"), "must be at least 1"},
+		rule{s.MostHeld < 1, at("service", "most_held"), "must be at least 1"},
+		rule{s.ColdFrom <= 0 || s.ColdFrom > 1, at("service", "cold_from"), "must be above 0 and at most 1"},
+		rule{s.FallMultiple < 0, at("service", "fall_multiple"), "must not be negative"},
+		rule{s.OverWorth < 0 || s.OverWorth > 1, at("service", "over_worth"), "must be 0 to 1"},
+		rule{!slices.Contains([]string{"off", "nominal", "rough", "live"}, s.Weights), at("service", "weights"), "must be off, nominal, rough or live"},
+		rule{len(x.Class) == 0, at("class"), "an experiment needs a class of requests"},
+		rule{x.Fleet.Count+len(x.File.Group) == 0, at("fleet", "count"), "an experiment needs a cache server"},
+		rule{x.Fleet.Count < 0 || x.Fleet.Count > 1000, at("fleet", "count"), "must be 0 to 1000"},
+		rule{n.Count < 1 || n.Count > 64, at("nodes", "count"), "must be 1 to 64"},
+		rule{n.MemoryMB < 8, at("nodes", "memory_mb"), "must be at least 8"},
+		rule{n.Sockets < 64, at("nodes", "sockets"), "must be at least 64"},
+		rule{len(n.Listen) > 0 && len(n.Listen) != n.Count, at("nodes", "listen"), "wants an address for each node"},
+		rule{o.Cores < 1, at("origin", "cores"), "must be at least 1"},
+		rule{o.Slots < 1, at("origin", "slots"), "must be at least 1"},
+		rule{o.Room < 0, at("origin", "room"), "must not be negative"},
+		rule{o.Work <= 0, at("origin", "work"), "must be above 0"},
+		rule{o.Sigma < 0 || o.Sigma > 3, at("origin", "sigma"), "must be 0 to 3"},
+		rule{o.WriteFactor < 0, at("origin", "write_factor"), "must not be negative"},
+		rule{o.FallMultiple < 0, at("origin", "fall_multiple"), "must not be negative"},
+		rule{o.None && s.Mode == "through", at("origin", "none"), "caches in through mode need an origin"},
+		rule{x.List.Delay < 0, at("list", "delay"), "must not be negative"},
+		rule{c.Rate <= 0 || c.Rate > 200000, at("clients", "rate"), "must be above 0 and at most 200000 a second"},
+		rule{c.Rate*x.Length.D().Seconds() > 20e6, at("clients", "rate"), "over 20 million requests in a run"},
+		rule{c.Keys < 1 || c.Keys > 5e6, at("clients", "keys"), "must be 1 to 5000000"},
+		rule{c.Zipf < 0 || c.Zipf > 5, at("clients", "zipf"), "must be 0 to 5"},
+		rule{c.Offset < 0, at("clients", "offset"), "must not be negative"},
+		rule{c.Drift < 0 || c.Drift > 1, at("clients", "drift"), "must be 0 to 1"},
+		rule{len(c.Patience) != 2 || c.Patience[0] <= 0 || c.Patience[1] < c.Patience[0] || c.Patience[1] > 1, at("clients", "patience"),
+			"must be two parts of the deadline, the lower first, above 0 and at most 1"},
+		rule{c.Retries < 0 || c.Retries > 20, at("clients", "retries"), "must be 0 to 20"},
+		rule{c.Leaves < 0 || c.Leaves > 1, at("clients", "leaves"), "must be 0 to 1"},
+		rule{c.Warm < 0 || c.Warm > 1, at("clients", "warm"), "must be 0 to 1"},
+		rule{len(c.Skew) > 0 && len(c.Skew) != n.Count, at("clients", "skew"), "wants a share for each node"},
+	); err != nil {
+		return err
+	}
+	if err := x.classes(f); err != nil {
+		return err
+	}
+	if err := x.servers(f); err != nil {
+		return err
+	}
+	if err := x.expects(f); err != nil {
+		return err
+	}
+	x.Source = world.ClientSpec{Rate: c.Rate, Keys: c.Keys, Zipf: c.Zipf, Offset: c.Offset, Drift: c.Drift,
+		Patience: [2]float64{c.Patience[0], c.Patience[1]}, Retries: c.Retries, Pause: c.Pause.D(), MarksRetry: c.MarksRetry,
+		Leaves: c.Leaves, Nodes: n.Count, Skew: c.Skew}
+	return x.faults(f)
+}
+
+func (x *Experiment) classes(f *tomlfile.File) error {
+	effects := map[string]world.Effect{"safe": world.Safe, "": world.Safe, "keyed": world.Keyed, "unsafe": world.Unsafe}
+	scopes := map[string]world.Scope{"all": world.ScopeAll, "": world.ScopeAll, "zone": world.ScopeZone, "cell": world.ScopeCell}
+	total := 0.0
+	for i, c := range x.Class {
+		effect, ok := effects[c.Effect]
+		scope, okay := scopes[c.Scope]
+		bad := func(key, format string, args ...any) error {
+			return f.Errorf(tomlfile.At("class", i, key), format, args...)
+		}
+		switch {
+		case c.Name == "" || strings.ContainsAny(c.Name, " ,=\r\n"):
+			return bad("name", "%q cannot be a class's name", c.Name)
+		case slices.ContainsFunc(x.Class[:i], func(o Class) bool { return o.Name == c.Name }):
+			return bad("name", "%q stands twice", c.Name)
+		case !ok:
+			return bad("effect", "%q is none of safe, keyed, unsafe", c.Effect)
+		case !okay:
+			return bad("scope", "%q is none of all, zone, cell", c.Scope)
+		case effect == world.Keyed && c.Window <= 0:
+			return bad("window", "a keyed class needs the time for which repeats are dropped")
+		case c.Aim <= 0 || c.Deadline <= 0:
+			return bad("aim", "aim and deadline must be above 0")
+		case c.Deadline < c.Aim:
+			return bad("deadline", "is under the aim")
+		case c.Share < 0 || c.Worth < 0 || c.LateShare < 0 || c.LateShare > 1 || c.Sigma < 0 || c.Sigma > 3 || c.SizeSigma < 0 || c.SizeSigma > 3:
+			return bad("share", "shares, worth and sigmas must not be negative or absurd")
+		case c.Size < 0 || c.Size > 64<<20:
+			return bad("size", "must be 0 to 64 MiB")
+		case c.Work < 0:
+			return bad("work", "must not be negative")
+		}
+		share := c.Share
+		if !f.Has("class", i, "share") {
+			share = 1
+		}
+		worth := c.Worth
+		if !f.Has("class", i, "worth") {
+			worth = 1
+		}
+		total += share
+		x.Classes = append(x.Classes, world.Class{Name: c.Name, Effect: effect, Scope: scope, Window: c.Window.D(), Share: share,
+			Work: c.Work.D(), Sigma: c.Sigma, Size: max(1, c.Size), SizeSigma: c.SizeSigma, Aim: c.Aim.D(), Deadline: c.Deadline.D(),
+			Worth: worth, LateShare: c.LateShare, Write: c.Write})
+	}
+	if total <= 0 {
+		return f.Errorf(tomlfile.At("class", 0, "share"), "no class has a share")
+	}
+	for i, t := range x.Tenant {
+		bad := func(key, format string, args ...any) error {
+			return f.Errorf(tomlfile.At("tenant", i, key), format, args...)
+		}
+		switch {
+		case t.Name == "" || strings.ContainsAny(t.Name, " ,=\r\n"):
+			return bad("name", "%q cannot be a tenant's name", t.Name)
+		case slices.ContainsFunc(x.Tenant[:i], func(o Tenant) bool { return o.Name == t.Name }):
+			return bad("name", "%q stands twice", t.Name)
+		case t.Share <= 0:
+			return bad("share", "must be above 0")
+		case t.Quota < 0:
+			return bad("quota", "must not be negative")
+		}
+		x.Tenants = append(x.Tenants, world.Tenant(t))
+	}
+	return nil
+}
+
+// servers draws the fleet: names c1, c2, ... and ids that tell nothing.
+func (x *Experiment) servers(f *tomlfile.File) error {
+	groups := []Group{}
+	if x.Fleet.Count > 0 {
+		g := x.Fleet.Group
+		g.Count = x.Fleet.Count
+		groups = append(groups, g)
+	}
+	for i, g := range x.File.Group {
+		g = merge(x.Fleet.Group, g, func(key string) bool { return f.Has("group", i, key) })
+		if !f.Has("group", i, "count") {
+			g.Count = 1
+		}
+		groups = append(groups, g)
+	}
+	for i, g := range groups {
+		at := func(key string) []any {
+			if x.Fleet.Count > 0 && i == 0 {
+				return tomlfile.At("fleet", key)
+			}
+			return tomlfile.At("group", i-min(1, x.Fleet.Count), key)
+		}
+		switch {
+		case g.Count < 1 || g.Count > 1000:
+			return f.Errorf(at("count"), "must be 1 to 1000")
+		case g.Cores < 1 || g.Cores > 1024:
+			return f.Errorf(at("cores"), "must be 1 to 1024")
+		case g.Speed <= 0:
+			return f.Errorf(at("speed"), "must be above 0")
+		case g.Slots < 1 || g.Room < 0:
+			return f.Errorf(at("slots"), "slots must be at least 1, room not negative")
+		case g.MemoryMB <= 0:
+			return f.Errorf(at("memory_mb"), "must be above 0")
+		case g.Weight < 0:
+			return f.Errorf(at("weight"), "must not be negative")
+		case g.Kind == originKind:
+			return f.Errorf(at("kind"), "%q is the origin's", originKind)
+		}
+		for range g.Count {
+			x.addServer(fmt.Sprintf("c%d", len(x.Servers)+1), g, false)
+		}
+	}
+	return nil
+}
+
+const originKind = "origin"
+
+// OriginID is the id under which the list has the origin.
+func (x *Experiment) OriginID() string { return x.id("origin") }
+
+func (x *Experiment) id(name string) string {
+	return fmt.Sprintf("s-%08x", world.Stream(x.Seed, "server", name).Uint32())
+}
+
+func (x *Experiment) addServer(name string, g Group, later bool) *Server {
+	s := &x.Service
+	spec := world.CacheSpec{Name: name, Cores: g.Cores, Speed: g.Speed, Slots: g.Slots, Room: g.Room, Memory: int64(g.MemoryMB * (1 << 20)),
+		WarmUp: s.WarmUp.D(), ColdFrom: s.ColdFrom, FallMultiple: s.FallMultiple, FallWindow: s.FallWindow.D(),
+		ReportEvery: g.ReportEvery.D(), ReportNoise: g.ReportNoise, Handshake: g.Handshake.D(), Through: s.Mode == "through",
+		Coalesce: g.Coalesce, Lease: g.Lease.D(), KeepsWork: g.KeepsWork}
+	x.Servers = append(x.Servers, Server{Name: name, ID: x.id(name), Spec: spec, Group: g, Later: later,
+		Member: world.Member{ID: x.id(name), Zone: g.Zone, Kind: g.Kind, Cell: g.Cell, Weight: g.Weight}})
+	return &x.Servers[len(x.Servers)-1]
+}
+
+// merge takes the fleet's figures where a group does not tell its own.
+func merge(fleet, g Group, has func(key string) bool) Group {
+	out := fleet
+	out.Count = g.Count
+	set := func(key string, f func()) {
+		if has(key) {
+			f()
+		}
+	}
+	set("kind", func() { out.Kind = g.Kind })
+	set("zone", func() { out.Zone = g.Zone })
+	set("cell", func() { out.Cell = g.Cell })
+	set("weight", func() { out.Weight = g.Weight })
+	set("cores", func() { out.Cores = g.Cores })
+	set("speed", func() { out.Speed = g.Speed })
+	set("slots", func() { out.Slots = g.Slots })
+	set("room", func() { out.Room = g.Room })
+	set("memory_mb", func() { out.MemoryMB = g.MemoryMB })
+	set("report_every", func() { out.ReportEvery = g.ReportEvery })
+	set("report_noise", func() { out.ReportNoise = g.ReportNoise })
+	set("handshake", func() { out.Handshake = g.Handshake })
+	set("max_conns", func() { out.MaxConns = g.MaxConns })
+	set("coalesce", func() { out.Coalesce = g.Coalesce })
+	set("lease", func() { out.Lease = g.Lease })
+	set("keeps_work", func() { out.KeepsWork = g.KeepsWork })
+	set("cold", func() { out.Cold = g.Cold })
+	return out
+}
+
+// faults draws the timeline, and the servers that start in its course.
+func (x *Experiment) faults(f *tomlfile.File) error {
+	var names, tenants []string
+	for _, s := range x.Servers {
+		names = append(names, s.Name)
+	}
+	for _, t := range x.Tenants {
+		tenants = append(tenants, t.Name)
+	}
+	line, err := fault.Expand(x.Fault, fault.Stage{Length: x.Length.D(), Servers: names, Nodes: x.Nodes.Count, Tenants: tenants}, x.Seed)
+	var bad *fault.Error
+	if errors.As(err, &bad) {
+		return f.Errorf(tomlfile.At("fault", bad.Spec, bad.Key), "%s", bad.Why)
+	}
+	if err != nil {
+		return err
+	}
+	x.Timeline = line
+	for _, name := range line.Joining {
+		g := x.Servers[0].Group
+		old, _, _ := strings.Cut(name, ".")
+		for _, s := range x.Servers {
+			if s.Name == old {
+				g = s.Group // it takes that one's place
+			}
+		}
+		x.addServer(name, g, true)
+	}
+	return nil
+}
+
+// expects reads [expect]: FIGURE_min and FIGURE_max, and broken, the rules that are to be broken.
+func (x *Experiment) expects(f *tomlfile.File) error {
+	for _, key := range sortedKeys(x.Expect) {
+		at := tomlfile.At("expect", key)
+		where := strings.SplitN(f.Errorf(at, "").Error(), ": ", 2)[0]
+		if key == "broken" {
+			list, ok := x.Expect[key].([]any)
+			if !ok {
+				return f.Errorf(at, "must be a list of rules, of %s", strings.Join(judge.RuleNames, ", "))
+			}
+			for _, v := range list {
+				name, _ := v.(string)
+				if !slices.Contains(judge.RuleNames, name) {
+					return f.Errorf(at, "%q is no rule; there are %s", v, strings.Join(judge.RuleNames, ", "))
+				}
+				x.Broken = append(x.Broken, name)
+			}
+			continue
+		}
+		var limit float64
+		switch v := x.Expect[key].(type) {
+		case int64:
+			limit = float64(v)
+		case float64:
+			limit = v
+		default:
+			return f.Errorf(at, "must be a number")
+		}
+		if math.IsNaN(limit) {
+			return f.Errorf(at, "must be a number")
+		}
+		e := Expectation{Limit: limit, Line: where}
+		var least, most bool
+		if e.Figure, least = strings.CutSuffix(key, "_min"); !least {
+			if e.Figure, most = strings.CutSuffix(key, "_max"); !most {
+				return f.Errorf(at, "must end in _min or _max")
+			}
+		}
+		e.Most = most
+		x.Expects = append(x.Expects, e)
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var all []string
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Miss is an expectation that falls short.
+type Miss struct {
+	Expectation
+	Was   float64
+	Known bool
+}
+
+// String is the miss in one line.
+func (m Miss) String() string {
+	word := "at least"
+	if m.Most {
+		word = "at most"
+	}
+	if !m.Known {
+		return fmt.Sprintf("%s: no figure %q", m.Line, m.Figure)
+	}
+	return fmt.Sprintf("%s: %s was %.4g, %s %.4g is wanted", m.Line, m.Figure, m.Was, word, m.Limit)
+}
+
+// Falls gives what falls short of the file's expectations, and the rules that are broken against them.
+func (x *Experiment) Falls(v *judge.Verdict) (misses []Miss, broken []string) {
+	for _, e := range x.Expects {
+		was, ok := v.Figures[e.Figure]
+		if !ok || e.Most && was > e.Limit || !e.Most && was < e.Limit {
+			misses = append(misses, Miss{e, was, ok})
+		}
+	}
+	for _, name := range judge.RuleNames {
+		want := slices.Contains(x.Broken, name)
+		switch {
+		case v.Broken[name] > 0 && !want:
+			broken = append(broken, name+" was broken")
+		case v.Broken[name] == 0 && want:
+			broken = append(broken, name+" was kept, though it is to be broken")
+		}
+	}
+	return misses, broken
+}
+
+// Plan draws all arrivals.
+func (x *Experiment) Plan() []world.Arrival {
+	return world.NewSource(x.Source, x.Classes, x.Tenants, x.Timeline.Shapes, x.Seed, x.Length.D()).Plan()
+}
+
+// Rules are the judge's.
+func (x *Experiment) Rules() judge.Rules {
+	s := &x.Service
+	r := judge.Rules{Seed: x.Seed, Classes: x.Classes, Tenants: x.Tenants, Members: map[string]world.Member{}, Parallel: *s.Parallel,
+		MostTries: s.Attempts, AnswerSlack: s.AnswerSlack.D(), DrainGrace: s.DrainGrace.D(), AskWithin: s.AskWithin.D(),
+		OverWorth: s.OverWorth, Tolerance: x.Fleet.Tolerance.D(), ColdFrom: s.ColdFrom, WarmUp: s.WarmUp.D(),
+		FallMultiple: s.FallMultiple, FallWindow: s.FallWindow.D(), OriginFor: x.Origin.FallFor.D(), OriginKind: originKind,
+		Length: x.Length.D()}
+	for _, v := range x.Servers {
+		r.Members[v.ID] = v.Member
+	}
+	return r
+}
+
+// Server finds a server by its name.
+func (x *Experiment) Server(name string) *Server {
+	for i := range x.Servers {
+		if x.Servers[i].Name == name {
+			return &x.Servers[i]
+		}
+	}
+	return nil
+}
+
+// OriginSpec is the origin's model.
+func (x *Experiment) OriginSpec() world.OriginSpec {
+	o := &x.Origin
+	window := time.Duration(0)
+	for _, c := range x.Classes {
+		window = max(window, c.Window)
+	}
+	return world.OriginSpec{Cores: o.Cores, Slots: o.Slots, Room: o.Room, Work: o.Work.D(), Sigma: o.Sigma, WriteFactor: o.WriteFactor,
+		FallMultiple: o.FallMultiple, FallFor: o.FallFor.D(), Down: o.Down.D(), Window: window, KeepsWork: o.KeepsWork}
+}
+
+// Settings is the object that a node is told, with the names and units of the platform.
+func (x *Experiment) Settings(node int) map[string]any {
+	s := &x.Service
+	ns := func(d Span) int64 { return int64(d) }
+	var classes, tenants []any
+	for _, c := range x.Classes {
+		classes = append(classes, map[string]any{"Name": c.Name, "Effect": [...]string{"retryable", "dedup", "fragile"}[c.Effect],
+			"DedupScope": [...]string{"all", "zone", "cell"}[c.Scope], "Aim": int64(c.Aim), "Deadline": int64(c.Deadline),
+			"KeyTtl": int64(c.Window), "Worth": c.Worth, "LateShare": c.LateShare})
+	}
+	for _, t := range x.Tenants {
+		tenants = append(tenants, map[string]any{"Name": t.Name, "QuotaPerS": t.Quota, "Fraction": t.Share})
+	}
+	kinds := []string{}
+	for _, v := range x.Servers {
+		if !slices.Contains(kinds, v.Group.Kind) {
+			kinds = append(kinds, v.Group.Kind)
+		}
+	}
+	info := map[string]any{"Mode": s.Mode, "OriginKind": -1, "OriginFallMultiple": x.Origin.FallMultiple, "OriginFall": ns(x.Origin.FallFor)}
+	if s.Mode == "aside" && !x.Origin.None {
+		kinds = append(kinds, originKind)
+		info["OriginKind"] = len(kinds) - 1
+	}
+	feedback := map[string]any{"How": "off", "Fields": []string{}}
+	if *s.Reports {
+		feedback = map[string]any{"How": "inline", "Fields": []string{"load_share", "depth"}}
+	}
+	return map[string]any{
+		"Balancers": x.Nodes.Count, "Position": node, "Tick": int64(5 * time.Millisecond), "Weights": s.Weights,
+		"MembershipMode": "subscribe", "Models": kinds, "Classes": classes, "Tenants": tenants, "FamilyInfo": info,
+		"Feedback": feedback, "OverShareWorth": s.OverWorth, "Clients": map[string]any{"MarksRetry": x.Clients.MarksRetry},
+		"Guarantees": map[string]any{"AnswerSlack": ns(s.AnswerSlack), "AskWithin": ns(s.AskWithin), "ColdFrom": s.ColdFrom,
+			"DrainGrace": ns(s.DrainGrace), "FallMultiple": s.FallMultiple, "OverloadFor": ns(s.FallWindow), "WarmUp": ns(s.WarmUp)},
+		"Limits": map[string]any{"Cancel": *s.Cancel, "ConnIdle": ns(s.ConnIdle), "ConnectTimeout": ns(s.ConnectTimeout),
+			"MaxRetryAfter": ns(s.MaxRetryAfter), "MayTell": false, "MostHeld": s.MostHeld, "ParallelTries": *s.Parallel,
+			"Probes": false, "RetryAfter": *s.RetryAfter, "SendCap": s.Attempts, "StreamsPerConn": s.PerConn},
+	}
+}
--- /dev/null
+++ b/lab/fault/fault.go
@@ -0,0 +1,533 @@
+// Package fault turns what an experiment file says of troubles into a timeline: single actions at single times, drawn by
+// the seed alone. The same timeline drives stand-ins on sockets and models in virtual time.
+package fault
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"lapisshelf/lab/world"
+)
+
+// When is a time in a run: a span from its start, or a part of its length ("25%").
+type When struct {
+	Span time.Duration
+	Part float64
+	Set  bool
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (w *When) UnmarshalText(text []byte) error {
+	s := string(text)
+	w.Set = true
+	if p, ok := strings.CutSuffix(s, "%"); ok {
+		v, err := strconv.ParseFloat(p, 64)
+		if err != nil || v < 0 || v > 100 {
+			return fmt.Errorf("%q is no part of the length: 0%% to 100%% are", s)
+		}
+		w.Part = v / 100
+		return nil
+	}
+	v, err := time.ParseDuration(s)
+	if err != nil || v < 0 {
+		return fmt.Errorf("%q is no time: a span such as 1.5s, or a part of the length such as 25%%, is", s)
+	}
+	w.Span = v
+	return nil
+}
+
+// In is the time in a run of that length.
+func (w When) In(length time.Duration) time.Duration {
+	return w.Span + time.Duration(w.Part*float64(length))
+}
+
+// Spec is a trouble as an experiment file tells it.
+type Spec struct {
+	Kind    string
+	At      When
+	For     When     // how long it lasts; without it, to the end of the run
+	Servers []string // by name; else Count or Share of them are drawn
+	Count   int
+	Share   float64
+	Nodes   []int // from 1; without them all nodes
+	Factor  float64
+	Part    float64
+	Every   When   // of what comes and goes: how often
+	Length  When   // and for how long each time
+	NewID   bool   `toml:"new_id"`
+	Warm    bool   // what starts is warm
+	Quiet   bool   // the list is not told
+	Tenant  string // of hot_tenant
+}
+
+// Verb is what an action does.
+type Verb string
+
+// The verbs. A server is named by its name in the lab, a node by its number from 0.
+const (
+	Die         Verb = "die"          // the process ends: resets, then refused connections
+	Rise        Verb = "rise"         // a new process at the same place; X 1: cold; Text: the server's name that it comes back under
+	Silence     Verb = "silence"      // the machine says nothing; X 0: it is back
+	Hang        Verb = "hang"         // takes all, answers nothing; X 0: over
+	Refuse      Verb = "refuse"       // refuses connections, keeps those it has; X 0: over
+	Reset       Verb = "reset"        // the part X of the answers ends with the connection, in the midst
+	Garble      Verb = "garble"       // the part X of the answers is spoilt
+	Surplus     Verb = "surplus"      // more follows the part X of the answers
+	TurnAway    Verb = "turn_away"    // answers busy; X 0: over
+	Slow        Verb = "slow"         // X times slower; 1: as ever
+	Steal       Verb = "steal"        // a neighbour takes the part X of the machine
+	Pause       Verb = "pause"        // stands still; X 0: goes on
+	Drain       Verb = "drain"        // finishes what it has; the list says so
+	Leave       Verb = "leave"        // the list says that it is gone
+	Join        Verb = "join"         // a server of a new name starts; X 1: cold
+	Void        Verb = "void"         // the part X of its copies goes void
+	ListDown    Verb = "list_down"    // X 0: up
+	ListGarble  Verb = "list_garble"  // talks nonsense; X 0: over
+	ListLag     Verb = "list_lag"     // changes show X seconds late
+	ListCut     Verb = "list_cut"     // nothing comes from it to a node; X 0: over
+	NodeKill    Verb = "node_kill"    // SIGKILL
+	NodeTerm    Verb = "node_term"    // SIGTERM
+	NodeHup     Verb = "node_hup"     // SIGHUP
+	NodeStart   Verb = "node_start"   // a new process
+	NodeFreeze  Verb = "node_freeze"  // SIGSTOP; X 0: SIGCONT
+	Rude        Verb = "rude"         // X clients that send nonsense; 0: over
+	OriginSlow  Verb = "origin_slow"  // X times slower; 1: as ever
+	OriginStop  Verb = "origin_stop"  // refuses connections; X 0: back
+	OriginPause Verb = "origin_pause" // stands still; X 0: goes on
+	OriginSpoil Verb = "origin_spoil" // the part X of the answers is spoilt
+)
+
+// Action is one thing that happens at one time.
+type Action struct {
+	At     time.Duration
+	Verb   Verb
+	Server string  // name
+	Node   int     // from 0; -1: none
+	X      float64 // as its verb says
+	Text   string
+}
+
+// String is the action as a line of a plan.
+func (a Action) String() string {
+	s := fmt.Sprintf("%s %s", a.At, a.Verb)
+	if a.Server != "" {
+		s += " server=" + a.Server
+	}
+	if a.Node >= 0 {
+		s += fmt.Sprintf(" node=%d", a.Node+1)
+	}
+	if s += fmt.Sprintf(" x=%g", a.X); a.Text != "" {
+		s += " as=" + a.Text
+	}
+	return s
+}
+
+// Stage is what a timeline acts on.
+type Stage struct {
+	Length  time.Duration
+	Servers []string // names of the caches, in order
+	Nodes   int
+	Tenants []string
+}
+
+// Timeline is what happens in a run.
+type Timeline struct {
+	Actions []Action // by time
+	Shapes  []world.Shape
+	Joining []string // names of servers that will start
+}
+
+// Error is a fault in the numbered spec, of the key.
+type Error struct {
+	Spec int
+	Key  string
+	Why  string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return fmt.Sprintf("fault[%d].%s: %s", e.Spec+1, e.Key, e.Why) }
+
+// kind says what a kind of trouble needs and does.
+type kind struct {
+	on     string // servers, nodes, origin, list, load, fleet
+	factor bool   // wants factor
+	part   bool   // wants part
+	span   bool   // wants for
+	expand func(x *expansion)
+}
+
+var kinds map[string]kind
+
+func init() { // a literal would refer to itself
+	toggle := func(v Verb) func(x *expansion) {
+		return func(x *expansion) {
+			x.servers(func(s string) { x.onOff(Action{Verb: v, Server: s, Node: -1, X: 1}, 0) })
+		}
+	}
+	share := func(v Verb) func(x *expansion) {
+		return func(x *expansion) {
+			x.servers(func(s string) { x.onOff(Action{Verb: v, Server: s, Node: -1, X: x.Part}, 0) })
+		}
+	}
+	nodes := func(v Verb, on, off float64) func(x *expansion) {
+		return func(x *expansion) { x.nodes(func(n int) { x.onOff(Action{Verb: v, Node: n, X: on}, off) }) }
+	}
+	single := func(v Verb, off float64) func(x *expansion) {
+		return func(x *expansion) {
+			on := 1.0
+			switch {
+			case x.Factor > 0:
+				on = x.Factor
+			case x.Part > 0:
+				on = x.Part
+			}
+			x.onOff(Action{Verb: v, Node: -1, X: on}, off)
+		}
+	}
+	shape := func(k world.ShapeKind) func(x *expansion) { return func(x *expansion) { x.shape(k) } }
+	kinds = map[string]kind{
+		"crash":         {on: "servers", expand: (*expansion).crash},
+		"silent":        {on: "servers", expand: toggle(Silence)},
+		"hang":          {on: "servers", expand: toggle(Hang)},
+		"refuse":        {on: "servers", expand: toggle(Refuse)},
+		"busy":          {on: "servers", expand: toggle(TurnAway)},
+		"reset":         {on: "servers", part: true, expand: share(Reset)},
+		"garble":        {on: "servers", part: true, expand: share(Garble)},
+		"surplus":       {on: "servers", part: true, expand: share(Surplus)},
+		"slow":          {on: "servers", factor: true, expand: (*expansion).slow},
+		"neighbour":     {on: "servers", part: true, expand: (*expansion).neighbour},
+		"pause":         {on: "servers", expand: (*expansion).pause},
+		"flush":         {on: "servers", part: true, expand: (*expansion).flush},
+		"drain":         {on: "servers", expand: (*expansion).drain},
+		"deploy":        {on: "servers", span: true, expand: (*expansion).deploy},
+		"shrink":        {on: "servers", span: true, expand: (*expansion).shrink},
+		"grow":          {on: "fleet", expand: (*expansion).grow},
+		"origin_slow":   {on: "origin", factor: true, expand: single(OriginSlow, 1)},
+		"origin_stop":   {on: "origin", expand: single(OriginStop, 0)},
+		"origin_pause":  {on: "origin", expand: single(OriginPause, 0)},
+		"origin_garble": {on: "origin", part: true, expand: single(OriginSpoil, 0)},
+		"list_down":     {on: "list", expand: single(ListDown, 0)},
+		"list_garble":   {on: "list", expand: single(ListGarble, 0)},
+		"list_lag":      {on: "list", factor: true, expand: single(ListLag, 0)},
+		"list_cut":      {on: "nodes", expand: nodes(ListCut, 1, 0)},
+		"node_kill":     {on: "nodes", expand: (*expansion).nodeEnds},
+		"node_term":     {on: "nodes", expand: (*expansion).nodeEnds},
+		"node_hup":      {on: "nodes", expand: (*expansion).nodeHup},
+		"node_freeze":   {on: "nodes", expand: nodes(NodeFreeze, 1, 0)},
+		"rude":          {on: "load", expand: (*expansion).rude},
+		"surge":         {on: "load", factor: true, expand: shape(world.Surge)},
+		"hot_key":       {on: "load", part: true, expand: shape(world.HotKeys)},
+		"hot_tenant":    {on: "load", part: true, expand: shape(world.HotTenant)},
+		"hot_node":      {on: "load", part: true, expand: shape(world.HotNode)},
+	}
+}
+
+// Kinds names all kinds of trouble.
+func Kinds() []string {
+	var all []string
+	for k := range kinds {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// expansion is one spec being turned into actions.
+type expansion struct {
+	Spec
+	number int
+	stage  *Stage
+	line   *Timeline
+	rng    *rand.Rand
+	at     time.Duration
+	end    time.Duration // the run's end where For is not told
+	err    *Error
+}
+
+// Expand draws the timeline. An error is an *Error.
+func Expand(specs []Spec, stage Stage, seed uint64) (*Timeline, error) {
+	t := &Timeline{}
+	for i, s := range specs {
+		k, ok := kinds[s.Kind]
+		bad := func(key, format string, args ...any) error { return &Error{i, key, fmt.Sprintf(format, args...)} }
+		x := &expansion{Spec: s, number: i, stage: &stage, line: t, rng: world.Stream(seed, "fault", strconv.Itoa(i), s.Kind),
+			at: s.At.In(stage.Length), end: stage.Length}
+		if s.For.Set {
+			x.end = x.at + s.For.In(stage.Length)
+		}
+		switch {
+		case !ok:
+			return nil, bad("kind", "unknown kind %q; there are %s", s.Kind, strings.Join(Kinds(), ", "))
+		case x.at > stage.Length:
+			return nil, bad("at", "%v is after the end at %v", x.at, stage.Length)
+		case k.factor && s.Factor <= 0:
+			return nil, bad("factor", "%s wants a factor above 0", s.Kind)
+		case k.part && (s.Part <= 0 || s.Part > 1):
+			return nil, bad("part", "%s wants a part above 0 and at most 1", s.Kind)
+		case k.span && !s.For.Set:
+			return nil, bad("for", "%s wants to know how long it takes", s.Kind)
+		case s.Share < 0 || s.Share > 1:
+			return nil, bad("share", "%g is no share: 0 to 1 are", s.Share)
+		case s.Count < 0:
+			return nil, bad("count", "%d is below 0", s.Count)
+		}
+		for j, name := range s.Servers {
+			if !slices.Contains(stage.Servers, name) {
+				return nil, bad("servers", "unknown server %q (number %d); there are %s", name, j+1, strings.Join(stage.Servers, ", "))
+			}
+		}
+		for _, n := range s.Nodes {
+			if n < 1 || n > stage.Nodes {
+				return nil, bad("nodes", "unknown node %d; there are 1 to %d", n, stage.Nodes)
+			}
+		}
+		if k.expand(x); x.err != nil {
+			return nil, x.err
+		}
+	}
+	slices.SortStableFunc(t.Actions, func(a, b Action) int { return cmp.Compare(a.At, b.At) })
+	t.Actions = slices.DeleteFunc(t.Actions, func(a Action) bool { return a.At > stage.Length })
+	return t, nil
+}
+
+func (x *expansion) fail(key, why string) { x.err = &Error{x.number, key, why} }
+
+func (x *expansion) add(a Action) { x.line.Actions = append(x.line.Actions, a) }
+
+// onOff begins something, and ends it where it is to end before the run does.
+func (x *expansion) onOff(a Action, off float64) {
+	a.At = x.at
+	x.add(a)
+	if x.For.Set {
+		a.At, a.X = x.end, off
+		x.add(a)
+	}
+}
+
+// chosen is the servers concerned: those named, else as many as told, drawn; else all.
+func (x *expansion) chosen() []string {
+	if len(x.Servers) > 0 {
+		return x.Servers
+	}
+	n := len(x.stage.Servers)
+	switch {
+	case x.Count > 0:
+		n = min(n, x.Count)
+	case x.Share > 0:
+		n = min(n, max(1, int(x.Share*float64(n)+0.5)))
+	default:
+		return x.stage.Servers
+	}
+	list := slices.Clone(x.stage.Servers)
+	x.rng.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	list = list[:n]
+	slices.Sort(list)
+	return list
+}
+
+func (x *expansion) servers(f func(name string)) {
+	for _, s := range x.chosen() {
+		f(s)
+	}
+}
+
+func (x *expansion) nodes(f func(n int)) {
+	if len(x.Nodes) == 0 {
+		for n := range x.stage.Nodes {
+			f(n)
+		}
+		return
+	}
+	for _, n := range x.Nodes {
+		f(n - 1)
+	}
+}
+
+func (x *expansion) cold() float64 {
+	if x.Warm {
+		return 0
+	}
+	return 1
+}
+
+// crash ends processes, which come back after the stated time, cold, under their id or a new one.
+func (x *expansion) crash() {
+	x.servers(func(s string) {
+		x.add(Action{At: x.at, Verb: Die, Server: s, Node: -1})
+		if !x.Quiet {
+			x.add(Action{At: x.at, Verb: Leave, Server: s, Node: -1})
+		}
+		if !x.For.Set {
+			return
+		}
+		a := Action{At: x.end, Verb: Rise, Server: s, Node: -1, X: x.cold()}
+		if x.NewID {
+			a.Text = x.newName(s)
+		}
+		x.add(a)
+	})
+}
+
+// newName names a server that takes another's place.
+func (x *expansion) newName(old string) string {
+	name := old
+	for n := 2; slices.Contains(x.stage.Servers, name) || slices.Contains(x.line.Joining, name); n++ {
+		name = fmt.Sprintf("%s.%d", old, n)
+	}
+	x.line.Joining = append(x.line.Joining, name)
+	return name
+}
+
+func (x *expansion) slow() {
+	x.servers(func(s string) { x.onOff(Action{Verb: Slow, Server: s, Node: -1, X: x.Factor}, 1) })
+}
+
+// neighbour takes a part of machines, on and off where Every is told.
+func (x *expansion) neighbour() {
+	x.servers(func(s string) { x.comeAndGo(Action{Verb: Steal, Server: s, Node: -1, X: x.Part}) })
+}
+
+// pause makes servers stand still, now and then where Every is told.
+func (x *expansion) pause() {
+	x.servers(func(s string) { x.comeAndGo(Action{Verb: Pause, Server: s, Node: -1, X: 1}) })
+}
+
+func (x *expansion) comeAndGo(a Action) {
+	every := x.Every.In(x.stage.Length)
+	if every <= 0 {
+		x.onOff(a, 0)
+		return
+	}
+	length := x.Length.In(x.stage.Length)
+	if length <= 0 {
+		length = every / 2
+	}
+	if length >= every {
+		x.fail("length", "what comes and goes must be gone for a while: length is not under every")
+		return
+	}
+	for at := x.at + time.Duration(x.rng.Float64()*float64(every)); at < x.end; {
+		on, off := a, a
+		on.At, off.At, off.X = at, min(at+length, x.end), 0
+		x.add(on)
+		x.add(off)
+		at += time.Duration((0.7 + 0.6*x.rng.Float64()) * float64(every))
+	}
+}
+
+func (x *expansion) flush() {
+	x.servers(func(s string) { x.add(Action{At: x.at, Verb: Void, Server: s, Node: -1, X: x.Part}) })
+}
+
+// drain takes servers out of service: draining for the stated time, then gone.
+func (x *expansion) drain() { x.servers(func(s string) { x.drainOne(s, x.at) }) }
+
+func (x *expansion) drainOne(s string, at time.Duration) {
+	x.add(Action{At: at, Verb: Drain, Server: s, Node: -1})
+	if x.For.Set {
+		gone := at + x.For.In(x.stage.Length)
+		if x.Kind == "deploy" || x.Kind == "shrink" {
+			gone = at + x.Length.In(x.stage.Length)
+		}
+		x.add(Action{At: gone, Verb: Leave, Server: s, Node: -1})
+		x.add(Action{At: gone + 1, Verb: Die, Server: s, Node: -1})
+	}
+}
+
+// deploy replaces servers one after the other, each by one under a new id at its place.
+func (x *expansion) deploy() {
+	list := x.chosen()
+	batch := max(1, x.Count)
+	if len(x.Servers) == 0 && x.Share == 0 {
+		list = x.stage.Servers // Count is the batch
+	}
+	step := (x.end - x.at) / time.Duration((len(list)+batch-1)/batch)
+	if x.Length.In(x.stage.Length) <= 0 {
+		x.fail("length", "deploy wants to know how long each server drains")
+		return
+	}
+	for i, s := range list {
+		at := x.at + time.Duration(i/batch)*step
+		x.drainOne(s, at)
+		x.add(Action{At: at + x.Length.In(x.stage.Length) + 2, Verb: Rise, Server: s, Node: -1, X: x.cold(), Text: x.newName(s)})
+	}
+}
+
+// shrink takes servers out one after the other.
+func (x *expansion) shrink() {
+	list := x.chosen()
+	if len(list) >= len(x.stage.Servers) {
+		x.fail("share", "no server would be left")
+		return
+	}
+	if x.Length.In(x.stage.Length) <= 0 {
+		x.fail("length", "shrink wants to know how long each server drains")
+		return
+	}
+	for i, s := range list {
+		x.drainOne(s, x.at+time.Duration(i)*(x.end-x.at)/time.Duration(len(list)))
+	}
+}
+
+// grow starts servers of new names, over the stated time.
+func (x *expansion) grow() {
+	n := max(1, x.Count)
+	if x.Share > 0 {
+		n = max(1, int(x.Share*float64(len(x.stage.Servers))+0.5))
+	}
+	span := time.Duration(0)
+	if x.For.Set {
+		span = x.end - x.at
+	}
+	for i := range n {
+		name := x.newName(fmt.Sprintf("g%d", i+1))
+		x.add(Action{At: x.at + time.Duration(i)*span/time.Duration(n), Verb: Join, Server: name, Node: -1, X: x.cold()})
+	}
+}
+
+// nodeEnds ends nodes, which come back after the stated time.
+func (x *expansion) nodeEnds() {
+	verb := NodeKill
+	if x.Kind == "node_term" {
+		verb = NodeTerm
+	}
+	x.nodes(func(n int) {
+		x.add(Action{At: x.at, Verb: verb, Node: n})
+		if x.For.Set {
+			x.add(Action{At: x.end, Verb: NodeStart, Node: n})
+		}
+	})
+}
+
+func (x *expansion) nodeHup() {
+	x.nodes(func(n int) { x.add(Action{At: x.at, Verb: NodeHup, Node: n}) })
+}
+
+func (x *expansion) rude() {
+	x.onOff(Action{Verb: Rude, Node: -1, X: float64(max(1, x.Count))}, 0)
+}
+
+// shape turns a trouble of the load into a shape of the arrivals.
+func (x *expansion) shape(k world.ShapeKind) {
+	s := world.Shape{Kind: k, From: x.at, To: x.end, Size: x.Part, Count: max(1, x.Count)}
+	switch k {
+	case world.Surge:
+		s.Size = x.Factor
+	case world.HotTenant:
+		if s.Who = slices.Index(x.stage.Tenants, x.Tenant); s.Who < 0 {
+			x.fail("tenant", fmt.Sprintf("unknown tenant %q", x.Tenant))
+		}
+	case world.HotNode:
+		if len(x.Nodes) != 1 {
+			x.fail("nodes", "hot_node wants one node")
+			return
+		}
+		s.Who = x.Nodes[0] - 1
+	}
+	x.line.Shapes = append(x.line.Shapes, s)
+}
--- /dev/null
+++ b/lab/judge/rules.go
@@ -0,0 +1,386 @@
+package judge
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/world"
+)
+
+// end is when a try had its final answer, or its client had gone; 0 where neither was.
+func end(t *seen.Try) time.Duration {
+	switch {
+	case t.Answer != seen.None:
+		return t.At
+	case t.Left > 0:
+		return t.Left
+	}
+	return t.Ended
+}
+
+// taken reports whether the node had the request: its last byte was written to a connection that a live node accepted.
+func taken(t *seen.Try) bool { return t.Sent > 0 && !t.Nowhere }
+
+// excused reports whether a try without an answer is the client's own doing or died with a node that was killed.
+func (c *court) excused(t *seen.Try) bool {
+	if t.Left > 0 {
+		return true
+	}
+	l := c.life(t.Node, t.Life)
+	return l.Killed && l.End > 0 && t.Sent <= l.End+c.rules.Tolerance || c.frozen(l, t)
+}
+
+// frozen reports whether a try's node was stopped by the plan while it should have answered.
+func (c *court) frozen(l *seen.Life, t *seen.Try) bool {
+	return slices.ContainsFunc(l.Frozen, func(f [2]time.Duration) bool {
+		return t.Until > f[0] && (f[1] == 0 || t.Sent < f[1]+c.rules.Tolerance)
+	})
+}
+
+// oneAnswer is rule 1.
+func (c *court) oneAnswer(t *seen.Try) {
+	r := &c.rules
+	if t.Extra != "" {
+		c.breach(OneAnswer, Twice, t.At, t, "", "beyond its answer came %q", t.Extra)
+	}
+	limit := t.Until + r.AnswerSlack + r.Tolerance
+	switch {
+	case !taken(t):
+	case t.Answer == seen.None && t.Cut && c.servedBy(t):
+		// What the node has begun to pass on and can't finish has failed, and its client can tell.
+	case t.Answer == seen.None && !c.excused(t) && t.Ended > 0:
+		c.breach(OneAnswer, Lost, t.Ended, t, "", "its connection ended without a whole answer")
+	case t.Answer == seen.None && !c.excused(t):
+		c.breach(OneAnswer, Lost, limit, t, "", "no answer until %v after its deadline", limit-t.Until)
+	case t.Answer != seen.None && t.At > limit && !c.frozen(c.life(t.Node, t.Life), t):
+		c.breach(OneAnswer, Late, t.At, t, "", "answered %v after its deadline", t.At-t.Until)
+	}
+	if t.Answer == seen.Served && !c.made(t) {
+		c.breach(OneAnswer, WrongValue, t.At, t, t.Server, "served with what no server had made for this request: %q", t.Line)
+	}
+	if over := end(t); over > 0 {
+		for _, a := range c.attempts[t.ID] {
+			if a.First > over+r.Tolerance {
+				c.breach(OneAnswer, SentAfterEnd, a.First, t, a.Server, "an attempt began %v after the request was over", a.First-over)
+			}
+		}
+	}
+}
+
+// servedBy reports whether a server had answered the request with a value or a receipt.
+func (c *court) servedBy(t *seen.Try) bool {
+	return slices.ContainsFunc(c.attempts[t.ID], func(a *seen.Attempt) bool {
+		return a.Said == seen.Value || a.Said == seen.Receipt || a.Said == seen.Spoilt
+	})
+}
+
+// made reports whether a server made what the request was served with, for this request.
+func (c *court) made(t *seen.Try) bool {
+	return slices.ContainsFunc(c.attempts[t.ID], func(a *seen.Attempt) bool {
+		if t.Write {
+			return a.Said == seen.Receipt && a.Receipt == t.Receipt
+		}
+		return a.Said == seen.Value && t.Right && a.Server == t.Server && a.Version == t.Version
+	})
+}
+
+// strangers finds what servers were sent that no client had asked for in this form.
+func (c *court) strangers() {
+	for _, m := range c.rec.Strange {
+		c.breach(OneAnswer, Altered, m.At, nil, "", "%s", m.Text)
+	}
+	for _, a := range c.rec.Attempts {
+		t := c.tries[a.Request]
+		switch {
+		case t == nil:
+			c.breach(OneAnswer, Altered, a.First, nil, a.Server, "a server was sent the request %q, which no client had asked", a.Request)
+		case a.Last > 0 && (a.Key != t.Key || a.Class != t.Class || a.Idem != t.Idem || a.Write != t.Write || a.Value != t.Value):
+			c.breach(OneAnswer, Altered, a.First, t, a.Server, "key, class, idempotency key or value are not the client's")
+		}
+	}
+}
+
+// noDouble is rule 2, as far as attempts and refusals tell; effects tells the rest.
+func (c *court) noDouble(t *seen.Try) {
+	r, class := &c.rules, c.classes[t.Class]
+	if class == nil {
+		return
+	}
+	list := c.attempts[t.ID]
+	for j, b := range list {
+		for _, a := range list[:j] {
+			c.pair(t, class, a, b)
+		}
+	}
+	if t.Answer != seen.Refused || class.Effect == world.Safe || class.Effect == world.Keyed && class.Scope == world.ScopeAll {
+		return
+	}
+	for _, a := range list {
+		if a.MayHaveRun() && a.Last <= t.At+r.Tolerance {
+			c.breach(NoDouble, FalseRefusal, t.At, t, a.Server, "refused, which promises that trying again is harmless, though an attempt may have run")
+			return
+		}
+	}
+}
+
+// pair looks at a further attempt b behind an earlier one, a, of one request.
+func (c *court) pair(t *seen.Try, class *world.Class, a, b *seen.Attempt) {
+	r := &c.rules
+	if over := a.Ended(); a.Last > 0 && b.Last > 0 && !a.Blind && !r.Parallel && (over == 0 || over > b.Last+r.Tolerance) {
+		c.breach(NoDouble, AtOnce, b.Last, t, b.Server, "an attempt came while that at %s was out on an open connection", a.Server)
+	}
+	// What had not been answered when b began may have run, as far as the node could know.
+	unsure := a.Last > 0 && (a.MayHaveRun() || a.Answered > b.First+r.Tolerance)
+	if !unsure || b.Last == 0 {
+		return
+	}
+	switch class.Effect {
+	case world.Unsafe:
+		c.breach(NoDouble, MayRepeat, b.Last, t, b.Server, "sent again though the attempt at %s, which ended with %v, may have run", a.Server, a.Said)
+	case world.Keyed:
+		if b.First > a.First+class.Window+r.Tolerance {
+			c.breach(NoDouble, PastWindow, b.First, t, b.Server, "a keyed repeat %v after the first attempt that may have run; the window is %v",
+				b.First-a.First, class.Window)
+		}
+		if x, y := r.Members[a.Server], r.Members[b.Server]; class.Scope != world.ScopeAll && (x.Zone != y.Zone || class.Scope == world.ScopeCell && x.Cell != y.Cell) {
+			c.breach(NoDouble, PastWindow, b.First, t, b.Server, "a keyed repeat at a server that does not share %s's memory of repeats", a.Server)
+		}
+	}
+}
+
+// effects finds wishes that took effect twice, all tries of their clients together. A client repeats only what its class
+// allows, so the second effect is a node's.
+func (c *court) effects() {
+	first := map[int]seen.Effect{}
+	for _, e := range c.rec.Effects {
+		t := c.tries[e.Request]
+		if t == nil {
+			continue // told by strangers
+		}
+		if f, again := first[t.Arrival]; again {
+			c.breach(NoDouble, Doubled, e.At, t, "", "took effect with receipt %s and again with %s, %v later", f.Receipt, e.Receipt, e.At-f.At)
+			continue
+		}
+		first[t.Arrival] = e
+	}
+}
+
+// phases is what a node has been told of one server: when it learned that nothing new may go there, and when that ended.
+type phases struct {
+	from, to time.Duration // to is 0 while it lasts
+	started  time.Duration // of the process
+}
+
+// drains is rule 3.
+func (c *court) drains() {
+	barred := map[[2]int]map[string][]phases{}
+	for _, l := range c.rec.Lives {
+		barred[[2]int{l.Node, l.Life}] = c.learned(l)
+	}
+	for _, a := range c.rec.Attempts {
+		t := c.tries[a.Request]
+		if t == nil || a.Origin {
+			continue
+		}
+		for _, p := range barred[[2]int{t.Node, t.Life}][a.Server] {
+			limit := p.from + c.rules.DrainGrace + c.rules.Tolerance
+			if a.First > limit && (p.to == 0 || a.First < p.to) {
+				c.breach(Drains, ToDraining, a.First, t, a.Server, "a new attempt %v after the node was told that the server drains or is gone",
+					a.First-p.from)
+			}
+		}
+	}
+}
+
+// learned follows what a node's process was told, by server.
+func (c *court) learned(l *seen.Life) map[string][]phases {
+	out := map[string][]phases{}
+	phase := map[string]world.Phase{}
+	set := func(id string, p world.Phase, at time.Duration) {
+		was, known := phase[id]
+		phase[id] = p
+		list := out[id]
+		switch {
+		case p != world.Serving && (!known || was == world.Serving):
+			out[id] = append(list, phases{from: at})
+		case p == world.Serving && known && was != world.Serving:
+			list[len(list)-1].to = at
+		}
+	}
+	for _, m := range l.Known {
+		set(m.ID, m.Phase, l.Start)
+	}
+	for _, n := range c.rec.Told {
+		if n.Node != l.Node || n.Life != l.Life {
+			continue
+		}
+		named := map[string]bool{}
+		for _, m := range n.Members {
+			named[m.ID] = true
+			set(m.ID, m.Phase, n.At)
+		}
+		if !n.Whole {
+			continue
+		}
+		for _, id := range sorted(phase) {
+			if !named[id] && phase[id] != world.Deleted {
+				set(id, world.Deleted, n.At)
+			}
+		}
+	}
+	return out
+}
+
+func sorted[V any](m map[string]V) []string {
+	var all []string
+	for k := range m {
+		all = append(all, k)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// started is when a node's process was told of a server's start, and whether it was.
+func (c *court) started(l *seen.Life, id string, start time.Duration) (time.Duration, bool) {
+	for _, m := range l.Known {
+		if m.ID == id && m.Started >= start {
+			return l.Start, true
+		}
+	}
+	for _, n := range c.rec.Told {
+		if n.Node != l.Node || n.Life != l.Life {
+			continue
+		}
+		for _, m := range n.Members {
+			if m.ID == id && m.Started >= start {
+				return n.At, true
+			}
+		}
+	}
+	return 0, false
+}
+
+// cold is rule 4 for servers: all that reaches a cold one within any window stays under the multiple of what it can do,
+// unless most of it came from nodes that had not been told of its start.
+func (c *court) cold() {
+	r := &c.rules
+	if r.FallMultiple <= 0 {
+		return
+	}
+	byServer := map[string][]*seen.Attempt{}
+	for _, a := range c.rec.Attempts {
+		if a.Last > 0 && !a.Origin {
+			byServer[a.Server] = append(byServer[a.Server], a)
+		}
+	}
+	for i, s := range c.rec.Starts {
+		if !s.Cold {
+			continue
+		}
+		until := s.At + r.WarmUp
+		for _, later := range c.rec.Starts[i+1:] {
+			if later.Server == s.Server {
+				until = min(until, later.At)
+			}
+		}
+		list := slices.DeleteFunc(slices.Clone(byServer[s.Server]), func(a *seen.Attempt) bool { return a.Last < s.At || a.Last >= until })
+		slices.SortFunc(list, func(a, b *seen.Attempt) int { return cmp.Compare(a.Last, b.Last) })
+		told := map[[2]int]time.Duration{}
+		b := world.Budget{Multiple: r.FallMultiple, Span: r.FallWindow}
+		for _, a := range list {
+			t := c.tries[a.Request]
+			knows := false
+			if t != nil {
+				k := [2]int{t.Node, t.Life}
+				at, ok := told[k]
+				if !ok {
+					at = 1 << 62
+					if x, was := c.started(c.life(t.Node, t.Life), s.Server, s.At); was {
+						at = x
+					}
+					told[k] = at
+				}
+				knows = a.First >= at
+			}
+			b.Slack = max(b.Slack, 2*a.Work)
+			if spent, marked := b.Add(a.Last, a.Work, a.Capacity, knows); spent && marked >= 2.0/3 {
+				c.breach(Cold, PushedOver, a.Last, t, s.Server,
+					"a server that started %v before, at %.2f of %.2f seconds of work a second, got over %g times that for %v, %.0f%% of it from nodes that had been told",
+					a.Last-s.At, a.Capacity, s.Capacity, r.FallMultiple, r.FallWindow, 100*marked)
+				break
+			}
+		}
+	}
+}
+
+// originStops is rule 4 for the origin: a stop counts as broken when misses at cold servers were over 30% of what it had
+// been sent, and over 1.25 times the reads that were due to those servers with their weights cut by the warm-up.
+func (c *court) originStops() {
+	r := &c.rules
+	for _, stop := range c.rec.Stops {
+		sent, cold, reads, due := 0, 0, 0, 0.0
+		for _, a := range c.rec.Attempts {
+			if a.Last <= 0 || a.Last > stop.At || a.Last <= stop.At-r.OriginFor {
+				continue
+			}
+			if !a.Origin {
+				if !a.Write {
+					reads++
+				}
+				continue
+			}
+			sent++
+			if slices.ContainsFunc(c.attempts[a.Request], func(x *seen.Attempt) bool { return x.Cold && x.Said == seen.Absent && x.First < a.First }) {
+				cold++
+			}
+		}
+		due = float64(reads) * c.dueToCold(stop.At)
+		if sent > 0 && float64(cold) > 0.3*float64(sent) && float64(cold) > 1.25*due {
+			c.breach(Cold, OriginStop, stop.At, nil, "", "of %d requests in %v, %d were misses at cold servers, to which %.0f reads were due",
+				sent, r.OriginFor, cold, due)
+		}
+	}
+}
+
+// dueToCold is the part of the reads that is due to the servers that are cold at a time, by weights cut by the warm-up.
+func (c *court) dueToCold(at time.Duration) float64 {
+	r := &c.rules
+	last := map[string]seen.Start{}
+	for _, s := range c.rec.Starts {
+		if s.At <= at {
+			last[s.Server] = s
+		}
+	}
+	all, cold := 0.0, 0.0
+	for _, id := range sorted(last) {
+		s := last[id]
+		w := r.Members[id].Weight
+		if w <= 0 {
+			w = 1
+		}
+		if s.Cold && at-s.At < r.WarmUp {
+			w *= r.ColdFrom + (1-r.ColdFrom)*float64(at-s.At)/float64(r.WarmUp)
+			cold += w
+		}
+		all += w
+	}
+	if all == 0 {
+		return 0
+	}
+	return cold / all
+}
+
+// Summary is a breach as one line.
+func (b Breach) Summary() string {
+	parts := []string{b.Rule, b.What}
+	if b.Request != "" {
+		parts = append(parts, "request "+b.Request)
+	}
+	if b.Server != "" {
+		parts = append(parts, "server "+b.Server)
+	}
+	return strings.Join(parts, " ") + " at " + b.At.Round(time.Millisecond).String() + ": " + b.Why
+}
--- /dev/null
+++ b/lab/load/load.go
@@ -0,0 +1,545 @@
+// Package load plays clients: open loop, many at once from one process. Each wish has its time in the plan and is sent
+// then, whatever has become of those before it; times are counted from when it was due, so that a node that stalls cannot
+// hide what it kept waiting. How late the load itself was is measured, for a run in which it was late says nothing.
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/standin"
+	"lapisshelf/lab/world"
+)
+
+const (
+	dialFor  = time.Second            // how long a client waits for a connection
+	tellFor  = 250 * time.Millisecond // how long after its deadline a client still listens, to see what comes
+	noticed  = 2 * time.Second        // after which the front deals nothing more to a node that refuses connections
+	mostIdle = 4096                   // connections kept for each node
+)
+
+// Options describe the clients.
+type Options struct {
+	Log     *seen.Log
+	Seed    uint64
+	Spec    world.ClientSpec
+	Classes []world.Class
+	Tenants []world.Tenant
+	Nodes   []string           // their addresses
+	Life    func(node int) int // which process of a node is running
+	Values  int                // bytes of memory for values of writes at most; 0: any
+}
+
+// Load is the clients of a run.
+type Load struct {
+	opt   Options
+	nodes []*front
+	open  sync.WaitGroup
+	sent  atomic.Int64
+
+	mu   sync.Mutex
+	late *hdrhistogram.Histogram // of sends behind their plan, in microseconds
+
+	rude *rudeClients
+}
+
+// front is what deals out connections to one node.
+type front struct {
+	load *Load
+	n    int
+	addr string
+	mu   sync.Mutex
+	idle []*conn
+	all  map[*conn]bool
+	down time.Duration // since when it refuses; 0: it does not
+}
+
+// New makes the clients.
+func New(opt Options) *Load {
+	l := &Load{opt: opt, late: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+	for i, addr := range opt.Nodes {
+		l.nodes = append(l.nodes, &front{load: l, n: i, addr: addr, all: map[*conn]bool{}})
+	}
+	l.rude = &rudeClients{load: l}
+	return l
+}
+
+// Late is how late wishes were sent behind their plan, in microseconds.
+func (l *Load) Late() *hdrhistogram.Histogram { return l.late }
+
+// Sent is how many tries have been made so far.
+func (l *Load) Sent() int64 { return l.sent.Load() }
+
+// Rude sets how many clients send nonsense.
+func (l *Load) Rude(count int) { l.rude.set(count) }
+
+// Run sends the plan, which begins at the time given on the log's clock, and waits until all is answered or given up.
+func (l *Load) Run(ctx context.Context, begin time.Duration, arrivals []world.Arrival) {
+	for i := range arrivals {
+		a := &arrivals[i]
+		due := begin + a.At
+		if wait := due - l.opt.Log.Now(); wait > 0 {
+			if !sleep(ctx, wait) {
+				break
+			}
+		} else if ctx.Err() != nil {
+			break
+		}
+		l.first(a, due)
+	}
+	done := make(chan struct{})
+	go func() {
+		l.open.Wait()
+		close(done)
+	}()
+	<-done
+	l.rude.set(0)
+	l.rude.wait.Wait()
+	for _, f := range l.nodes {
+		f.close()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// try is one try under way.
+type try struct {
+	load  *Load
+	a     *world.Arrival
+	begin time.Duration // when the wish was due
+	t     *seen.Try
+	text  []byte
+	conn  atomic.Pointer[conn]
+	timer *time.Timer
+	leave *time.Timer
+	over  bool
+}
+
+// first sends a wish's first try.
+func (l *Load) first(a *world.Arrival, due time.Duration) {
+	l.open.Add(1)
+	l.begin(a, due, due, 0, a.Node)
+}
+
+// begin makes a try that is due at a time.
+func (l *Load) begin(a *world.Arrival, wish, due time.Duration, n, node int) {
+	class := &l.opt.Classes[a.Class]
+	now := l.opt.Log.Now()
+	until := min(max(now, due)+a.Patience, wish+class.Deadline)
+	ms := (until - max(now, due)) / time.Millisecond
+	if ms < 1 {
+		l.open.Done()
+		return
+	}
+	node = l.deal(node)
+	t := &seen.Try{ID: a.ID(l.opt.Seed, n), Arrival: a.N, N: n, Class: class.Name, Key: a.Key, Idem: a.Idem, Write: class.Write,
+		Node: node, Life: l.opt.Life(node), Planned: due, Until: until}
+	info := "c=" + class.Name
+	if a.Tenant >= 0 {
+		t.Tenant = l.opt.Tenants[a.Tenant].Name
+		info += ",t=" + t.Tenant
+	}
+	info += ",d=" + strconv.FormatInt(int64(ms), 10)
+	if a.Idem != "" {
+		info += ",k=" + a.Idem
+	}
+	if n > 0 && l.opt.Spec.MarksRetry {
+		info += ",r=1"
+	}
+	x := &try{load: l, a: a, begin: wish, t: t}
+	if class.Write {
+		value := standin.Value(a.Key, int64(a.N), "write", "client", a.Size)
+		t.Value = standin.Digest(value)
+		x.text = fmt.Appendf(nil, "ms %s %d O%s P%s\r\n%s\r\n", a.Key, len(value), t.ID, info, value)
+	} else {
+		x.text = fmt.Appendf(nil, "mg %s v O%s P%s\r\n", a.Key, t.ID, info)
+	}
+	l.opt.Log.Do(func(r *seen.Record) { r.Tries = append(r.Tries, t) })
+	l.sent.Add(1)
+	if n == 0 {
+		l.mu.Lock()
+		l.late.RecordValue(max(0, int64((now-due)/time.Microsecond)))
+		l.mu.Unlock()
+	}
+	x.timer = time.AfterFunc(until+tellFor-now, x.giveUp)
+	if a.Leave > 0 && n == 0 {
+		x.leave = time.AfterFunc(due+a.Leave-now, x.goAway)
+	}
+	f := l.nodes[node]
+	if c := f.take(); c != nil {
+		c.send(x)
+		return
+	}
+	go f.dial(x)
+}
+
+// deal is the node that the front sends a client to: another where the wanted one has refused for a while.
+func (l *Load) deal(node int) int {
+	now := l.opt.Log.Now()
+	for i := range l.nodes {
+		f := l.nodes[(node+i)%len(l.nodes)]
+		f.mu.Lock()
+		down := f.down
+		f.mu.Unlock()
+		if down == 0 || now-down < noticed {
+			return f.n
+		}
+	}
+	return node
+}
+
+// take gives an idle connection, the one used last.
+func (f *front) take() *conn {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.idle); n > 0 {
+		c := f.idle[n-1]
+		f.idle = f.idle[:n-1]
+		return c
+	}
+	return nil
+}
+
+// dial opens a connection and sends a try on it.
+func (f *front) dial(x *try) {
+	c, err := net.DialTimeout("tcp", f.addr, min(dialFor, max(time.Millisecond, x.t.Until-f.load.opt.Log.Now())))
+	now := f.load.opt.Log.Now()
+	f.mu.Lock()
+	switch {
+	case err == nil:
+		f.down = 0
+	case f.down == 0:
+		f.down = now
+		go f.ask()
+	}
+	f.mu.Unlock()
+	if err != nil {
+		x.end(func(t *seen.Try) { t.Nowhere = true })
+		return
+	}
+	k := &conn{front: f, net: c, in: bufio.NewReaderSize(c, 8<<10)}
+	f.mu.Lock()
+	f.all[k] = true
+	f.mu.Unlock()
+	k.send(x)
+	k.read()
+}
+
+// ask looks whether a node that refused connections is back.
+func (f *front) ask() {
+	for range 1200 {
+		time.Sleep(50 * time.Millisecond)
+		f.mu.Lock()
+		up := f.down == 0
+		f.mu.Unlock()
+		if up || ready(f.addr) {
+			f.mu.Lock()
+			f.down = 0
+			f.mu.Unlock()
+			return
+		}
+	}
+}
+
+// ready reports whether a node answers mn with MN.
+func ready(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, 200*time.Millisecond)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(300 * time.Millisecond))
+	io.WriteString(c, "mn\r\n")
+	line, err := bufio.NewReader(c).ReadString('\n')
+	return err == nil && line == "MN\r\n"
+}
+
+// Ready reports whether the node at an address answers mn with MN.
+func Ready(addr string) bool { return ready(addr) }
+
+func (f *front) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.all {
+		c.net.Close()
+	}
+}
+
+// conn is a client's connection: one request at a time.
+type conn struct {
+	front *front
+	net   net.Conn
+	in    *bufio.Reader
+
+	mu   sync.Mutex
+	cur  *try
+	last *try // whose answer came last
+	used int  // requests that were answered on it
+	gone bool
+}
+
+// send writes a try's request.
+func (c *conn) send(x *try) {
+	c.mu.Lock()
+	if c.gone {
+		c.mu.Unlock()
+		x.again()
+		return
+	}
+	c.cur = x
+	x.conn.Store(c)
+	c.mu.Unlock()
+	c.net.SetWriteDeadline(time.Now().Add(3 * time.Second))
+	_, err := c.net.Write(x.text)
+	now := x.load.opt.Log.Now()
+	x.load.opt.Log.Do(func(*seen.Record) {
+		if err == nil {
+			x.t.Sent = now
+		}
+	})
+	if err != nil {
+		c.lost()
+	}
+}
+
+// read takes answers for the connection's life.
+func (c *conn) read() {
+	for {
+		line, err := c.in.ReadString('\n')
+		if err != nil {
+			c.end(line)
+			return
+		}
+		line = strings.TrimRight(line, "\r\n")
+		var value []byte
+		words := strings.Fields(line)
+		if len(words) > 1 && words[0] == "VA" {
+			n, bad := strconv.Atoi(words[1])
+			if bad != nil || n < 0 || n > 256<<20 {
+				c.end(line)
+				return
+			}
+			value = make([]byte, n+2)
+			if _, err := io.ReadFull(c.in, value); err != nil {
+				c.end(line)
+				return
+			}
+			value = value[:n]
+		}
+		now := c.front.load.opt.Log.Now()
+		c.mu.Lock()
+		x := c.cur
+		if x == nil { // beyond the one answer
+			last := c.last
+			c.mu.Unlock()
+			if last != nil {
+				last.extra(line)
+			}
+			c.net.Close()
+			continue
+		}
+		c.cur, c.last = nil, x
+		c.used++
+		c.mu.Unlock()
+		c.front.put(c)
+		x.answered(now, line, words, value)
+	}
+}
+
+// put keeps a connection for the next try.
+func (f *front) put(c *conn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.idle) < mostIdle {
+		f.idle = append(f.idle, c)
+	}
+}
+
+// lost gives the connection up after a write that failed.
+func (c *conn) lost() { c.net.Close() }
+
+// end notes that the connection is over, with a part of an answer or none.
+func (c *conn) end(part string) {
+	c.net.Close()
+	f := c.front
+	f.mu.Lock()
+	delete(f.all, c)
+	for i, x := range f.idle {
+		if x == c {
+			f.idle = append(f.idle[:i], f.idle[i+1:]...)
+			break
+		}
+	}
+	f.mu.Unlock()
+	c.mu.Lock()
+	c.gone = true
+	x, used := c.cur, c.used
+	c.cur = nil
+	c.mu.Unlock()
+	if x == nil {
+		return
+	}
+	// A node may close a connection between requests; a request that crosses that goes out once more on a new one.
+	if part == "" && used > 0 && !x.t.Unread {
+		x.again()
+		return
+	}
+	now := f.load.opt.Log.Now()
+	x.end(func(t *seen.Try) { t.Ended, t.Cut, t.Line = now, part != "", part })
+}
+
+// again sends a request that nobody has read once more, on a connection of its own.
+func (x *try) again() {
+	over := false
+	x.load.opt.Log.Do(func(*seen.Record) {
+		if over = x.over; !over {
+			x.t.Unread, x.t.Sent = true, 0
+		}
+	})
+	if over {
+		return
+	}
+	go x.load.nodes[x.t.Node].dial(x)
+}
+
+// extra notes what came beyond the answer.
+func (x *try) extra(line string) {
+	x.load.opt.Log.Do(func(*seen.Record) { x.t.Extra = line })
+}
+
+// answered takes a whole answer.
+func (x *try) answered(now time.Duration, line string, words []string, value []byte) {
+	x.end(func(t *seen.Try) {
+		t.At, t.Line, t.Answer = now, line, seen.Failed
+		id := ""
+		for _, w := range words[min(1, len(words)):] {
+			switch w[0] {
+			case 'O':
+				id = w[1:]
+			case 'c':
+				t.Receipt = w[1:]
+			}
+		}
+		switch {
+		case len(words) == 0:
+		case words[0] == "VA":
+			t.Answer = seen.Served
+			key, version, request, server, right := standin.ReadValue(value)
+			t.Server, t.Version = server, version
+			t.Right = right && id == t.ID && request == t.ID && key == t.Key
+		case words[0] == "HD":
+			t.Answer = seen.Served
+			if id != t.ID {
+				t.Receipt = ""
+			}
+		case len(words) >= 2 && words[0] == "SERVER_ERROR" && words[1] == "busy":
+			t.Answer = seen.Refused
+			if len(words) > 2 {
+				ms, _ := strconv.Atoi(words[2])
+				t.ComeBack = time.Duration(ms) * time.Millisecond
+			}
+		}
+	})
+}
+
+// giveUp is the client that has waited long enough.
+func (x *try) giveUp() {
+	x.end(func(*seen.Try) {})
+	x.hangUp()
+}
+
+// goAway is the client that leaves before its time is up.
+func (x *try) goAway() {
+	now := x.load.opt.Log.Now()
+	x.end(func(t *seen.Try) { t.Left = now })
+	x.hangUp()
+}
+
+// hangUp closes the connection that the try is out on.
+func (x *try) hangUp() {
+	c := x.conn.Load()
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	mine := c.cur == x
+	if mine {
+		c.cur = nil
+		c.gone = true
+	}
+	c.mu.Unlock()
+	if mine {
+		c.net.Close()
+	}
+}
+
+// end ends a try, once, and begins the client's next where there is to be one.
+func (x *try) end(change func(t *seen.Try)) {
+	l := x.load
+	ended, again := false, false
+	var wait time.Duration
+	l.opt.Log.Do(func(*seen.Record) {
+		if x.over {
+			return
+		}
+		x.over, ended = true, true
+		change(x.t)
+		again, wait = x.next()
+	})
+	if !ended {
+		return
+	}
+	x.timer.Stop()
+	if x.leave != nil {
+		x.leave.Stop()
+	}
+	if !again {
+		l.open.Done()
+		return
+	}
+	node := x.t.Node
+	if x.t.Nowhere {
+		node = (node + 1) % len(l.nodes)
+	}
+	due := l.opt.Log.Now() + wait
+	time.AfterFunc(wait, func() { l.begin(x.a, x.begin, due, x.t.N+1, node) })
+}
+
+// next says whether the client tries again, and after how long: safe requests after any failure, keyed ones whose repeats
+// all servers drop within their window, others only if the last try provably never ran.
+func (x *try) next() (bool, time.Duration) {
+	t, class := x.t, &x.load.opt.Classes[x.a.Class]
+	if t.Answer == seen.Served || t.Left > 0 || t.N+1 >= x.a.Tries {
+		return false, 0
+	}
+	wait := max(x.load.opt.Spec.Pause, t.ComeBack)
+	now := x.load.opt.Log.Now()
+	harmless := t.Answer == seen.Refused || t.Nowhere
+	switch class.Effect {
+	case world.Keyed:
+		harmless = harmless || class.Scope == world.ScopeAll && now+wait < x.begin+class.Window
+	case world.Safe:
+		harmless = true
+	}
+	return harmless && now+wait+5*time.Millisecond < x.begin+class.Deadline, wait
+}
--- /dev/null
+++ b/lab/stage/node.go
@@ -0,0 +1,357 @@
+package stage
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lapisshelf/lab/load"
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/standin"
+	"lapisshelf/lab/world"
+)
+
+const (
+	sampleEvery = 100 * time.Millisecond
+	readyWithin = 15 * time.Second
+	killAfter   = 1500 * time.Millisecond // past the longest deadline, after SIGTERM
+)
+
+// NodeOptions describe a node's process.
+type NodeOptions struct {
+	Log      *seen.Log
+	Number   int // from 0
+	Command  string
+	Dir      string // for its files
+	Listen   string
+	List     string // the list service's address
+	MemoryMB int
+	Sockets  int
+	Seed     uint64
+	Settings map[string]any
+	Env      []string
+	Longest  time.Duration // deadline of any request
+	// Change alters the configuration before it is written; nil does not.
+	Change func(config map[string]any)
+}
+
+// Node is a balancer: one process after another at one address.
+type Node struct {
+	opt  NodeOptions
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	life *seen.Life
+	done chan struct{} // closed when the process has ended
+	n    int           // processes so far
+	path string
+	stop chan struct{}
+}
+
+// NewNode describes a node; Start begins its first process.
+func NewNode(opt NodeOptions) *Node { return &Node{opt: opt, stop: make(chan struct{})} }
+
+// Addr is where clients find it.
+func (n *Node) Addr() string { return n.opt.Listen }
+
+// LifeNumber is which process is running, or was last.
+func (n *Node) LifeNumber() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(0, n.n-1)
+}
+
+// Life is the running process's record.
+func (n *Node) Life() *seen.Life {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.life
+}
+
+// Config writes the configuration file, with the list as the node last had it.
+func (n *Node) Config(revision int64, members []world.Member) error {
+	config := map[string]any{"name": fmt.Sprintf("n%d", n.opt.Number+1), "listen": n.opt.Listen, "discovery": n.opt.List,
+		"seed":     fmt.Sprintf("%016x", n.opt.Seed+uint64(n.n)),
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": n.opt.MemoryMB, "sockets": n.opt.Sockets},
+		"known":    standin.Wire(n.opt.Log.Zero(), revision, true, members),
+		"settings": n.opt.Settings}
+	if n.opt.Change != nil {
+		n.opt.Change(config)
+	}
+	text, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	n.path = filepath.Join(n.opt.Dir, fmt.Sprintf("node%d.json", n.opt.Number+1))
+	if err := os.WriteFile(n.path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(n.path+".new", n.path)
+}
+
+// Start begins a process.
+func (n *Node) Start(revision int64, members []world.Member) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd != nil {
+		return errors.New("the node is running")
+	}
+	if err := n.Config(revision, members); err != nil {
+		return err
+	}
+	logPath := filepath.Join(n.opt.Dir, fmt.Sprintf("node%d.%d.log", n.opt.Number+1, n.n))
+	out, err := os.Create(logPath)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	// As the platform does it: by the shell, with no descriptors but the standard ones; it dies with the lab.
+	cmd := exec.Command("/bin/sh", "-c", "exec "+n.opt.Command)
+	cmd.Env = append(append(os.Environ(), "EDGE_CONFIG="+n.path), n.opt.Env...)
+	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	limit := unix.Rlimit{Cur: uint64(n.opt.Sockets), Max: uint64(n.opt.Sockets)}
+	if err := unix.Prlimit(cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil); err != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+		return fmt.Errorf("limit of descriptors: %w", err)
+	}
+	life := &seen.Life{Node: n.opt.Number, Life: n.n, Start: n.opt.Log.Now(), Known: members, Log: logPath}
+	n.opt.Log.Do(func(r *seen.Record) { r.Lives = append(r.Lives, life) })
+	n.n++
+	n.cmd, n.life, n.done = cmd, life, make(chan struct{})
+	go n.watch(cmd, life, n.done)
+	go n.awaitReady(life, n.done)
+	return nil
+}
+
+// watch samples what a process uses, ends one that uses more memory than it may, and notes its end.
+func (n *Node) watch(cmd *exec.Cmd, life *seen.Life, done chan struct{}) {
+	stopped := make(chan struct{})
+	go func() {
+		t := time.NewTicker(sampleEvery)
+		defer t.Stop()
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-t.C:
+				n.sample(cmd.Process, life)
+			}
+		}
+	}()
+	err := cmd.Wait()
+	close(stopped)
+	now := n.opt.Log.Now()
+	n.mu.Lock()
+	if n.cmd == cmd {
+		n.cmd = nil
+	}
+	n.mu.Unlock()
+	n.opt.Log.Do(func(*seen.Record) {
+		life.End = now
+		if life.Status = "exit status 0"; err != nil {
+			life.Status = err.Error()
+		}
+		life.CPU = cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
+	})
+	close(done)
+}
+
+func (n *Node) sample(p *os.Process, life *seen.Life) {
+	dir := fmt.Sprintf("/proc/%d", p.Pid)
+	status, err := os.ReadFile(dir + "/status")
+	if err != nil {
+		return
+	}
+	now, peak := int64(0), int64(0)
+	for _, line := range bytes.Split(status, []byte("\n")) {
+		f := strings.Fields(string(line))
+		if len(f) < 2 {
+			continue
+		}
+		kb, _ := strconv.ParseInt(f[1], 10, 64)
+		switch f[0] {
+		case "VmRSS:":
+			now = kb << 10
+		case "VmHWM:":
+			peak = kb << 10
+		}
+	}
+	descs := 0
+	if d, err := os.Open(dir + "/fd"); err == nil {
+		names, _ := d.Readdirnames(-1)
+		d.Close()
+		descs = len(names)
+	}
+	n.opt.Log.Do(func(*seen.Record) {
+		life.Peak, life.Descs = max(life.Peak, peak), max(life.Descs, descs)
+	})
+	if now > int64(n.opt.MemoryMB)<<20 {
+		n.opt.Log.Mark(fmt.Sprintf("node %d is ended: it uses %d MB of %d", n.opt.Number+1, now>>20, n.opt.MemoryMB))
+		p.Kill()
+	}
+}
+
+// awaitReady notes when a process answers mn with MN.
+func (n *Node) awaitReady(life *seen.Life, done chan struct{}) {
+	for !load.Ready(n.opt.Listen) {
+		select {
+		case <-done:
+			return
+		case <-n.stop:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	now := n.opt.Log.Now()
+	n.opt.Log.Do(func(*seen.Record) { life.Ready = now })
+}
+
+// Ready waits until the running process is ready.
+func (n *Node) Ready() error {
+	n.mu.Lock()
+	life, done := n.life, n.done
+	n.mu.Unlock()
+	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		ready := false
+		n.opt.Log.Do(func(*seen.Record) { ready = life.Ready > 0 })
+		if ready {
+			return nil
+		}
+		select {
+		case <-done:
+			return fmt.Errorf("node %d ended at its start (%s): %s", n.opt.Number+1, life.Status, lastLine(life.Log))
+		default:
+		}
+	}
+	return fmt.Errorf("node %d is not ready after %v: %s", n.opt.Number+1, readyWithin, lastLine(life.Log))
+}
+
+func lastLine(path string) string {
+	text, _ := os.ReadFile(path)
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// Signal sends a signal to the running process.
+func (n *Node) Signal(s syscall.Signal) {
+	n.mu.Lock()
+	cmd, life := n.cmd, n.life
+	n.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	now := n.opt.Log.Now()
+	n.opt.Log.Do(func(*seen.Record) {
+		switch s {
+		case syscall.SIGKILL:
+			life.Killed = true
+		case syscall.SIGTERM:
+			life.Term = now
+		case syscall.SIGSTOP:
+			life.Frozen = append(life.Frozen, [2]time.Duration{now})
+		case syscall.SIGCONT:
+			if i := len(life.Frozen) - 1; i >= 0 {
+				life.Frozen[i][1] = now
+			}
+		}
+	})
+	cmd.Process.Signal(s)
+}
+
+// End ends the running process as planned, by force if it does not end in time, and waits for that.
+func (n *Node) End() {
+	n.mu.Lock()
+	cmd, done := n.cmd, n.done
+	n.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	n.Signal(syscall.SIGCONT)
+	n.Signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(n.opt.Longest + killAfter):
+		cmd.Process.Kill() // its status tells
+		<-done
+	}
+}
+
+// Kill ends the running process at once.
+func (n *Node) Kill() {
+	n.Signal(syscall.SIGKILL)
+	n.mu.Lock()
+	done := n.done
+	n.mu.Unlock()
+	if done != nil {
+		<-done
+	}
+}
+
+// Text is the log of the running process, or of the last.
+func (n *Node) Text() string {
+	if n.life == nil {
+		return ""
+	}
+	text, _ := os.ReadFile(n.life.Log)
+	return string(text)
+}
+
+// Wait waits for the process's end and gives its status.
+func (n *Node) Wait(most time.Duration) (status string, ended bool) {
+	n.mu.Lock()
+	done, life := n.done, n.life
+	n.mu.Unlock()
+	select {
+	case <-done:
+		return life.Status, true
+	case <-time.After(most):
+		return "", false
+	}
+}
+
+// FreeAddr finds an address on which nothing listens, on an address of the loopback network of its own.
+func FreeAddr(ip string) (string, error) {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// counters are the figures of a log's last line of counters.
+func counters(path string) map[string]float64 {
+	text, _ := os.ReadFile(path)
+	out := map[string]float64{}
+	lines := strings.Split(string(text), "\n")
+	for i := len(lines) - 1; i >= 0; i-- {
+		_, rest, ok := strings.Cut(lines[i], "event=counters ")
+		if !ok {
+			continue
+		}
+		for _, pair := range strings.Fields(rest) {
+			name, value, _ := strings.Cut(pair, "=")
+			if v, err := strconv.ParseFloat(value, 64); err == nil {
+				out[name] = v
+			}
+		}
+		break
+	}
+	return out
+}
--- /dev/null
+++ b/lab/stage/stage.go
@@ -0,0 +1,687 @@
+// Package stage puts a whole deployment on loopback sockets: stand-ins of caches, origin and list, nodes as processes of
+// their own, clients, and the troubles of an experiment's timeline; and it gives what was seen to the judge.
+package stage
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"lapisshelf/lab/experiment"
+	"lapisshelf/lab/fault"
+	"lapisshelf/lab/judge"
+	"lapisshelf/lab/load"
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/standin"
+	"lapisshelf/lab/world"
+)
+
+// What makes a run void: the lab itself was late.
+const (
+	lateMean   = 2 * time.Millisecond  // of stand-ins, in the mean
+	lateTail   = 10 * time.Millisecond // of wishes, the 99th percentile
+	watchEvery = 5 * time.Millisecond
+)
+
+// Options say how a deployment is put up.
+type Options struct {
+	Command  string       // of the nodes
+	Dir      string       // for files; it must exist
+	Progress func(Moment) // told each second of a run; nil: nobody is
+}
+
+// Moment is how far a run has come.
+type Moment struct {
+	At       time.Duration
+	Length   time.Duration
+	Sent     int64
+	Attempts int
+	Last     string // what happened last
+}
+
+// Stage is a deployment that is up.
+type Stage struct {
+	X      *experiment.Experiment
+	Log    *seen.Log
+	Common *standin.Common
+	Nodes  []*Node
+	opt    Options
+	caches map[string]*standin.Cache // by name
+	origin *standin.Origin
+	list   *standin.List
+	load   *load.Load
+	plan   []world.Arrival
+	net    string // the first three numbers of its loopback addresses
+
+	mu     sync.Mutex
+	missed [2]map[string][]func(version, size int64) // by request, the newer generation first
+	turned time.Time
+	rules  judge.Rules
+}
+
+// Lab tells how well the lab kept up.
+type Lab struct {
+	SendP50   float64 `json:"send_late_p50_ms"` // wishes behind their plan
+	SendP99   float64 `json:"send_late_p99_ms"`
+	SendMax   float64 `json:"send_late_max_ms"`
+	StandMean float64 `json:"standin_late_mean_ms"` // stand-ins behind their models
+	StandMax  float64 `json:"standin_late_max_ms"`
+	StallMax  float64 `json:"stall_max_ms"` // the longest that the lab's process stood still
+	Void      string  `json:"void,omitempty"`
+}
+
+// Result is a run that is over.
+type Result struct {
+	Verdict *judge.Verdict
+	Record  *seen.Record
+	Lab     Lab
+	Cut     bool // it was broken off
+	Plan    int  // wishes in the plan
+}
+
+// Open puts a deployment up; when it returns without an error, all nodes are ready.
+func Open(x *experiment.Experiment, opt Options) (*Stage, error) {
+	s := &Stage{X: x, Log: seen.NewLog(), opt: opt, caches: map[string]*standin.Cache{}, rules: x.Rules(), plan: x.Plan()}
+	s.net = fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250))
+	s.Common = standin.NewCommon(s.Log, x.Seed, x.Classes)
+	s.missed = [2]map[string][]func(version, size int64){{}, {}}
+	if err := s.open(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Stage) open() error {
+	x := s.X
+	var members []world.Member
+	for i := range x.Servers {
+		v := &x.Servers[i]
+		if v.Later {
+			continue
+		}
+		c, err := s.startCache(v, v.Group.Cold)
+		if err != nil {
+			return err
+		}
+		m := v.Member
+		m.Addr = c.Addr()
+		if v.Group.Cold {
+			m.Started = s.Log.Now()
+		}
+		members = append(members, m)
+	}
+	s.warm(members)
+	if !x.Origin.None {
+		spec := x.OriginSpec()
+		var err error
+		s.origin, err = standin.NewOrigin(s.Common, standin.OriginOptions{ID: x.OriginID(), Name: "origin", Addr: s.net + "200:0",
+			Spec: &spec, Served: s.served, Wrote: s.wrote})
+		if err != nil {
+			return err
+		}
+		if x.Service.Mode == "aside" {
+			members = append(members, world.Member{ID: x.OriginID(), Addr: s.origin.Addr(), Kind: "origin", Zone: "a", Weight: 1})
+		}
+	}
+	var err error
+	s.list, err = standin.NewList(s.Common, standin.ListOptions{Addr: s.net + "201:0", Nodes: x.Nodes.Count, Delay: x.List.Delay.D(),
+		Keep: x.List.Keep, Whole: x.List.Whole, Wait: x.List.Wait.D()}, members...)
+	if err != nil {
+		return err
+	}
+	var addrs []string
+	if x.Nodes.Direct {
+		for i := range x.Nodes.Count {
+			addrs = append(addrs, s.caches[x.Servers[i%len(x.Servers)].Name].Addr())
+		}
+	} else if err := s.startNodes(); err != nil {
+		return err
+	}
+	for _, n := range s.Nodes {
+		addrs = append(addrs, n.Addr())
+	}
+	s.load = load.New(load.Options{Log: s.Log, Seed: x.Seed, Spec: x.Source, Classes: x.Classes, Tenants: x.Tenants, Nodes: addrs,
+		Life: s.lifeOf})
+	return nil
+}
+
+func (s *Stage) lifeOf(node int) int {
+	if node < len(s.Nodes) {
+		return s.Nodes[node].LifeNumber()
+	}
+	return 0
+}
+
+func (s *Stage) startCache(v *experiment.Server, cold bool) (*standin.Cache, error) {
+	x := s.X
+	spec := v.Spec
+	opt := standin.CacheOptions{ID: v.ID, Name: v.Name, Addr: fmt.Sprintf("%s%d:0", s.net, 1+len(s.caches)%199), Spec: &spec, Cold: cold,
+		PerConn: x.Service.PerConn, MaxConns: v.Group.MaxConns, ConnIdle: x.Service.ConnIdle.D(), Tells: *x.Service.Hits,
+		Reports: *x.Service.Reports, Missed: s.noteMiss}
+	if spec.Through {
+		opt.Ask = func(a world.Ask, request, class string, answer func(world.Done)) {
+			s.origin.Ask(a, request, class, answer)
+		}
+	}
+	c, err := standin.NewCache(s.Common, opt)
+	if err == nil {
+		s.mu.Lock()
+		s.caches[v.Name] = c
+		s.mu.Unlock()
+	}
+	return c, err
+}
+
+// warm lets the servers that run at the start hold what they were asked for lately: popular keys, each where the shared
+// ranking puts it; with no nodes between, everywhere.
+func (s *Stage) warm(members []world.Member) {
+	x := s.X
+	part := x.Clients.Warm
+	class := slices.IndexFunc(x.Classes, func(c world.Class) bool { return !c.Write })
+	if part <= 0 || class < 0 {
+		return
+	}
+	room := map[string]int64{}
+	left := len(members)
+	for _, v := range x.Servers {
+		room[v.ID] = int64(part * float64(v.Spec.Memory))
+		if v.Group.Cold {
+			room[v.ID] = 0
+		}
+	}
+	names := map[string]string{}
+	for _, v := range x.Servers {
+		names[v.ID] = v.Name
+	}
+	src := world.NewSource(x.Source, x.Classes, x.Tenants, nil, x.Seed, x.Length.D())
+	put := func(m world.Member, key string) {
+		size := int64(world.SizeOf(x.Seed, &x.Classes[class], key))
+		if room[m.ID] < size {
+			if room[m.ID] > 0 {
+				left--
+			}
+			room[m.ID] = 0
+			return
+		}
+		room[m.ID] -= size
+		s.caches[names[m.ID]].Do(func(now time.Duration, c *world.Cache) { c.Store(now, key, 0, size) })
+	}
+	keys := src.Popular(x.Clients.Keys)
+	slices.Reverse(keys) // what is used last is kept longest
+	if x.Nodes.Direct {
+		for _, m := range members {
+			for _, k := range keys {
+				put(m, k)
+			}
+		}
+		return
+	}
+	slices.Reverse(keys)
+	for _, k := range keys {
+		if left <= 0 {
+			break
+		}
+		if i := world.Top(k, members); i >= 0 {
+			put(members[i], k)
+		}
+	}
+}
+
+func (s *Stage) startNodes() error {
+	x := s.X
+	longest := time.Duration(0)
+	for _, c := range x.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	rev, members := s.list.Members()
+	for i := range x.Nodes.Count {
+		addr := ""
+		if len(x.Nodes.Listen) > 0 {
+			addr = x.Nodes.Listen[i]
+			ln, err := net.Listen("tcp", addr)
+			if err != nil {
+				return fmt.Errorf("%s: nodes.listen[%d]: %w", x.Path, i+1, err)
+			}
+			ln.Close()
+		} else {
+			var err error
+			if addr, err = FreeAddr(fmt.Sprintf("%s%d", s.net, 210+i%40)); err != nil {
+				return err
+			}
+		}
+		opt := NodeOptions{Log: s.Log, Number: i, Command: s.opt.Command, Dir: s.opt.Dir, Listen: addr, List: s.list.Addr(i),
+			MemoryMB: x.Nodes.MemoryMB, Sockets: x.Nodes.Sockets, Seed: world.Stream(x.Seed, "node", fmt.Sprint(i)).Uint64(),
+			Settings: x.Settings(i), Longest: longest}
+		if x.Nodes.Config != "" {
+			path := x.Nodes.Config
+			if !filepath.IsAbs(path) {
+				path = filepath.Join(filepath.Dir(x.Path), path)
+			}
+			opt.Env = append(opt.Env, "LAPISSHELF_CONFIG="+path)
+		}
+		n := NewNode(opt)
+		if err := n.Start(rev, members); err != nil {
+			return err
+		}
+		s.Nodes = append(s.Nodes, n)
+	}
+	for _, n := range s.Nodes {
+		if err := n.Ready(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// noteMiss remembers the first two caches that missed for a request.
+func (s *Stage) noteMiss(request string, store func(version, size int64)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if time.Since(s.turned) > 10*time.Second {
+		s.missed = [2]map[string][]func(version, size int64){{}, s.missed[0]}
+		s.turned = time.Now()
+	}
+	if list := s.missed[0][request]; len(list) < 2 {
+		s.missed[0][request] = append(list, store)
+	}
+}
+
+// served stores what the origin has answered where the request missed.
+func (s *Stage) served(request string, version, size int64) {
+	s.mu.Lock()
+	list := append(s.missed[0][request], s.missed[1][request]...)
+	delete(s.missed[0], request)
+	delete(s.missed[1], request)
+	s.mu.Unlock()
+	for _, store := range list[:min(2, len(list))] {
+		store(version, size)
+	}
+}
+
+// wrote voids the copies of a key.
+func (s *Stage) wrote(key string) {
+	s.mu.Lock()
+	all := make([]*standin.Cache, 0, len(s.caches))
+	for _, c := range s.caches {
+		all = append(all, c)
+	}
+	s.mu.Unlock()
+	go func() { // the origin holds its lock
+		for _, c := range all {
+			c.Do(func(_ time.Duration, m *world.Cache) { m.Void(key) })
+		}
+	}()
+}
+
+// Addresses are where the parts of the deployment are, for hand use.
+func (s *Stage) Addresses() []string {
+	var out []string
+	for i, n := range s.Nodes {
+		out = append(out, fmt.Sprintf("node %d      %s", i+1, n.Addr()))
+	}
+	for _, v := range s.X.Servers {
+		if c := s.caches[v.Name]; c != nil {
+			out = append(out, fmt.Sprintf("cache %-6s %s  id %s", v.Name, c.Addr(), c.ID()))
+		}
+	}
+	if s.origin != nil {
+		out = append(out, fmt.Sprintf("origin      %s  id %s", s.origin.Addr(), s.X.OriginID()))
+	}
+	return append(out, "list        "+s.list.Addr(0))
+}
+
+// Run plays the plan with its troubles, then ends the nodes and judges what was seen. It ends early with the context.
+func (s *Stage) Run(ctx context.Context) *Result {
+	begin := s.Log.Now() + 50*time.Millisecond
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	stall := time.Duration(0)
+	others.Go(func() { stall = s.watchdog(stop) })
+	others.Go(func() { s.act(begin, stop) })
+	others.Go(func() { s.progress(begin, stop) })
+	s.load.Run(ctx, begin, s.plan)
+	close(stop)
+	others.Wait()
+	return s.finish(ctx, begin, stall)
+}
+
+// finish ends the nodes and judges.
+func (s *Stage) finish(ctx context.Context, begin time.Duration, stall time.Duration) *Result {
+	var ends sync.WaitGroup
+	for _, n := range s.Nodes {
+		ends.Go(n.End)
+	}
+	ends.Wait()
+	r := &Result{Cut: ctx.Err() != nil, Plan: len(s.plan)}
+	s.Log.Do(func(rec *seen.Record) { r.Record = rec })
+	plan := s.plan
+	if r.Cut { // only what was begun can be judged
+		n := 0
+		for _, t := range r.Record.Tries {
+			n = max(n, t.Arrival+1)
+		}
+		plan = plan[:n]
+	}
+	shift(r.Record, begin)
+	r.Verdict = judge.Judge(r.Record, s.rules, plan)
+	for _, l := range r.Record.Lives {
+		for name, v := range counters(l.Log) {
+			r.Verdict.Figures["said_"+name] += v
+		}
+	}
+	h := s.load.Late()
+	most, mean := s.Common.Late()
+	ms := func(d time.Duration) float64 { return math.Round(float64(d)/float64(time.Microsecond)) / 1000 }
+	r.Lab = Lab{SendP50: judge.Millis(h, 50), SendP99: judge.Millis(h, 99), SendMax: float64(h.Max()) / 1000,
+		StandMean: ms(mean), StandMax: ms(most), StallMax: ms(stall)}
+	tolerance := s.rules.Tolerance
+	switch {
+	case r.Lab.SendP99 > ms(lateTail):
+		r.Lab.Void = fmt.Sprintf("one wish in a hundred was sent over %.1f ms behind its plan", r.Lab.SendP99)
+	case mean > lateMean:
+		r.Lab.Void = fmt.Sprintf("the stand-ins were %.1f ms late in the mean", r.Lab.StandMean)
+	case stall > tolerance:
+		r.Lab.Void = fmt.Sprintf("the lab stood still for %.1f ms, over the judge's tolerance of %v", r.Lab.StallMax, tolerance)
+	}
+	return r
+}
+
+// shift counts the record's times from the plan's beginning, as the plan does. What came before is below 0.
+func shift(rec *seen.Record, by time.Duration) {
+	move := func(times ...*time.Duration) {
+		for _, t := range times {
+			if *t != 0 {
+				*t -= by
+			}
+		}
+	}
+	for _, t := range rec.Tries {
+		move(&t.Planned, &t.Sent, &t.Until, &t.At, &t.Ended, &t.Left)
+	}
+	for _, a := range rec.Attempts {
+		move(&a.First, &a.Last, &a.Answered, &a.Closed)
+	}
+	members := func(list []world.Member) []world.Member {
+		list = slices.Clone(list)
+		for i := range list {
+			move(&list[i].Started)
+		}
+		return list
+	}
+	for i := range rec.Told {
+		move(&rec.Told[i].At)
+		rec.Told[i].Members = members(rec.Told[i].Members)
+	}
+	for _, c := range rec.Calls {
+		move(&c.From, &c.To)
+	}
+	for _, l := range rec.Lives {
+		move(&l.Start, &l.Ready, &l.Term, &l.End)
+		for i := range l.Frozen {
+			move(&l.Frozen[i][0], &l.Frozen[i][1])
+		}
+		l.Known = members(l.Known)
+	}
+	for i := range rec.Effects {
+		move(&rec.Effects[i].At)
+	}
+	for i := range rec.Starts {
+		move(&rec.Starts[i].At)
+	}
+	for _, list := range [][]seen.Mark{rec.Falls, rec.Stops, rec.Marks, rec.Strange} {
+		for i := range list {
+			move(&list[i].At)
+		}
+	}
+}
+
+// watchdog measures how long the lab's process stands still.
+func (s *Stage) watchdog(stop chan struct{}) (most time.Duration) {
+	t := time.NewTicker(watchEvery)
+	defer t.Stop()
+	last := s.Log.Now()
+	for {
+		select {
+		case <-stop:
+			return most
+		case <-t.C:
+			now := s.Log.Now()
+			most = max(most, now-last-watchEvery)
+			last = now
+		}
+	}
+}
+
+func (s *Stage) progress(begin time.Duration, stop chan struct{}) {
+	if s.opt.Progress == nil {
+		return
+	}
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-t.C:
+			m := Moment{At: s.Log.Now() - begin, Length: s.X.Length.D(), Sent: s.load.Sent()}
+			s.Log.Do(func(r *seen.Record) {
+				m.Attempts = len(r.Attempts)
+				if n := len(r.Marks); n > 0 {
+					m.Last = r.Marks[n-1].Text
+				}
+			})
+			s.opt.Progress(m)
+		}
+	}
+}
+
+// act carries out the timeline.
+func (s *Stage) act(begin time.Duration, stop chan struct{}) {
+	for _, a := range s.X.Timeline.Actions {
+		select {
+		case <-stop:
+			return
+		case <-time.After(begin + a.At - s.Log.Now()):
+		}
+		if err := s.do(a); err != nil {
+			s.Log.Mark(fmt.Sprintf("%s failed: %v", a, err))
+			continue
+		}
+		s.Log.Mark(a.String())
+	}
+}
+
+// do carries out one action.
+func (s *Stage) do(a fault.Action) error {
+	switch {
+	case a.Server != "":
+		return s.onServer(a)
+	case a.Node >= 0:
+		return s.onNode(a)
+	}
+	on := a.X != 0
+	switch a.Verb {
+	case fault.ListDown:
+		s.list.Down(on)
+	case fault.ListGarble:
+		s.list.Garble(on)
+	case fault.ListLag:
+		s.list.Lag(time.Duration(a.X * float64(time.Second)))
+	case fault.Rude:
+		s.load.Rude(int(a.X))
+	default:
+		if s.origin == nil {
+			return fmt.Errorf("there is no origin")
+		}
+		switch a.Verb {
+		case fault.OriginSlow:
+			s.origin.Do(func(now time.Duration, m *world.Origin) { m.Slow(now, a.X) })
+		case fault.OriginPause:
+			s.origin.Do(func(now time.Duration, m *world.Origin) { m.Pause(now, on) })
+		case fault.OriginSpoil:
+			s.origin.Spoil(a.X)
+		case fault.OriginStop:
+			return s.origin.Refuse(on)
+		}
+	}
+	return nil
+}
+
+func (s *Stage) onNode(a fault.Action) error {
+	if a.Verb == fault.ListCut {
+		s.list.Cut(a.Node, a.X != 0)
+		return nil
+	}
+	n := s.Nodes[a.Node]
+	switch a.Verb {
+	case fault.NodeKill:
+		n.Kill()
+	case fault.NodeTerm:
+		n.Signal(syscall.SIGTERM)
+	case fault.NodeHup:
+		rev, members := s.list.Members()
+		if err := n.Config(rev, members); err != nil {
+			return err
+		}
+		n.Signal(syscall.SIGHUP)
+	case fault.NodeFreeze:
+		if a.X != 0 {
+			n.Signal(syscall.SIGSTOP)
+		} else {
+			n.Signal(syscall.SIGCONT)
+		}
+	case fault.NodeStart:
+		if _, ended := n.Wait(readyWithin); !ended {
+			return fmt.Errorf("node %d has not ended", a.Node+1)
+		}
+		rev, members := s.list.Members()
+		s.list.Lives(a.Node, n.LifeNumber()+1)
+		return n.Start(rev, members)
+	}
+	return nil
+}
+
+func (s *Stage) cache(name string) *standin.Cache {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.caches[name]
+}
+
+// set changes a server's entry in the list.
+func (s *Stage) set(name string, phase world.Phase, started time.Duration) {
+	v, c := s.X.Server(name), s.cache(name)
+	m := v.Member
+	m.ID, m.Addr, m.Phase, m.Started = c.ID(), c.Addr(), phase, started
+	s.list.Set(m)
+}
+
+func (s *Stage) onServer(a fault.Action) error {
+	c := s.cache(a.Server)
+	if a.Verb == fault.Join {
+		v := s.X.Server(a.Server)
+		if _, err := s.startCache(v, a.X != 0); err != nil {
+			return err
+		}
+		s.set(a.Server, world.Serving, s.Log.Now())
+		return nil
+	}
+	if c == nil {
+		return fmt.Errorf("%s is not there", a.Server)
+	}
+	on := a.X != 0
+	switch a.Verb {
+	case fault.Die:
+		c.Die()
+	case fault.Rise:
+		id, name := "", a.Server
+		if a.Text != "" {
+			name = a.Text
+			id = s.X.Server(name).ID
+			s.mu.Lock()
+			s.caches[name] = c // the same place under another name
+			s.mu.Unlock()
+		}
+		if err := c.Rise(id, on); err != nil {
+			return err
+		}
+		started := time.Duration(0)
+		if on {
+			started = s.Log.Now()
+		}
+		s.set(name, world.Serving, started)
+	case fault.Silence:
+		c.Silence(on)
+	case fault.Hang:
+		c.Hang(on)
+	case fault.Refuse:
+		return c.Refuse(on)
+	case fault.TurnAway:
+		c.TurnAway(on)
+	case fault.Reset, fault.Garble, fault.Surplus:
+		c.Spoil(string(a.Verb), a.X)
+	case fault.Slow:
+		c.Do(func(now time.Duration, m *world.Cache) { m.Slow(now, a.X) })
+	case fault.Steal:
+		c.Do(func(now time.Duration, m *world.Cache) { m.Steal(now, a.X) })
+	case fault.Pause:
+		c.Do(func(now time.Duration, m *world.Cache) { m.Pause(now, on) })
+	case fault.Void:
+		c.Do(func(_ time.Duration, m *world.Cache) { m.Flush(a.X) })
+	case fault.Drain:
+		s.set(a.Server, world.Draining, s.startedOf(c))
+	case fault.Leave:
+		c.Do(func(now time.Duration, m *world.Cache) { m.Drain(now, true) }) // what still comes is turned away
+		s.set(a.Server, world.Deleted, 0)
+	}
+	return nil
+}
+
+// startedOf is when a server's process started, as the list tells it.
+func (s *Stage) startedOf(c *standin.Cache) (at time.Duration) {
+	c.Do(func(_ time.Duration, m *world.Cache) {
+		if began, cold := m.Began(); cold {
+			at = began
+		}
+	})
+	return at
+}
+
+// Close ends whatever is still up. It may be called more than once.
+func (s *Stage) Close() {
+	for _, n := range s.Nodes {
+		n.Kill()
+	}
+	s.mu.Lock()
+	all := map[*standin.Cache]bool{}
+	for _, c := range s.caches {
+		all[c] = true
+	}
+	s.mu.Unlock()
+	for c := range all {
+		c.Close()
+	}
+	if s.origin != nil {
+		s.origin.Close()
+	}
+	if s.list != nil {
+		s.list.Close()
+	}
+}
+
+// Timeline is the plan's troubles as text.
+func Timeline(x *experiment.Experiment) string {
+	var b strings.Builder
+	for _, a := range x.Timeline.Actions {
+		fmt.Fprintln(&b, a)
+	}
+	return b.String()
+}
--- a/lab/world/clients.go
+++ b/lab/world/clients.go
@@ -188,7 +188,7 @@
 		}
 	}
 	c := &s.classes[a.Class]
-	a.Key = fmt.Sprintf("%x-%s", digest(s.seed, "key", key)>>40, key)
+	a.Key = s.spell(key)
 	if c.Write {
 		a.Size = SizeOf(s.seed, c, a.Key)
 	}
@@ -207,6 +207,20 @@
 	return a, true
 }
 
+// spell is a key's text: what it begins with tells nothing of its rank.
+func (s *Source) spell(key string) string {
+	return fmt.Sprintf("%x-%s", digest(s.seed, "key", key)>>40, key)
+}
+
+// Popular gives the keys that are asked for when the run begins, the most popular first, at most so many.
+func (s *Source) Popular(most int) []string {
+	keys := make([]string, 0, min(most, len(s.zipf)))
+	for rank := range min(most, len(s.zipf)) {
+		keys = append(keys, s.spell(s.key(rank)))
+	}
+	return keys
+}
+
 // key names the key of a rank; drift replaces it by and by, each at times of its own.
 func (s *Source) key(rank int) string {
 	if s.spec.Drift <= 0 {
--- a/lab/world/origin.go
+++ b/lab/world/origin.go
@@ -201,9 +201,6 @@
 	}
 	d.Receipt, d.Version = e.receipt, e.version
 	if d.Fresh || !job.gone {
-		if job.gone {
-			d.Token = 0
-		}
 		o.done = append(o.done, d)
 	}
 }
