--- a/lab/standin/cache.go
+++ b/lab/standin/cache.go
@@ -377,6 +377,7 @@
 	c := s.conn.cache
 	p := c.spoil
 	switch x := c.rng.Float64(); {
+	case len(answer) == 0:
 	case x < p["reset"]:
 		answer, s.resets, said = answer[:c.rng.IntN(len(answer))], true, seen.Spoilt
 	case x < p["reset"]+p["garble"]:
@@ -493,8 +494,11 @@
 			}
 			return
 		}
-		for c.isSilent() { // nobody is there to read it; the connection is reset when that ends
-			time.Sleep(5 * time.Millisecond)
+		if c.isSilent() { // nobody is there to read it; the connection is reset when that ends
+			for c.isSilent() {
+				time.Sleep(5 * time.Millisecond)
+			}
+			return
 		}
 		first := c.Log.Now()
 		k.net.SetReadDeadline(time.Time{})
@@ -591,13 +595,14 @@
 	}
 	now := c.Log.Now()
 	c.Log.Do(func(*seen.Record) { t.Last = now })
+	s.size = len(value)
 	k.mu.Lock()
 	k.queue = append(k.queue, s)
 	k.mu.Unlock()
 	if c.opt.Script != nil {
-		return k.scripted(s, line, value)
+		k.scripted(s, line, value)
+		return true
 	}
-	s.size = len(value)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k.begin()
@@ -652,21 +657,21 @@
 }
 
 // scripted answers as the script says.
-func (k *cacheConn) scripted(s *slot, line string, value []byte) bool {
+func (k *cacheConn) scripted(s *slot, line string, value []byte) {
 	c := k.cache
 	c.mu.Lock()
 	c.seen = append(c.seen, line)
 	c.mu.Unlock()
-	switch text := c.opt.Script(line, value); text {
+	text := c.opt.Script(line, value)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch text {
 	case "":
-		return true
 	case ClosesIt:
-		return false
+		s.ends = true
+		s.fill(nil, seen.Nothing)
 	default:
-		c.mu.Lock()
-		defer c.mu.Unlock()
 		s.fill([]byte(text), seen.Value)
-		return true
 	}
 }
 
--- /dev/null
+++ b/lab/standin/standin_test.go
@@ -0,0 +1,520 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/world"
+)
+
+const (
+	ms       = time.Millisecond
+	patience = 10 * time.Second
+)
+
+func TestMain(m *testing.M) {
+	http.DefaultTransport.(*http.Transport).DisableKeepAlives = true
+	goleak.VerifyTestMain(m)
+}
+
+func common() *Common {
+	return NewCommon(seen.NewLog(), 1, []world.Class{{Name: "read", Work: ms, Size: 100, Deadline: time.Second},
+		{Name: "put", Work: ms, Size: 100, Write: true, Effect: world.Keyed, Window: time.Second, Deadline: time.Second}})
+}
+
+func spec() *world.CacheSpec {
+	return &world.CacheSpec{Name: "c1", Cores: 2, Speed: 1, Slots: 4, Room: 4, Memory: 1 << 20, WarmUp: 10 * time.Second, ColdFrom: 0.2,
+		FallMultiple: 3, FallWindow: 500 * ms, ReportEvery: 10 * ms}
+}
+
+func cache(t *testing.T, c *Common, change func(*CacheOptions)) *Cache {
+	t.Helper()
+	opt := CacheOptions{ID: "s-1", Name: "c1", Addr: "127.0.0.1:0", Spec: spec(), PerConn: 4, Tells: true, Reports: true}
+	if change != nil {
+		change(&opt)
+	}
+	s, err := NewCache(c, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// link is a connection to a stand-in, as a node has it.
+type link struct {
+	t  *testing.T
+	c  net.Conn
+	in *bufio.Reader
+}
+
+func dial(t *testing.T, addr string) *link {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(patience))
+	return &link{t, c, bufio.NewReader(c)}
+}
+
+func (l *link) send(text string) { io.WriteString(l.c, text) }
+
+func (l *link) line() string {
+	l.t.Helper()
+	s, err := l.in.ReadString('\n')
+	if err != nil {
+		return "end"
+	}
+	if n := 0; strings.HasPrefix(s, "VA ") {
+		fmt.Sscanf(s, "VA %d", &n)
+		v := make([]byte, n+2)
+		if _, err := io.ReadFull(l.in, v); err != nil {
+			return "end"
+		}
+		return strings.TrimSpace(s) + " = " + string(v[:n])
+	}
+	return strings.TrimSpace(s)
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * ms) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func attempts(c *Common) (all []seen.Attempt) {
+	c.Log.Do(func(r *seen.Record) {
+		for _, a := range r.Attempts {
+			all = append(all, *a)
+		}
+	})
+	return all
+}
+
+func TestValuesTellWhoseTheyAre(t *testing.T) {
+	v := Value("k", 3, "r1", "s-1", 5000)
+	key, version, request, server, right := ReadValue(v)
+	if len(v) != 5000 || key != "k" || version != 3 || request != "r1" || server != "s-1" || !right {
+		t.Errorf("%d bytes, %s %d %s %s %v", len(v), key, version, request, server, right)
+	}
+	for i := range []int{0, 10, 4000} {
+		bad := append([]byte(nil), v...)
+		bad[i]++
+		if k, n, r, s, right := ReadValue(bad); right && k == "k" && n == 3 && r == "r1" && s == "s-1" {
+			t.Errorf("a value with byte %d changed passes for the same", i)
+		}
+	}
+	if _, _, _, _, right := ReadValue(v[:4999]); !right {
+		t.Error("the length alone is no fault: the protocol tells it")
+	}
+	if _, _, _, _, right := ReadValue([]byte("nonsense")); right {
+		t.Error("nonsense passes")
+	}
+}
+
+func TestACacheAnswersInOrder(t *testing.T) {
+	c := common()
+	var missed []string
+	s := cache(t, c, func(o *CacheOptions) {
+		o.Missed = func(request string, store func(int64, int64)) {
+			missed = append(missed, request)
+			go store(7, 100)
+		}
+	})
+	l := dial(t, s.Addr())
+	l.send("mg k1 v O1 Pc=read,d=500\r\n")
+	if got := l.line(); !strings.HasPrefix(got, "EN O1 h0 Lutil=") {
+		t.Fatalf("%q", got)
+	}
+	eventually(t, "the value is stored", func() bool {
+		has := false
+		s.Do(func(_ time.Duration, m *world.Cache) { _, has = m.Has("k1") })
+		return has
+	})
+	s.Do(func(now time.Duration, m *world.Cache) { m.Slow(now, 20) })
+	l.send("mg k1 v O2 Pc=read,d=500\r\nms k1 2 O3 Pc=put,d=500,k=i\r\nhi\r\nmn\r\n")
+	if got := l.line(); got != "MN" {
+		t.Errorf("%q: mn is answered at once", got)
+	}
+	if got := l.line(); !strings.HasPrefix(got, "VA 100 O2 h1 L") || !strings.HasSuffix(got, string(Value("k1", 7, "2", "s-1", 100))) {
+		t.Errorf("%q", got)
+	}
+	if got := l.line(); !strings.HasPrefix(got, "EN O3") { // only the origin takes writes
+		t.Errorf("%q", got)
+	}
+	all := attempts(c)
+	if len(all) != 3 || len(missed) != 1 || all[1].Said != seen.Value || all[2].Value != Digest([]byte("hi")) || all[2].Idem != "i" ||
+		all[1].Answered < all[1].Last || all[1].Last < all[1].First || all[1].Wait != 500*ms || all[1].Work <= 0 || all[1].Capacity != 2 {
+		t.Errorf("%+v", all)
+	}
+}
+
+// What is given up is seen: the connection's end, and when.
+func TestACacheSeesAttemptsGivenUp(t *testing.T) {
+	c := common()
+	s := cache(t, c, nil)
+	s.Hang(true)
+	l := dial(t, s.Addr())
+	l.send("mg k1 v O1 Pc=read,d=500\r\n")
+	eventually(t, "it has come", func() bool { a := attempts(c); return len(a) == 1 && a[0].Last > 0 })
+	l.c.Close()
+	eventually(t, "its end is noted", func() bool { a := attempts(c)[0]; return a.Closed > a.Last && a.MayHaveRun() })
+	l = dial(t, s.Addr())
+	l.send("mg k1 v O2 Pc=re")
+	l.c.Close()
+	eventually(t, "the connection is given back", func() bool { open, ever := s.Conns(); return open == 0 && ever == 2 })
+	if len(attempts(c)) != 1 {
+		t.Error("half a command is taken for an attempt")
+	}
+}
+
+func TestACacheCanBeBroken(t *testing.T) {
+	c := common()
+	s := cache(t, c, nil)
+	ask := func() string {
+		conn, err := net.DialTimeout("tcp", s.Addr(), 200*ms)
+		if err != nil {
+			return "refused"
+		}
+		defer conn.Close()
+		conn.SetDeadline(time.Now().Add(200 * ms))
+		io.WriteString(conn, "mg k1 v O1 Pc=read,d=500\r\n")
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return "silent"
+		} else if err != nil {
+			return "end"
+		}
+		return strings.Fields(line)[0]
+	}
+	for _, x := range []struct {
+		name    string
+		on, off func()
+		want    string
+	}{
+		{"turns away", func() { s.TurnAway(true) }, func() { s.TurnAway(false) }, "SERVER_ERROR"},
+		{"hangs", func() { s.Hang(true) }, func() { s.Hang(false) }, "silent"},
+		{"refuses", func() { s.Refuse(true) }, func() { s.Refuse(false) }, "refused"},
+		{"resets", func() { s.Spoil("reset", 1) }, func() { s.Spoil("reset", 0) }, "end"},
+		{"dies", s.Die, func() { s.Rise("", false) }, "refused"},
+		{"stands still", func() { s.Do(func(now time.Duration, m *world.Cache) { m.Pause(now, true) }) },
+			func() { s.Do(func(now time.Duration, m *world.Cache) { m.Pause(now, false) }) }, "silent"},
+	} {
+		x.on()
+		if got := ask(); got != x.want {
+			t.Errorf("%s: %q, want %q", x.name, got, x.want)
+		}
+		x.off()
+		if got := ask(); got != "EN" {
+			t.Errorf("after it %s: %q", x.name, got)
+		}
+	}
+	s.Rise("s-9", true)
+	if s.ID() != "s-9" {
+		t.Errorf("it is %s", s.ID())
+	}
+}
+
+// A machine that falls silent keeps its connections open, lets none come up, and resets them all when it is back.
+func TestASilentMachine(t *testing.T) {
+	c := common()
+	s := cache(t, c, nil)
+	l := dial(t, s.Addr())
+	l.send("mg k1 v O1 Pc=read,d=500\r\n")
+	l.line()
+	s.Silence(true)
+	l.send("mg k1 v O2 Pc=read,d=500\r\n")
+	l.c.SetReadDeadline(time.Now().Add(100 * ms))
+	if _, err := l.in.ReadByte(); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("an open connection says something: %v", err)
+	}
+	if conn, err := net.DialTimeout("tcp", s.Addr(), 200*ms); err == nil {
+		conn.Close()
+		t.Error("a connection came up")
+	}
+	s.Silence(false)
+	l.c.SetReadDeadline(time.Now().Add(patience))
+	if _, err := l.in.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("it is back and the old connection goes on: %v", err)
+	}
+	l = dial(t, s.Addr())
+	l.send("mg k1 v O3 Pc=read,d=500\r\n")
+	if got := l.line(); !strings.HasPrefix(got, "EN O3") {
+		t.Errorf("%q", got)
+	}
+	for _, a := range attempts(c) {
+		if a.Request == "2" {
+			t.Error("the silent machine has seen a request")
+		}
+	}
+}
+
+// Whatever a garbled answer looks like, it is not the good one.
+func TestGarbledAnswersAreNoGoodOnes(t *testing.T) {
+	s := cache(t, common(), nil)
+	s.Do(func(now time.Duration, m *world.Cache) { m.Store(now, "k1", 0, 100) })
+	s.Spoil("garble", 1)
+	good := string(Value("k1", 0, "1", "s-1", 100))
+	kinds := map[string]bool{}
+	for range 60 {
+		l := dial(t, s.Addr())
+		l.send("mg k1 v O1 Pc=read,d=500\r\n")
+		l.c.SetReadDeadline(time.Now().Add(20 * ms))
+		text, _ := io.ReadAll(l.c)
+		kinds[string(text[:min(3, len(text))])] = true
+		if strings.HasPrefix(string(text), "VA 100 O1 ") && strings.HasSuffix(string(text), good+"\r\n") {
+			t.Fatalf("%q", text)
+		}
+		l.c.Close()
+	}
+	if len(kinds) < 3 {
+		t.Errorf("always the same: %v", kinds)
+	}
+}
+
+// A cold cache that is pushed over is down, and the log says so once.
+func TestACachePushedOverIsDown(t *testing.T) {
+	c := common()
+	s := cache(t, c, func(o *CacheOptions) { o.Cold, o.PerConn = true, 10000 })
+	down := func() (n int) {
+		c.Log.Do(func(r *seen.Record) { n = len(r.Falls) })
+		return n
+	}
+	eventually(t, "it falls", func() bool {
+		conn, err := net.Dial("tcp", s.Addr())
+		if err != nil {
+			return down() == 1
+		}
+		defer conn.Close()
+		io.WriteString(conn, strings.Repeat("mg k1 v O1 Pc=read,d=500\r\n", 1000))
+		conn.SetReadDeadline(time.Now().Add(100 * ms))
+		io.Copy(io.Discard, conn)
+		return false
+	})
+	if err := s.Rise("", false); err != nil {
+		t.Fatal(err)
+	}
+	if got := dial(t, s.Addr()); got == nil || down() != 1 {
+		t.Error("it does not come back")
+	}
+}
+
+func originOf(t *testing.T, c *Common, change func(*OriginOptions)) *Origin {
+	t.Helper()
+	opt := OriginOptions{ID: "s-0", Name: "origin", Addr: "127.0.0.1:0", Spec: &world.OriginSpec{Cores: 2, Slots: 2, Room: 1, Work: 5 * ms,
+		WriteFactor: 1, Window: time.Second}}
+	if change != nil {
+		change(&opt)
+	}
+	o, err := NewOrigin(c, opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(o.Close)
+	return o
+}
+
+func ask(t *testing.T, o *Origin, method, key, id, info, body string) (int, string) {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+o.Addr()+"/"+key, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Request-Id", id)
+	r.Header.Set("Request-Info", info)
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer a.Body.Close()
+	text, _ := io.ReadAll(a.Body)
+	if a.Header.Get("Not-Started") == "1" {
+		text = []byte("not started")
+	}
+	return a.StatusCode, string(text)
+}
+
+func TestTheOrigin(t *testing.T) {
+	c := common()
+	var served, wrote atomic.Int64
+	o := originOf(t, c, func(o *OriginOptions) {
+		o.Served = func(string, int64, int64) { served.Add(1) }
+		o.Wrote = func(string) { wrote.Add(1) }
+	})
+	if code, v := ask(t, o, "GET", "k", "1", "c=read,d=500", ""); code != 200 || v != string(Value("k", 0, "1", "s-0", len(v))) {
+		t.Errorf("%d %q", code, v)
+	}
+	code, receipt := ask(t, o, "PUT", "k", "2", "c=put,d=500,k=i1", "hello")
+	if code != 200 || receipt != "R1" {
+		t.Errorf("%d %q", code, receipt)
+	}
+	if _, again := ask(t, o, "PUT", "k", "3", "c=put,d=500,k=i1", "hello"); again != receipt {
+		t.Errorf("a repeat has the receipt %q", again)
+	}
+	if served.Load() != 1 || wrote.Load() != 1 {
+		t.Errorf("told of %d reads and %d writes", served.Load(), wrote.Load())
+	}
+	if code, _ := ask(t, o, "GET", "k", "4", "c=none,d=500", ""); code != 400 {
+		t.Errorf("a class that is none: %d", code)
+	}
+	var strange int
+	c.Log.Do(func(r *seen.Record) { strange = len(r.Strange) })
+	if strange != 1 {
+		t.Errorf("%d strange requests", strange)
+	}
+	o.Refuse(true)
+	if code, why := ask(t, o, "GET", "k", "5", "c=read,d=500", ""); code != 0 {
+		t.Errorf("%d %s from an origin that is down", code, why)
+	}
+	o.Refuse(false)
+	if code, _ := ask(t, o, "GET", "k", "6", "c=read,d=500", ""); code != 200 {
+		t.Errorf("%d from an origin that is back", code)
+	}
+}
+
+// A full origin says that nothing was begun; a write whose client goes away takes effect all the same, and is told so.
+func TestAFullOrigin(t *testing.T) {
+	c := common()
+	o := originOf(t, c, nil)
+	o.Do(func(now time.Duration, m *world.Origin) { m.Pause(now, true) })
+	answers := make(chan string, 4)
+	for i := range 3 {
+		go func() {
+			_, v := ask(t, o, "GET", "k", fmt.Sprint(i), "c=read,d=500", "")
+			answers <- v
+		}()
+	}
+	eventually(t, "three are there", func() bool { return len(attempts(c)) == 3 })
+	if code, v := ask(t, o, "GET", "k", "9", "c=read,d=500", ""); code != 503 || v != "not started" {
+		t.Errorf("%d %q", code, v)
+	}
+	o.Do(func(now time.Duration, m *world.Origin) { m.Pause(now, false) })
+	for range 3 {
+		<-answers
+	}
+	o.Do(func(now time.Duration, m *world.Origin) { m.Slow(now, 20) })
+	conn, err := net.Dial("tcp", o.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(conn, "PUT /k HTTP/1.1\r\nHost: o\r\nRequest-Id: w\r\nRequest-Info: c=put,d=500,k=i\r\nContent-Length: 1\r\n\r\nx")
+	eventually(t, "the write is there", func() bool { a := attempts(c); return a[len(a)-1].Request == "w" })
+	conn.Close()
+	eventually(t, "it takes effect", func() bool {
+		n := 0
+		c.Log.Do(func(r *seen.Record) { n = len(r.Effects) })
+		return n == 1
+	})
+}
+
+func TestTheList(t *testing.T) {
+	c := common()
+	l, err := NewList(c, ListOptions{Addr: "127.0.0.1:0", Nodes: 2, Delay: 50 * ms, Keep: 2}, world.Member{ID: "a", Addr: "127.0.0.1:1", Weight: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	get := func(node int, query string) (int, listAnswer) {
+		client := http.Client{Timeout: patience}
+		r, err := client.Get("http://" + l.Addr(node) + "/discovery/hosts" + query)
+		if err != nil {
+			return 0, listAnswer{}
+		}
+		defer r.Body.Close()
+		var a listAnswer
+		json.NewDecoder(r.Body).Decode(&a)
+		return r.StatusCode, a
+	}
+	if _, a := get(0, ""); !a.Complete || a.Revision != 1 || len(a.Members) != 1 || a.Members[0].Phase != "SERVING" {
+		t.Errorf("%+v", a)
+	}
+	news := make(chan listAnswer)
+	go func() { _, a := get(1, "?since=1&timeout_ms=5000"); news <- a }()
+	eventually(t, "the watch is there", func() bool { return len(l.Asked(1)) == 1 })
+	l.Set(world.Member{ID: "b", Addr: "127.0.0.1:2", Weight: 1, Started: 3 * time.Second})
+	if a := <-news; a.Complete || a.Revision != 2 || len(a.Members) != 1 || a.Members[0].ID != "b" ||
+		a.Members[0].UpSince != c.Log.Zero().Add(3*time.Second).UnixMilli() {
+		t.Errorf("%+v", a)
+	}
+	if _, a := get(0, "?since=2&timeout_ms=10"); a.Complete || a.Revision != 2 || len(a.Members) != 0 {
+		t.Errorf("nothing new: %+v", a)
+	}
+	l.Replace(world.Member{ID: "b", Phase: world.Draining}, world.Member{ID: "x"})
+	if _, a := get(0, "?since=1&timeout_ms=10"); !a.Complete || len(a.Members) != 2 {
+		t.Errorf("what is forgotten is told as a change: %+v", a)
+	}
+	l.Down(true)
+	if code, _ := get(0, "?since=9&timeout_ms=5000"); code != 503 {
+		t.Errorf("down: %d", code)
+	}
+	l.Down(false)
+	l.Garble(true)
+	if _, a := get(0, ""); a.Revision == 5 {
+		t.Errorf("nonsense: %+v", a)
+	}
+	l.Garble(false)
+	l.Cut(0, true)
+	go func() { code, _ := get(0, ""); news <- listAnswer{Revision: int64(code)} }()
+	if code, _ := get(1, ""); code != 200 {
+		t.Errorf("the other node is cut off too: %d", code)
+	}
+	l.Cut(0, false)
+	if a := <-news; a.Revision != 0 {
+		t.Errorf("a call that was cut off is answered %d", a.Revision)
+	}
+	told := 0
+	c.Log.Do(func(r *seen.Record) { told = len(r.Told) })
+	if told != 5 {
+		t.Errorf("told %d times", told)
+	}
+}
+
+func TestAScript(t *testing.T) {
+	s := cache(t, common(), func(o *CacheOptions) {
+		o.Spec, o.Script = nil, func(line string, value []byte) string {
+			switch {
+			case strings.HasPrefix(line, "ms "):
+				return fmt.Sprintf("HD %d\r\n", len(value))
+			case strings.HasPrefix(line, "bye"):
+				return ClosesIt
+			}
+			return ""
+		}
+	})
+	l := dial(t, s.Addr())
+	l.send("mg a v O1 Pc=read,d=1\r\nms k 3 O2 Pc=put,d=5\r\nabc\r\n")
+	l.c.SetReadDeadline(time.Now().Add(50 * ms))
+	if b, err := l.in.ReadByte(); err == nil {
+		t.Errorf("an answer overtook the one before it: %q", b)
+	}
+	l = dial(t, s.Addr())
+	l.send("ms k 3 O2 Pc=put,d=5\r\nabc\r\nbye\r\n")
+	if got := l.line(); got != "HD 3" {
+		t.Errorf("%q", got)
+	}
+	if got := l.line(); got != "end" {
+		t.Errorf("%q", got)
+	}
+	if n := len(s.Lines()); n != 4 {
+		t.Errorf("%d lines", n)
+	}
+}
