--- /dev/null
+++ b/cmd/lapisshelf/harness_test.go
@@ -0,0 +1,316 @@
+package main
+
+// The built node among the lab's stand-ins, which say what each test tells them to.
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lapisshelf/lab/load"
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/stage"
+	"lapisshelf/lab/standin"
+	"lapisshelf/lab/world"
+)
+
+// patience is how long a test waits for what should come soon.
+const patience = 10 * time.Second
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lapisshelf")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "lapisshelf")
+	if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building the node: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+func common() *standin.Common { return standin.NewCommon(seen.NewLog(), 1, nil) }
+
+// refusing is an address that refuses connections.
+func refusing(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// startCache starts a cache server whose answers are up to reply, which is given the command's line and value.
+func startCache(t *testing.T, reply standin.Script) *standin.Cache {
+	t.Helper()
+	return startCaches(t, func() standin.Script { return reply })
+}
+
+// startCaches starts one that has a script for each connection.
+func startCaches(t *testing.T, scripts func() standin.Script) *standin.Cache {
+	t.Helper()
+	c, err := standin.NewCache(common(), standin.CacheOptions{Addr: "127.0.0.1:0", Scripts: scripts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// opaque gives the O flag of a line.
+func opaque(line string) string {
+	for _, w := range strings.Fields(line) {
+		if w[0] == 'O' {
+			return w
+		}
+	}
+	return "O"
+}
+
+// holding answers every read with a value, missing answers it with a miss.
+func holding(value string) standin.Script {
+	return func(line string, _ []byte) string {
+		return fmt.Sprintf("VA %d %s h1 Lutil=0.5,queue=1\r\n%s\r\n", len(value), opaque(line), value)
+	}
+}
+
+func missing(line string, _ []byte) string { return "EN " + opaque(line) + " h0\r\n" }
+
+func silent(string, []byte) string { return "" }
+
+func startOrigin(t *testing.T, handle http.HandlerFunc) *standin.Origin {
+	t.Helper()
+	o, err := standin.NewOrigin(common(), standin.OriginOptions{Addr: "127.0.0.1:0", Script: handle})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(o.Close)
+	return o
+}
+
+// discovery is the list service, which tells whole lists.
+type discovery struct{ *standin.List }
+
+func startDiscovery(t *testing.T, list ...world.Member) discovery {
+	t.Helper()
+	l, err := standin.NewList(common(), standin.ListOptions{Addr: "127.0.0.1:0", Nodes: 1, Whole: true}, list...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(l.Close)
+	return discovery{l}
+}
+
+func (d discovery) asked() []string { return d.Asked(0) }
+
+// process is the built program, running.
+type process struct {
+	t *testing.T
+	*stage.Node
+	addr   string
+	config map[string]any // as it was at the start
+}
+
+func (n *process) log() string { return n.Text() }
+
+// serving is an entry that serves.
+func serving(id, addr, kind string) world.Member {
+	return world.Member{ID: id, Addr: addr, Zone: "a", Kind: kind, Weight: 1}
+}
+
+// settings is what the nodes of these tests are told; a test changes what it needs to.
+func settings() map[string]any {
+	class := func(name, effect string) map[string]any {
+		return map[string]any{"Name": name, "Effect": effect, "DedupScope": "all", "Aim": int64(600 * time.Millisecond),
+			"Deadline": int64(3 * time.Second), "KeyTtl": int64(2 * time.Second), "Worth": 1}
+	}
+	return map[string]any{
+		"Balancers": 1, "Position": 0, "Tick": int64(5 * time.Millisecond), "Weights": "nominal",
+		"MembershipMode": "subscribe", "Models": []string{"m2", "origin"},
+		"Classes":    []any{class("read", "retryable"), class("put", "dedup"), class("pay", "fragile")},
+		"FamilyInfo": map[string]any{"Mode": "aside", "OriginKind": 1},
+		"Guarantees": map[string]any{"AskWithin": int64(4 * time.Second), "WarmUp": int64(10 * time.Second),
+			"OverloadFor": int64(time.Second), "ColdFrom": 0.2, "FallMultiple": 3},
+		"Limits": map[string]any{"Cancel": true, "SendCap": 4, "StreamsPerConn": 8, "MostHeld": 1000,
+			"ConnIdle": int64(30 * time.Second), "ConnectTimeout": int64(300 * time.Millisecond)},
+	}
+}
+
+// patientReads makes reads worth as much after seconds: the module neither cuts them off nor turns them away early.
+func patientReads(config map[string]any) {
+	config["settings"].(map[string]any)["Classes"].([]any)[0].(map[string]any)["Aim"] = int64(3 * time.Second)
+}
+
+// start runs a node that knows no list yet; change may alter its configuration.
+func start(t *testing.T, d discovery, change func(config map[string]any)) *process {
+	t.Helper()
+	return startLogging(t, d, change, nil)
+}
+
+// startLogging runs a node whose log goes to a file; nil keeps it.
+func startLogging(t *testing.T, d discovery, change func(config map[string]any), to *os.File) *process {
+	t.Helper()
+	config := map[string]any{"name": "n1", "listen": refusing(t), "discovery": d.Addr(0), "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"revision": 0, "complete": true, "members": []any{}},
+		"settings": settings()}
+	if change != nil {
+		change(config)
+	}
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := launch(t, string(text), config["listen"].(string), to)
+	n.config = config
+	eventually(t, "the node answers mn with MN", func() bool { return load.Ready(n.addr) })
+	return n
+}
+
+// launch starts the program with a configuration file.
+func launch(t *testing.T, config, listen string, to *os.File, args ...string) *process {
+	t.Helper()
+	n := &process{t: t, addr: listen, Node: stage.NewNode(stage.NodeOptions{Log: seen.NewLog(), Command: strings.Join(append([]string{binary}, args...), " "),
+		Dir: t.TempDir(), Listen: listen, MemoryMB: 1 << 10, Sockets: 1024, Text: config, Output: to})}
+	if err := n.Start(0, nil); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		n.Kill()
+		if t.Failed() && to == nil {
+			t.Logf("the node's log:\n%s", n.log())
+		}
+	})
+	return n
+}
+
+// wait waits for the program's end and gives its status.
+func (n *process) wait() int {
+	n.t.Helper()
+	status, ended := n.Wait(patience)
+	if !ended {
+		n.t.Fatal("the node never ended")
+	}
+	code, err := strconv.Atoi(strings.TrimPrefix(status, "exit status "))
+	if err != nil {
+		return -1
+	}
+	return code
+}
+
+// reload replaces the configuration file and tells the node.
+func (n *process) reload(text string) {
+	n.t.Helper()
+	if err := n.WriteConfig([]byte(text)); err != nil {
+		n.t.Fatal(err)
+	}
+	n.signal(syscall.SIGHUP)
+}
+
+// text is the configuration with changes.
+func (n *process) text(change func(config map[string]any)) string {
+	n.t.Helper()
+	change(n.config)
+	text, err := json.Marshal(n.config)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return string(text)
+}
+
+func (n *process) signal(s syscall.Signal) { n.Signal(s) }
+
+// client is a connection to a node.
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	in   *bufio.Reader
+}
+
+func (n *process) dial() *client {
+	n.t.Helper()
+	conn, err := net.Dial("tcp", n.addr)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { conn.Close() })
+	return &client{n.t, conn, bufio.NewReader(conn)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// answer reads one answer: its line, and its value if it has one.
+func (c *client) answer() (line, value string) {
+	c.t.Helper()
+	c.conn.SetReadDeadline(time.Now().Add(patience))
+	line, err := c.in.ReadString('\n')
+	if err != nil {
+		c.t.Fatalf("no answer: %v", err)
+	}
+	line = strings.TrimRight(line, "\r\n")
+	if words := strings.Fields(line); words[0] == "VA" {
+		n, _ := strconv.Atoi(words[1])
+		data := make([]byte, n+2)
+		if _, err := io.ReadFull(c.in, data); err != nil {
+			c.t.Fatalf("no whole value: %v", err)
+		}
+		value = string(data[:n])
+	}
+	return line, value
+}
+
+// ended reports whether the node closes the connection with nothing more said.
+func (c *client) ended() bool {
+	c.conn.SetReadDeadline(time.Now().Add(patience))
+	_, err := c.in.ReadByte()
+	return err == io.EOF
+}
+
+func (c *client) want(line, value string) {
+	c.t.Helper()
+	if l, v := c.answer(); l != line || v != value {
+		c.t.Errorf("answer %q with %d bytes, want %q with %d", l, len(v), line, len(value))
+	}
+}
+
+// deaf is an address at which connections never come up, as at a machine that is cut off.
+func deaf(t *testing.T) string {
+	t.Helper()
+	c := startCache(t, silent)
+	c.Silence(true)
+	return c.Addr()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,7 +21,8 @@
 const (
 	// margin is kept off a client's deadline for the way back and the loop's lateness.
 	margin = 10 * time.Millisecond
-	// lastCall is when, before the deadline, a request that is still unanswered is failed come what may.
+	// lastCall is when, before the deadline, a request that is still unanswered is failed come what may; it comes sooner
+	// where the margin is shorter.
 	lastCall = 3 * time.Millisecond
 	// lameFor is how long after SIGTERM new connections may come and all goes on as before.
 	lameFor = 500 * time.Millisecond
@@ -155,7 +156,10 @@
 func (n *Node) take(c *call, now time.Duration) {
 	info := c.command.Info
 	n.calls[c.id] = c
-	c.timer = n.loop.After(c.deadline-lastCall-now, func() { n.overdue(c) })
+	// Guards against taking a request with hardly any time for one left unanswered: with 6 ms or less the last call came
+	// before the end that the module is told (lab, slow-origin: a retry with 5 ms left).
+	last := min(lastCall, (c.deadline-c.end)/3)
+	c.timer = n.loop.After(c.deadline-last-now, func() { n.overdue(c) })
 	n.guard("request", func() {
 		n.policy.Request(now, policy.Request{ID: c.id, Class: meta.Text(info, "c"), Tenant: meta.Text(info, "t"),
 			Key: string(c.command.Key), Left: c.end - now, Write: c.command.Kind == meta.Set})
