--- a/cmd/lapisshelf/main.go
+++ b/cmd/lapisshelf/main.go
@@ -1,76 +1,126 @@
-// Command lapisshelf is one balancer on real sockets. It is told everything by the environment; see docs and README.
+// Command lapisshelf is one balancer on real sockets. The platform tells it everything by the environment; other
+// installations set it by an operator's file. See README and docs.
 package main
 
 import (
+	"errors"
 	"fmt"
-	"log"
 	"os"
 	"os/signal"
-	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 
-	"lapisshelf/internal/loop"
+	"github.com/spf13/cobra"
+
 	"lapisshelf/internal/node"
+	"lapisshelf/internal/operator"
+)
+
+// Statuses of the program's end.
+const (
+	statusFailed = 1 // the configuration, or what serving needs
+	statusUsage  = 2 // the command line
 )
 
+// usageError is a fault of the command line.
+type usageError struct{ error }
+
 func main() {
-	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
 	signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
-	lines := newLogWriter(os.Stderr)
-	log.SetOutput(lines)
-	err := run()
-	lines.Close()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "lapisshelf:", err)
-		os.Exit(1)
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	err := command(args).Execute()
+	if err == nil {
+		return 0
 	}
+	fmt.Fprintln(os.Stderr, "lapisshelf:", err)
+	var usage usageError
+	if errors.As(err, &usage) || strings.HasPrefix(err.Error(), "unknown command") {
+		return statusUsage
+	}
+	return statusFailed
 }
 
-func run() error {
-	// From the first moment: a SIGHUP that finds nobody listening ends the program. The end has a channel of its own,
-	// so that no crowd of other signals can displace it.
-	ends, others := make(chan os.Signal, 1), make(chan os.Signal, 4)
-	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(others, syscall.SIGUSR1, syscall.SIGHUP)
-	cfg, err := node.ReadConfig(os.Getenv)
-	if err != nil {
-		return err
+// command is the whole command line. With no command the program serves: the platform's line has none.
+func command(args []string) *cobra.Command {
+	config := os.Getenv("LAPISSHELF_CONFIG")
+	none := func(_ *cobra.Command, args []string) error {
+		if len(args) > 0 {
+			return usageError{fmt.Errorf("unknown command %q: there are serve, check and version", args[0])}
+		}
+		return nil
 	}
-	runtime.GOMAXPROCS(2) // the loop, and the collector or the runtime's own beside it, on one core
-	limitMemory(cfg)
-	l, err := loop.New()
-	if err != nil {
+	serving := func(*cobra.Command, []string) error { return serve(config) }
+	root := &cobra.Command{Use: "lapisshelf", Short: "A router for fleets of cache servers: one balancer on real sockets",
+		Long: "A router for fleets of cache servers: one balancer on real sockets.\n\nWith no command it serves. It is configured by EDGE_CONFIG, the platform's file, or by an operator's file.",
+		Args: none, RunE: serving, SilenceUsage: true, SilenceErrors: true}
+	root.PersistentFlags().StringVar(&config, "config", config, "operator's file (LAPISSHELF_CONFIG)")
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.CompletionOptions.DisableDefaultCmd = true
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Serve, as the program does with no command", Args: none, RunE: serving},
+		&cobra.Command{Use: "check FILE...", Short: "Say what is wrong with operator's files (.toml) and configurations (.json)",
+			Args: func(_ *cobra.Command, args []string) error {
+				if len(args) == 0 {
+					return usageError{errors.New("check wants a file")}
+				}
+				return nil
+			}, RunE: check},
+		&cobra.Command{Use: "version", Short: "Print which build this is", Args: none, RunE: version})
+	root.SetArgs(args)
+	return root
+}
+
+// check reads files as serving would and names the first fault of each.
+func check(c *cobra.Command, paths []string) error {
+	bad := 0
+	for _, path := range paths {
+		if err := checkFile(path); err != nil {
+			fmt.Fprintln(os.Stderr, "lapisshelf:", err)
+			bad++
+			continue
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s: good\n", path)
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d of %d files are bad", bad, len(paths))
+	}
+	return nil
+}
+
+func checkFile(path string) error {
+	if strings.HasSuffix(path, ".toml") {
+		_, err := operator.Read(path)
 		return err
 	}
-	n, err := node.New(cfg, l)
+	text, err := os.ReadFile(path)
 	if err != nil {
 		return err
 	}
-	log.Printf("event=start name=%s listen=%s discovery=%s memory_mb=%d sockets=%d", cfg.Name, cfg.Listen, cfg.Discovery,
-		cfg.MemoryMB, cfg.Sockets)
-	go func() {
-		<-ends
-		l.Post(n.Leave)
-	}()
-	go func() {
-		for s := range others {
-			if s == syscall.SIGUSR1 {
-				l.Post(n.Counters)
-				continue
-			}
-			cfg, err := node.ReadConfig(os.Getenv) // here, so that a slow disk does not stop the loop
-			l.Post(func() {
-				if n.Reload(cfg, err) {
-					limitMemory(cfg)
-				}
-			})
-		}
-	}()
-	err = l.Run()
-	n.Counters()
-	return err
+	if _, err = node.ParseConfig(text, func(string) string { return "" }, nil); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
 }
 
-// limitMemory has the collector work harder well before the limit at which the program is killed.
-func limitMemory(cfg node.Config) { debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3) }
+// version prints what the build knows of itself.
+func version(c *cobra.Command, _ []string) error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("the build tells nothing of itself")
+	}
+	revision, dirty := "unknown", ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			dirty = "+changes"
+		}
+	}
+	fmt.Fprintf(c.OutOrStdout(), "lapisshelf %s revision %s%s %s\n", info.Main.Version, revision, dirty, info.GoVersion)
+	return nil
+}
--- /dev/null
+++ b/cmd/lapisshelf/serve.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"log"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"lapisshelf/internal/loop"
+	"lapisshelf/internal/node"
+	"lapisshelf/internal/operator"
+)
+
+// serve runs a node until it is told to end. The operator's file may be none.
+func serve(file string) error {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	lines := newLogWriter(os.Stderr)
+	log.SetOutput(lines)
+	defer lines.Close()
+	// From the first moment: a SIGHUP that finds nobody listening ends the program. The end has a channel of its own,
+	// so that no crowd of other signals can displace it.
+	ends, others := make(chan os.Signal, 1), make(chan os.Signal, 4)
+	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(others, syscall.SIGUSR1, syscall.SIGHUP)
+	cfg, err := configure(file)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(2) // the loop, and the collector or the runtime's own beside it, on one core
+	limitMemory(cfg)
+	l, err := loop.New()
+	if err != nil {
+		return err
+	}
+	n, err := node.New(cfg, l)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=start name=%s listen=%s discovery=%s memory_mb=%d sockets=%d", cfg.Name, cfg.Listen, cfg.Discovery,
+		cfg.MemoryMB, cfg.Sockets)
+	go func() {
+		<-ends
+		l.Post(n.Leave)
+	}()
+	go func() {
+		for s := range others {
+			if s == syscall.SIGUSR1 {
+				l.Post(n.Counters)
+				continue
+			}
+			cfg, err := configure(file) // here, so that a slow disk does not stop the loop
+			l.Post(func() {
+				if n.Reload(cfg, err) {
+					limitMemory(cfg)
+				}
+			})
+		}
+	}()
+	err = l.Run()
+	n.Counters()
+	return err
+}
+
+// configure reads the operator's file, if there is one, and the platform's configuration.
+func configure(file string) (node.Config, error) {
+	var op *operator.File
+	if file != "" {
+		var err error
+		if op, err = operator.Read(file); err != nil {
+			return node.Config{}, err
+		}
+	}
+	return node.ReadConfig(os.Getenv, op)
+}
+
+// limitMemory has the collector work harder well before the limit at which the program is killed.
+func limitMemory(cfg node.Config) { debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3) }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,6 +20,7 @@
 	restartGap  = 100 * time.Millisecond  // at least so long between a failed call and the next
 	readyWithin = 2 * time.Second         // a node that knows a list serves by then, heard or not
 	mostList    = 8 << 20                 // bytes of a list
+	failLogGap  = time.Minute             // at most so long between log lines of calls that go on failing
 )
 
 // discovery follows the server list by a watch: each answer is at once followed by the next call. A call that fails
@@ -35,6 +36,8 @@
 	due      *loop.Timer   // when the next call begins, where it has to wait
 	last     time.Duration // when a call failed last
 	whole    bool          // the next call asks for the whole list
+	failed   int           // calls that failed since the last answer
+	logged   time.Duration // when that was logged last
 }
 
 // start begins the first watch, from the list that the node knew before.
@@ -101,7 +104,11 @@
 	d.drop()
 	d.last = d.node.loop.Now()
 	d.node.count.listsFailed++
-	log.Printf("event=list_failed why=%q", why)
+	// Guards against a log full of one outage: the first failure, then each time their number has doubled, or a minute.
+	if d.failed++; d.failed&(d.failed-1) == 0 || d.last-d.logged >= failLogGap {
+		d.logged = d.last
+		log.Printf("event=list_failed why=%q times=%d", why, d.failed)
+	}
 	d.node.members(policy.ListFailed, serverList{})
 }
 
@@ -166,7 +173,10 @@
 		return
 	}
 	d.timer.Stop()
-	d.out, d.input, d.whole = false, nil, false
+	if d.failed > 1 {
+		log.Printf("event=list_back failed=%d", d.failed)
+	}
+	d.out, d.input, d.whole, d.failed = false, nil, false, 0
 	if h.Close {
 		d.drop()
 	}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,100 @@
+package operator
+
+import (
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+const shipped = "../../deploy/lapisshelf.toml"
+
+func TestTheShippedFile(t *testing.T) {
+	f, err := Read(shipped)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, transport, ok := f.Settings()
+	if !ok || set.Mode != policy.Aside || len(set.Classes) != 2 || set.Classes[1].Window != 1200*time.Millisecond || set.Classes[0].Worth != 3 ||
+		transport.Deadlines["put"] != 600*time.Millisecond || set.Tenants[0].Quota != 50 || !set.MustAsk || set.MaxAttempts != 3 {
+		t.Errorf("%+v %+v", set, transport)
+	}
+	// What it shows as defaults are the defaults.
+	if d := defaults(); *f.Service != d {
+		t.Errorf("the file shows %+v, the defaults are %+v", *f.Service, d)
+	}
+	// It shows every key that there is.
+	text, err := os.ReadFile(shipped)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, table := range []any{Node{}, Service{}, Class{}, Tenant{}} {
+		v := reflect.TypeOf(table)
+		for i := range v.NumField() {
+			name := v.Field(i).Tag.Get("toml")
+			if name == "" {
+				name = strings.ToLower(v.Field(i).Name)
+			}
+			if !strings.Contains(string(text), "\n"+name+" = ") {
+				t.Errorf("%s.%s is not in the shipped file", v.Name(), name)
+			}
+		}
+	}
+}
+
+func TestAnEmptyFileSetsNothing(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "x.toml")
+	if err := os.WriteFile(path, nil, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f, err := Read(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, _, ok := f.Settings(); ok || f.Node != (Node{}) {
+		t.Errorf("%+v", f)
+	}
+}
+
+func TestBadFiles(t *testing.T) {
+	text, err := os.ReadFile(shipped)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ from, to, want string }{
+		{"memory_mb = 192", "memory = 192", "x.toml:12: node.memory: no such key"},
+		{"memory_mb = 192", "memory_mb = 3", "x.toml:12: node.memory_mb: must be at least 8"},
+		{"sockets = 1024", "sockets = 10", "x.toml:13: node.sockets: must be at least 64"},
+		{`listen = "127.0.0.1:11211"`, `listen = "here"`, "x.toml:9: node.listen: must be an address"},
+		{`mode = "aside"`, `mode = "beside"`, "x.toml:17: service.mode: must be aside or through"},
+		{`warm_up = "10s"`, `warm_up = 10`, "x.toml:28: service.warm_up: "},
+		{`warm_up = "10s"`, `warm_up = "10"`, "x.toml:28: service.warm_up: "},
+		{`warm_up = "10s"`, `warm_up = "-1s"`, "x.toml:28: service.warm_up: must be 0s to 1h"},
+		{"cold_from = 0.2", "cold_from = nan", "x.toml:29: service.cold_from: must be above 0 and at most 1"},
+		{"position = 0", "position = 1", "x.toml:21: service.position: must be 0 to one less than balancers"},
+		{`effect = "safe"`, `effect = "sound"`, "x.toml:40: class[1].effect: must be safe, keyed or unsafe"},
+		{`window = "1200ms"`, `window = "0s"`, "x.toml:49: class[2].window: a keyed class needs"},
+		{`name = "put"`, `name = "read"`, "x.toml:46: class[2].name: must be a name that no other class has"},
+		{"quota = 50.0", "quota = -50.0", "x.toml:56: tenant[1].quota: must be 0 to 1000000000"},
+		{"[service]", "[servce]", "x.toml:16: servce"},
+	} {
+		if strings.Count(string(text), c.from) != 1 {
+			t.Fatalf("%q is not once in the file", c.from)
+		}
+		path := filepath.Join(t.TempDir(), "x.toml")
+		if err := os.WriteFile(path, []byte(strings.Replace(string(text), c.from, c.to, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := Read(path)
+		if err == nil || !strings.HasPrefix(strings.TrimPrefix(err.Error(), filepath.Dir(path)+"/"), c.want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, want %q", c.to, err, c.want)
+		}
+	}
+	if _, err := Read("none.toml"); err == nil || err.Error() != "none.toml: no such file or directory" {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -3,9 +3,11 @@
 package tomlfile
 
 import (
+	"encoding"
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"slices"
 	"strconv"
 	"strings"
@@ -57,7 +59,23 @@
 
 // Decode reads text, which stands in the file of that path, into v.
 func Decode(path string, text []byte, v any) (*File, error) {
-	f := &File{Path: path, lines: positions(text)}
+	f := &File{Path: path, lines: map[string]int{}}
+	var plain *Error // the first bare value where text is wanted, which the decoder would take or not place
+	positions(text, f.lines, func(at []string, line int, value *unstable.Node) {
+		if plain == nil && value.Kind != unstable.String && wantsText(reflect.TypeOf(v), at) {
+			parts := make([]any, len(at))
+			for i, p := range at {
+				parts[i] = p
+				if n, err := strconv.Atoi(p); err == nil { // a place in an array
+					parts[i] = n
+				}
+			}
+			plain = &Error{path, line, Name(parts), "must be text in quotes"}
+		}
+	})
+	if plain != nil {
+		return nil, plain
+	}
 	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
 	err := d.Decode(v)
 	if err == nil {
@@ -123,9 +141,37 @@
 	return strings.Join(parts, "\x00")
 }
 
-// positions finds the line of each table and key. What does not parse has none: the decoder says what is wrong.
-func positions(text []byte) map[string]int {
-	lines := map[string]int{}
+var textUnmarshaler = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+// wantsText reports whether the value of a key goes into something that is read from text.
+func wantsText(t reflect.Type, at []string) bool {
+	for t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if len(at) == 0 {
+		return reflect.PointerTo(t).Implements(textUnmarshaler)
+	}
+	switch t.Kind() {
+	case reflect.Struct:
+		for i := range t.NumField() {
+			f := t.Field(i)
+			name := f.Tag.Get("toml")
+			if name == "" {
+				name = f.Name
+			}
+			if f.Anonymous && f.Tag.Get("toml") == "" && wantsText(f.Type, at) || strings.EqualFold(name, at[0]) && f.IsExported() && wantsText(f.Type, at[1:]) {
+				return true
+			}
+		}
+	case reflect.Slice, reflect.Array, reflect.Map:
+		return wantsText(t.Elem(), at[1:])
+	}
+	return false
+}
+
+// positions finds the line of each table and key and gives each value to look. What does not parse has none: the decoder
+// says what is wrong.
+func positions(text []byte, lines map[string]int, look func(at []string, line int, value *unstable.Node)) {
 	var p unstable.Parser
 	p.Reset(text)
 	counts := map[string]int{} // elements of each array of tables so far
@@ -143,25 +189,26 @@
 			lines[strings.Join(table, "\x00")] = line
 		case unstable.KeyValue:
 			path, line := keys(&p, e.Key())
-			note(&p, lines, append(slices.Clone(table), path...), line, e.Value())
+			note(&p, lines, append(slices.Clone(table), path...), line, e.Value(), look)
 		}
 	}
-	return lines
 }
 
 // note keeps the line of a key and of what stands inside its value.
-func note(p *unstable.Parser, lines map[string]int, path []string, line int, value *unstable.Node) {
+func note(p *unstable.Parser, lines map[string]int, path []string, line int, value *unstable.Node,
+	look func(at []string, line int, value *unstable.Node)) {
 	lines[strings.Join(path, "\x00")] = line
+	look(path, line, value)
 	switch value.Kind {
 	case unstable.InlineTable:
 		for it := value.Children(); it.Next(); {
 			inner, at := keys(p, it.Node().Key())
-			note(p, lines, append(slices.Clone(path), inner...), max(at, line), it.Node().Value())
+			note(p, lines, append(slices.Clone(path), inner...), max(at, line), it.Node().Value(), look)
 		}
 	case unstable.Array:
 		n := 0
 		for it := value.Children(); it.Next(); n++ {
-			note(p, lines, append(slices.Clone(path), strconv.Itoa(n)), line, it.Node())
+			note(p, lines, append(slices.Clone(path), strconv.Itoa(n)), line, it.Node(), look)
 		}
 	}
 }
@@ -190,8 +237,11 @@
 	return out
 }
 
-// Duration is a time span as text: a number and a unit, as in "250ms" or "1m30s".
-type Duration time.Duration
+// Duration is a time span as text: a number and a unit, as in "250ms" or "1m30s". A plain number is none.
+type Duration struct{ d time.Duration }
+
+// Span makes one of a time.Duration.
+func Span(d time.Duration) Duration { return Duration{d} }
 
 // UnmarshalText implements encoding.TextUnmarshaler.
 func (d *Duration) UnmarshalText(text []byte) error {
@@ -199,9 +249,9 @@
 	if err != nil {
 		return fmt.Errorf("%q is no time span: a number and a unit are wanted, such as 250ms or 1.5s", text)
 	}
-	*d = Duration(v)
+	d.d = v
 	return nil
 }
 
 // D is the plain duration.
-func (d Duration) D() time.Duration { return time.Duration(d) }
+func (d Duration) D() time.Duration { return d.d }
--- a/internal/tomlfile/tomlfile_test.go
+++ b/internal/tomlfile/tomlfile_test.go
@@ -76,6 +76,8 @@
 		{"name = 7\n", "f.toml:1: name: "},
 		{"name = \"x\"\nnmae = 7\n", "f.toml:2: nmae: no such key"},
 		{"[table]\ncount = \"x\"\n", "f.toml:2: table.count: "},
+		{"span = 7\n", "f.toml:1: span: must be text in quotes"},
+		{"\n[[fault]]\nfor = 1.5\n", "f.toml:3: fault[1].for: must be text in quotes"},
 		{"\n[[fault]]\nfor = \"7\"\n", "f.toml:3: fault.for: "},
 		{"[table]\ninner = { kid = 1 }\n", "f.toml:2: table."},
 		{"name = \n", "f.toml:1: "},
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,8 @@
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
 	}
-	b.askWait = set.AskWithin / 16
+	b.within = cmp.Or(set.AskWithin, 4*skipSpell) // guards against asking without a pause where no limit is told
+	b.askWait = b.within / 16
 	b.late, b.usual = float64(b.shortest)/2, float64(b.shortest)/4 // until answers tell
 	if set.MustAsk {
 		act.Subscribe()
@@ -55,12 +56,12 @@
 	b.now = now
 	if kind == ListFailed {
 		// Growing waits with jitter, well inside AskWithin: a failing list service is not stormed.
-		b.askWait = min(2*b.askWait, b.set.AskWithin/4)
+		b.askWait = min(2*b.askWait, b.within/4)
 		b.act.Timer(b.askWait/2+time.Duration(b.rng.Float64()*float64(b.askWait/2)), "list")
 		return
 	}
 	if kind != ListSaved {
-		b.askWait = b.set.AskWithin / 16
+		b.askWait = b.within / 16
 	}
 	b.merge(kind, list)
 	if b.set.Mode == Through && !b.origin.strained { // all keys are unknown at first, few of them missing
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -759,6 +759,22 @@
 	}
 }
 
+// Where the settings tell no limit, the waits grow all the same: a node without it asked again ten times a second for good.
+func TestListFailureWithoutALimit(t *testing.T) {
+	w := start(t, settings(), 2)
+	last := time.Duration(0)
+	for range 20 {
+		w.b.Members(w.now, ListFailed, nil)
+		if w.b.askWait <= 0 || w.b.askWait < last || w.b.askWait > skipSpell {
+			t.Fatalf("a wait of %v after %v", w.b.askWait, last)
+		}
+		last = w.b.askWait
+	}
+	if last != skipSpell {
+		t.Errorf("waits grew to %v", last)
+	}
+}
+
 // TestRulesHoldUnderAnyEvents throws random legal events at balancers of many settings and checks the rules
 // that a node keeps alone: one answer in time, nothing sent after it, no effect twice, nothing to a server
 // that drains, attempt and copy limits. It replays events; it models no servers.
--- a/policy/state.go
+++ b/policy/state.go
@@ -100,6 +100,7 @@
 	late    float64 // quantile lateQuant of answer times, ns
 	usual   float64 // mean of answer times, ns
 	askWait time.Duration
+	within  time.Duration // longest spell without asking for the list
 
 	shortest time.Duration       // of the classes' aims
 	period   time.Duration       // between looks at what is open
