--- /dev/null
+++ b/lab/load/load_test.go
@@ -0,0 +1,221 @@
+package load
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/standin"
+	"lapisshelf/lab/world"
+)
+
+const ms = time.Millisecond
+
+var classes = []world.Class{{Name: "read", Deadline: time.Second}, {Name: "put", Effect: world.Keyed, Window: 300 * ms, Write: true, Deadline: time.Second},
+	{Name: "pay", Effect: world.Unsafe, Write: true, Deadline: time.Second}, {Name: "zput", Effect: world.Keyed, Scope: world.ScopeZone, Window: 300 * ms, Write: true, Deadline: time.Second}}
+
+// server answers each request as a test says; "" ends the connection, "-" says nothing.
+func server(t *testing.T, answer func(n int, line string) string) (addr string, lines func() []string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var mu sync.Mutex
+	var seen []string
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				in := bufio.NewReader(c)
+				for {
+					line, err := in.ReadString('\n')
+					if err != nil {
+						return
+					}
+					if strings.HasPrefix(line, "ms ") {
+						in.ReadString('\n')
+					}
+					mu.Lock()
+					seen = append(seen, line)
+					n := len(seen)
+					mu.Unlock()
+					switch text := answer(n, line); text {
+					case "":
+						return
+					case "-":
+					default:
+						c.Write([]byte(text))
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		return append([]string(nil), seen...)
+	}
+}
+
+func id(line string) string {
+	for _, w := range strings.Fields(line) {
+		if w[0] == 'O' {
+			return w[1:]
+		}
+	}
+	return ""
+}
+
+// play sends one wish of a class and gives its tries.
+func play(t *testing.T, addr string, class int, spec world.ClientSpec, change func(*world.Arrival)) []*seen.Try {
+	t.Helper()
+	log := seen.NewLog()
+	l := New(Options{Log: log, Seed: 1, Spec: spec, Classes: classes, Nodes: []string{addr}, Life: func(int) int { return 0 }})
+	a := world.Arrival{Class: class, Tenant: -1, Key: "k", Patience: 250 * ms, Tries: 3, Idem: "i", Size: 20}
+	if change != nil {
+		change(&a)
+	}
+	l.Run(context.Background(), log.Now(), []world.Arrival{a})
+	var tries []*seen.Try
+	log.Do(func(r *seen.Record) { tries = r.Tries })
+	return tries
+}
+
+// What a client repeats: safe requests after anything, keyed ones within their window where all drop repeats, others
+// only after a refusal.
+func TestWhatIsTriedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name, answer string
+		class, tries int
+	}{
+		{"a safe read that failed", "SERVER_ERROR failed\r\n", 0, 3},
+		{"a keyed write that failed", "SERVER_ERROR failed\r\n", 1, 3},
+		{"a keyed write of one zone that failed", "SERVER_ERROR failed\r\n", 3, 1},
+		{"an unsafe write that failed", "SERVER_ERROR failed\r\n", 2, 1},
+		{"an unsafe write that was refused", "SERVER_ERROR busy\r\n", 2, 3},
+		{"a refusal that says when to come back", "SERVER_ERROR busy 400\r\n", 0, 3},
+		{"a keyed write refused past its window", "SERVER_ERROR busy 400\r\n", 1, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, lines := server(t, func(int, string) string { return c.answer })
+			tries := play(t, addr, c.class, world.ClientSpec{Pause: 20 * ms, MarksRetry: true}, nil)
+			if len(tries) != c.tries || len(lines()) != c.tries {
+				t.Fatalf("%d tries, %d requests", len(tries), len(lines()))
+			}
+			for i, line := range lines() {
+				if strings.Contains(line, ",r=1") != (i > 0) || !strings.Contains(line, "k=i") {
+					t.Errorf("try %d is %q", i, line)
+				}
+			}
+			if c.tries > 1 {
+				if gap := tries[1].Planned - tries[0].At; gap < 15*ms || strings.Contains(c.answer, "400") && gap < 395*ms {
+					t.Errorf("tried again after %v", gap)
+				}
+				if tries[0].ID == tries[1].ID {
+					t.Error("two tries have one id")
+				}
+			}
+		})
+	}
+}
+
+// A request that crosses the end of its connection goes out once more under its id; one whose connection was new is lost.
+func TestACrossing(t *testing.T) {
+	good := func(line string) string {
+		v := standin.Value("k", 0, id(line), "s", 30)
+		return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(v), id(line), v)
+	}
+	addr, lines := server(t, func(n int, line string) string {
+		if n == 2 {
+			return ""
+		}
+		return good(line)
+	})
+	log := seen.NewLog()
+	l := New(Options{Log: log, Seed: 1, Classes: classes, Nodes: []string{addr}, Life: func(int) int { return 0 }})
+	plan := []world.Arrival{{N: 0, Key: "k", Tenant: -1, Patience: 500 * ms, Tries: 1}, {N: 1, At: 100 * ms, Key: "k", Tenant: -1, Patience: 500 * ms, Tries: 1}}
+	l.Run(context.Background(), log.Now(), plan)
+	log.Do(func(r *seen.Record) {
+		if x := r.Tries[1]; !x.Unread || x.Answer != seen.Served || !x.Right {
+			t.Errorf("%+v", x)
+		}
+	})
+	if got := lines(); len(got) != 3 || id(got[1]) != id(got[2]) {
+		t.Errorf("%q", got)
+	}
+	addr, _ = server(t, func(int, string) string { return "" })
+	if tries := play(t, addr, 0, world.ClientSpec{}, func(a *world.Arrival) { a.Tries = 1 }); tries[0].Ended == 0 || tries[0].Unread {
+		t.Errorf("%+v", tries[0])
+	}
+}
+
+// What comes beyond the one answer, another's value and silence are noted for what they are.
+func TestWhatAnswersAre(t *testing.T) {
+	value := func(key, request, as string) string {
+		v := standin.Value(key, 2, request, "s-1", 40)
+		return fmt.Sprintf("VA %d O%s\r\n%s\r\n", len(v), as, v)
+	}
+	for _, c := range []struct {
+		name   string
+		answer func(id string) string
+		holds  func(x *seen.Try) bool
+	}{
+		{"right", func(id string) string { return value("k", id, id) },
+			func(x *seen.Try) bool {
+				return x.Answer == seen.Served && x.Right && x.Server == "s-1" && x.Version == 2 && x.Extra == ""
+			}},
+		{"another request's", func(id string) string { return value("k", "other", id) },
+			func(x *seen.Try) bool { return x.Answer == seen.Served && !x.Right }},
+		{"another key's", func(id string) string { return value("j", id, id) }, func(x *seen.Try) bool { return !x.Right }},
+		{"under another id", func(id string) string { return value("k", id, "x") }, func(x *seen.Try) bool { return !x.Right }},
+		{"twice", func(id string) string { return value("k", id, id) + value("k", id, id) }, func(x *seen.Try) bool { return x.Extra != "" }},
+		{"nothing", func(string) string { return "-" },
+			func(x *seen.Try) bool { return x.Answer == seen.None && x.Sent > 0 && x.Ended == 0 }},
+		{"half of it", func(id string) string { return value("k", id, id)[:30] }, func(x *seen.Try) bool { return x.Answer == seen.None }},
+		{"refused", func(string) string { return "SERVER_ERROR busy 70\r\n" },
+			func(x *seen.Try) bool { return x.Answer == seen.Refused && x.ComeBack == 70*ms }},
+		{"nonsense", func(string) string { return "\r\n" }, func(x *seen.Try) bool { return x.Answer == seen.Failed }},
+	} {
+		addr, _ := server(t, func(_ int, line string) string { return c.answer(id(line)) })
+		if tries := play(t, addr, 0, world.ClientSpec{}, func(a *world.Arrival) { a.Tries = 1 }); !c.holds(tries[0]) {
+			t.Errorf("%s: %+v", c.name, tries[0])
+		}
+	}
+	if tries := play(t, "127.0.0.1:1", 2, world.ClientSpec{Pause: ms}, nil); len(tries) != 3 || !tries[0].Nowhere {
+		t.Errorf("a node that is not there: %d tries", len(tries))
+	}
+	addr, _ := server(t, func(int, string) string { return "-" })
+	if tries := play(t, addr, 0, world.ClientSpec{}, func(a *world.Arrival) { a.Leave = 50 * ms }); len(tries) != 1 || tries[0].Left == 0 {
+		t.Errorf("a client that goes away: %+v", tries[0])
+	}
+}
+
+// Wishes go out when they are due, whatever has become of those before: a server that says nothing holds up nobody.
+func TestOpenLoop(t *testing.T) {
+	addr, lines := server(t, func(int, string) string { return "-" })
+	log := seen.NewLog()
+	l := New(Options{Log: log, Seed: 1, Classes: classes, Nodes: []string{addr}, Life: func(int) int { return 0 }})
+	var plan []world.Arrival
+	for i := range 100 {
+		plan = append(plan, world.Arrival{N: i, At: time.Duration(i) * ms, Key: "k", Tenant: -1, Patience: 300 * ms, Tries: 1})
+	}
+	l.Run(context.Background(), log.Now(), plan)
+	if n := len(lines()); n != 100 {
+		t.Errorf("%d of 100 were sent", n)
+	}
+	if l.Late().TotalCount() != 100 {
+		t.Errorf("%d counted", l.Late().TotalCount())
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 	if set.Mode == Through {
 		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
 	}
-	b.within = cmp.Or(set.AskWithin, 4*skipSpell) // guards against asking without a pause where no limit is told
+	b.within = cmp.Or(set.AskWithin, 4*skipSpell) // no limit told must not mean no pause
 	b.askWait = b.within / 16
 	b.late, b.usual = float64(b.shortest)/2, float64(b.shortest)/4 // until answers tell
 	if set.MustAsk {
