--- /dev/null
+++ b/decide/roster/api.go
@@ -0,0 +1,109 @@
+// Package roster decides how a node follows a registry's list of servers: what is asked next and of which endpoint, what an
+// answer means, when a change counts, how long to wait after a failure, and what a list that lacks known servers means.
+//
+// This file is the module's interface: settings, events, actions. The decisions are in roster.go, what it remembers in
+// state.go. It does no I/O and reads no clock: the caller passes the time (since any fixed zero) with each event and
+// carries out the actions. The same events and seed give the same actions.
+package roster
+
+import (
+	"time"
+
+	"lapisshelf/policy"
+)
+
+// Config is what a follower is told at its start, and again when the registry's address changes.
+type Config struct {
+	Endpoints int // of one registry, at least 1
+	Nodes     int // followers of it, this one included; at least 1
+	// Within is the longest spell without a call after which a node counts as told all the same; waits between failed
+	// calls derive from it. 0 takes 20 s.
+	Within time.Duration
+	// Calls is how many calls a second all nodes together may make while calls fail. 0 takes 100.
+	Calls float64
+	// Stream: a watch says at once that it stands, then each change as it comes, for as long as it lasts; else it is one
+	// answer, which comes with the first change or after Watch.
+	Stream bool
+	// Watch is how long a watch may wait for news before it is asked anew: with a cut line, how long a node does not know.
+	Watch time.Duration
+	// Limit is how long a call may take besides.
+	Limit time.Duration
+	// Quick makes the first watch from a saved list return at once with what is newer.
+	Quick bool
+	// Hold is how long servers are kept that vanish in a mass, without having drained; 0: they go at once.
+	Hold time.Duration
+	// Part is the part of the ready servers that is a mass: more than that gone, and at least two. 0 takes a half.
+	Part float64
+	// Rewind is how long all endpoints must tell of an older list before it is taken for the registry's (a restored backup);
+	// four times as long where some of them say nothing. 0 takes 30 s.
+	Rewind time.Duration
+	// Page is how many entries a read asks for at once; 0: all.
+	Page int
+	// Most bounds the entries that are followed; what comes beyond is left out. 0 takes 100,000.
+	Most int
+}
+
+// Entry is a server as the registry has it.
+type Entry struct {
+	policy.Server
+	Addr string // where it listens
+}
+
+// Change is what the registry says of one key.
+type Change struct {
+	Key      string
+	Revision int64 // of the change; 0: that of the answer
+	Gone     bool
+	Entry    Entry // unless it is gone
+	Bad      bool  // the entry does not parse: the last good one stands
+}
+
+// Call is what is to be asked. One call is out at a time.
+type Call struct {
+	ID       uint64
+	Endpoint int  // from 0
+	Whole    bool // a read of the list, else a watch
+	// Revision: of a read, at which it must be made (0: the present one); of a watch, what is newer than it.
+	Revision int64
+	From     string        // of a read: the key after which the page begins
+	Page     int           // of a read: entries at most; 0: all
+	Wait     time.Duration // of a watch: it returns by then with what there is
+}
+
+// Kind is what an answer is.
+type Kind int
+
+// The kinds of answers.
+const (
+	List      Kind = iota // entries of the whole list, or a page of them
+	News                  // changes, in the order of their revisions; perhaps none
+	Alive                 // nothing, but the registry is there and at this revision
+	Compacted             // what was asked for is forgotten there
+)
+
+// Answer is something that the registry said to a call.
+type Answer struct {
+	Call     uint64
+	Kind     Kind
+	Revision int64 // of the registry
+	// Epoch names the registry; another one means another numbering of revisions. Empty: it tells none.
+	Epoch   string
+	Changes []Change
+	More    string // of a page: the key after which the next begins; empty: it was the last
+	Over    bool   // the call ends with this answer
+}
+
+// Update is what a node must be told.
+type Update struct {
+	Whole   bool // all servers there are; else only what has changed, those that are gone among it
+	Entries []Entry
+}
+
+// Actions is what a follower may do.
+type Actions interface {
+	Ask(c Call)             // begin a call
+	Drop(id uint64)         // end a call, whatever it may still say
+	Apply(u Update)         // tell the node of the list
+	Wake(at time.Duration)  // call Timer then; it replaces what was asked before
+	Note(event, why string) // for the log, rare
+}
--- /dev/null
+++ b/decide/roster/roster.go
@@ -0,0 +1,493 @@
+package roster
+
+// All decisions of following a registry. The types, events and actions stand in api.go.
+//
+// The ordinary path: the list is read once, whole, then watched from its revision; each change counts at once, in the
+// order of the registry's revisions, and each watch is followed by the next at once.
+//
+// The departures: a call that fails is made again at another endpoint after a wait with jitter, which grows with the
+// failures and with the number of nodes (again); a revision that is forgotten ends in one whole reread, of which nothing
+// counts before its last page (forgotten, list); an answer older than the list held is never applied, until all endpoints
+// have told of nothing newer for a stated time (behind); servers that vanish in a mass without having drained are kept for
+// a stated time (settle); of two entries with one address the later one stands (standing); an entry that does not parse
+// leaves the last good one in force (take).
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+const (
+	noteGap   = time.Minute            // between notes of failures that go on
+	massSpan  = 5 * time.Second        // in which servers that vanish one by one count together
+	moment    = 100 * time.Millisecond // in which those that vanish together show; well inside any grace
+	leastMass = 2                      // servers that make a mass
+	mostIdle  = 3                      // watches that may come back early with nothing
+	jitter    = .5                     // part of a wait that is drawn
+)
+
+// New starts a follower with the list that the node had before, which may be none. Nothing is asked before Start.
+func New(now time.Duration, cfg Config, seed uint64, act Actions) *Follower {
+	f := blank(now, cfg, seed, act)
+	f.ends = make([]endpoint, f.cfg.Endpoints)
+	f.at = f.rng.IntN(f.cfg.Endpoints) // nodes spread over them
+	f.whole = true
+	return f
+}
+
+// Saved takes the list that the node had before, at its revision; it is watched from there.
+func (f *Follower) Saved(rev int64, entries []Entry) {
+	for _, e := range entries {
+		if f.put(e.ID, rev, e) {
+			f.show(e, false)
+		}
+	}
+	clear(f.touched)
+	f.rev, f.known, f.whole = rev, true, false
+}
+
+// Start makes the first call: at once, or, with a list in hand, within the time in which so many nodes may call.
+func (f *Follower) Start(now time.Duration) {
+	f.now = now
+	if len(f.shown) == 0 || f.crowd() < 50*time.Millisecond {
+		f.ask()
+	} else {
+		f.retry = now + time.Duration(f.rng.Float64()*float64(min(f.crowd(), time.Second)))
+	}
+	f.wake()
+}
+
+// Move takes another registry, or other endpoints of it: the list held stays until the new one has told its own.
+func (f *Follower) Move(now time.Duration, cfg Config) {
+	f.now, f.cfg = now, cfg.whole()
+	f.ends = make([]endpoint, f.cfg.Endpoints)
+	f.at = f.rng.IntN(f.cfg.Endpoints)
+	f.drop()
+	f.whole, f.anew, f.fails, f.older = true, true, 0, 0
+	f.ask()
+	f.wake()
+}
+
+// crowd is the time in which all nodes may make a call each.
+func (f *Follower) crowd() time.Duration {
+	return time.Duration(float64(f.cfg.Nodes) / f.cfg.Calls * float64(time.Second))
+}
+
+// ask makes the next call.
+func (f *Follower) ask() {
+	f.serial++
+	f.retry = 0
+	c := Call{ID: f.serial, Endpoint: f.at}
+	switch {
+	case f.whole:
+		c.Whole, c.Page = true, f.cfg.Page
+		if len(f.pages) > 0 { // the next page, of the same revision
+			c.Revision, c.From = f.pageRev, f.pages[len(f.pages)-1].Key
+		}
+	default:
+		c.Revision, c.Wait = f.rev, f.cfg.Watch
+		if f.cfg.Quick && f.Counts.Answers == 0 { // the list saved may be old: what is newer is wanted first
+			c.Wait = time.Millisecond
+		}
+	}
+	f.call, f.asked, f.heard = c, f.now, false
+	if f.by = f.now + f.cfg.Limit; !f.cfg.Stream {
+		f.by += c.Wait
+	}
+	f.Counts.Calls++
+	f.act.Ask(c)
+}
+
+// drop ends the call that is out.
+func (f *Follower) drop() {
+	if f.call.ID != 0 {
+		f.act.Drop(f.call.ID)
+		f.call = Call{}
+	}
+	f.pages, f.retry = nil, 0
+}
+
+// Failed notes that a call has ended without an answer, or with nonsense.
+func (f *Follower) Failed(now time.Duration, call uint64, why string) {
+	f.now = now
+	if call == f.call.ID && call != 0 {
+		f.again(why)
+	}
+	f.wake()
+}
+
+// again plans the next call after one that failed. The wait is at least what keeps the calls of all nodes under their
+// bound, doubles with each round of failures over the endpoints, and stays well inside Within.
+func (f *Follower) again(why string) {
+	f.Counts.Failed++
+	f.aside()
+	// Guards against a log full of one outage: the first failure, then each time their number has doubled, or a minute.
+	if f.fails&(f.fails-1) == 0 || f.now-f.noted >= noteGap {
+		f.noted = f.now
+		f.act.Note("list_failed", fmt.Sprintf("why=%q times=%d", why, f.fails))
+	}
+}
+
+// aside turns away from the endpoint in use, to the one that has failed least, of those the one that failed longest ago.
+func (f *Follower) aside() {
+	f.drop()
+	e := &f.ends[f.at]
+	e.fails++
+	e.last = f.now
+	f.fails++
+	best := (f.at + 1) % len(f.ends)
+	for i := 2; i < len(f.ends); i++ {
+		j := (f.at + i) % len(f.ends)
+		if x, y := f.ends[j], f.ends[best]; x.fails < y.fails || x.fails == y.fails && x.last < y.last {
+			best = j
+		}
+	}
+	f.at = best
+	f.retry = f.now + f.pause()
+}
+
+// pause is how long to wait after a failure.
+func (f *Follower) pause() time.Duration {
+	least := time.Duration(float64(f.crowd()) / jitter) // what fails for all at once is made again over that part of a wait
+	most := max(f.cfg.Within/4, least)
+	wait := max(f.cfg.Within/16, least)
+	for range (f.fails - 1) / len(f.ends) {
+		if wait *= 2; wait >= most {
+			wait = most
+			break
+		}
+	}
+	wait = min(wait, most)
+	return time.Duration((1 - jitter*f.rng.Float64()) * float64(wait))
+}
+
+// Answer takes something that the registry has said.
+func (f *Follower) Answer(now time.Duration, a Answer) {
+	f.now = now
+	defer f.wake()
+	if a.Call != f.call.ID || a.Call == 0 {
+		return
+	}
+	if a.Revision < 0 {
+		f.again("a negative revision")
+		return
+	}
+	f.Counts.Answers++
+	if a.Kind == Compacted {
+		f.forgotten()
+		return
+	}
+	if f.behind(a) {
+		return
+	}
+	if f.fails > 1 {
+		f.act.Note("list_back", fmt.Sprintf("failed=%d", f.fails))
+	}
+	f.fails, f.heard = 0, true
+	f.ends[f.at] = endpoint{}
+	empty := a.Kind != List && len(a.Changes) == 0
+	switch {
+	case a.Kind == List:
+		if !f.list(a) {
+			return // a page of several
+		}
+	case f.call.Whole:
+		f.again("not the whole list")
+		return
+	case a.Kind == News:
+		f.news(a)
+		f.rev = a.Revision
+	default:
+		// What is newer than the list held may still be on its way: only changes move its revision on.
+	}
+	switch {
+	case !a.Over: // nodes that began together must not all ask anew together
+		f.by = f.now + time.Duration((1-jitter*f.rng.Float64())*float64(f.cfg.Watch))
+	case empty && f.call.Wait > f.cfg.Limit && f.now-f.asked < f.call.Wait/4:
+		// Guards against a registry that answers each watch at once with nothing: it would be asked without end.
+		f.call = Call{}
+		if f.idle++; f.idle > mostIdle {
+			f.retry = f.now + f.pause()
+			break
+		}
+		f.ask()
+	default:
+		f.idle, f.call = 0, Call{}
+		f.ask() // at once: the watch goes on only if the next call comes soon
+	}
+	f.settle(a.Kind == List)
+}
+
+// forgotten is a revision that the registry has compacted: all is read anew, for what changed in between is not to be had.
+// A reread that is compacted under way begins again, after a wait lest a registry that compacts all the time is stormed.
+func (f *Follower) forgotten() {
+	f.Counts.Compacted++
+	reading := f.call.Whole
+	f.drop()
+	f.whole = true
+	if !reading {
+		f.act.Note("list_compacted", fmt.Sprintf("revision=%d", f.rev))
+		f.ask()
+		return
+	}
+	f.fails++
+	f.retry = f.now + f.pause()
+}
+
+// behind reports whether an answer is older than the list held, or of another registry, and must not count: what it
+// would bring back may have drained since. After a stated time in which nothing newer was told by any endpoint the whole
+// list is read and taken as it is: the registry has been restored.
+func (f *Follower) behind(a Answer) bool {
+	foreign := a.Epoch != f.epoch && a.Epoch != "" && f.epoch != ""
+	if f.anew || !f.known || a.Revision >= f.rev && !foreign {
+		if a.Kind != List { // a list counts with its last page
+			f.older = 0
+		}
+		f.epoch = cmp.Or(a.Epoch, f.epoch)
+		return false
+	}
+	f.Counts.Older++
+	f.ends[f.at].older = true
+	if f.older == 0 {
+		f.older = f.now
+		for i := range f.ends {
+			f.ends[i].older = i == f.at
+		}
+		f.act.Note("list_older", fmt.Sprintf("held=%d told=%d", f.rev, a.Revision))
+	}
+	wait := f.cfg.Rewind
+	if slices.ContainsFunc(f.ends, func(e endpoint) bool { return !e.older }) {
+		wait *= 4 // one that says nothing may know better
+	}
+	if f.now-f.older < wait {
+		f.aside()
+		return true
+	}
+	if f.call.Whole {
+		f.act.Note("list_rewound", fmt.Sprintf("from=%d to=%d", f.rev, a.Revision))
+		f.anew, f.epoch = true, a.Epoch
+		return false
+	}
+	f.drop()
+	f.whole = true
+	f.ask()
+	return true
+}
+
+// list takes a page of the whole list; true once all of it is there and counts.
+func (f *Follower) list(a Answer) bool {
+	if len(f.pages) == 0 {
+		f.pageRev = a.Revision
+	}
+	f.pages = append(f.pages, a.Changes...)
+	if a.More != "" && len(f.pages) <= 2*f.cfg.Most {
+		if len(a.Changes) == 0 {
+			f.again("an empty page")
+			return false
+		}
+		f.call = Call{}
+		f.ask()
+		return false
+	}
+	f.Counts.Lists++
+	named := map[string]bool{}
+	for _, c := range f.pages {
+		named[c.Key] = true
+		f.take(c, f.pageRev, true)
+	}
+	for _, key := range slices.Sorted(maps.Keys(f.byKey)) {
+		if !named[key] {
+			f.remove(key)
+		}
+	}
+	maps.DeleteFunc(f.bad, func(key string, _ bool) bool { return !named[key] })
+	f.rev = f.pageRev
+	f.known, f.whole, f.anew, f.older, f.pages = true, false, false, 0, nil
+	return true
+}
+
+// news takes changes, in order. What is known already is passed over: a watch may repeat itself.
+func (f *Follower) news(a Answer) {
+	for _, c := range a.Changes {
+		rev := c.Revision
+		if rev == 0 {
+			rev = a.Revision
+		}
+		if r := f.byKey[c.Key]; c.Revision > 0 && (c.Revision <= f.rev || r != nil && c.Revision <= r.rev) {
+			f.Counts.Repeated++
+			continue
+		}
+		f.Counts.Changes++
+		f.take(c, rev, false)
+	}
+}
+
+// take takes one change into the list. Of a whole list, what is older than the entry held is the entry held.
+func (f *Follower) take(c Change, rev int64, whole bool) {
+	if c.Revision > 0 {
+		rev = c.Revision
+	}
+	switch {
+	case c.Bad:
+		f.Counts.BadEntries++
+		if !f.bad[c.Key] && len(f.bad) < f.cfg.Most {
+			f.bad[c.Key] = true
+			f.act.Note("entry_bad", fmt.Sprintf("key=%q", c.Key))
+		}
+	case c.Gone:
+		f.remove(c.Key)
+	default:
+		delete(f.bad, c.Key)
+		if r := f.byKey[c.Key]; whole && r != nil && r.rev == rev && r.entry == c.Entry {
+			return
+		}
+		if !f.put(c.Key, rev, c.Entry) {
+			f.Counts.LeftOut++
+			if f.over++; f.over == 1 {
+				f.act.Note("entries_left_out", fmt.Sprintf("most=%d", f.cfg.Most))
+			}
+		}
+	}
+}
+
+// settle tells the node what has changed for it. Servers that vanish go at once, each with its grace, but for a mass that
+// has not drained: that is more likely a registry's trouble than theirs, and is kept for a stated time.
+func (f *Follower) settle(whole bool) {
+	for id, until := range f.held {
+		if f.now >= until {
+			f.touched[id] = true
+		}
+	}
+	var changed, vanished []Entry
+	for _, id := range slices.Sorted(maps.Keys(f.touched)) {
+		r, stands := f.standing(id)
+		old, known := f.shown[id]
+		switch {
+		case stands:
+			delete(f.held, id)
+			delete(f.suspects, id)
+			if !known || old != r.entry {
+				changed = append(changed, r.entry)
+			}
+		case known:
+			vanished = append(vanished, old)
+		}
+		if r != nil && !stands {
+			f.Counts.Conflicts++
+		}
+	}
+	clear(f.touched)
+	gone := f.keep(vanished)
+	for _, e := range changed {
+		f.show(e, false)
+	}
+	for _, e := range gone {
+		f.show(e, true)
+		e.State = policy.Gone
+		changed = append(changed, e)
+	}
+	switch {
+	case whole:
+		u := Update{Whole: true}
+		for _, id := range slices.Sorted(maps.Keys(f.shown)) {
+			u.Entries = append(u.Entries, f.shown[id])
+		}
+		f.act.Apply(u)
+	case len(changed) > 0:
+		f.act.Apply(Update{Entries: changed})
+	}
+}
+
+// keep decides which of the vanished servers are kept, and gives the others. One that vanishes by itself goes after a
+// moment, in which others that vanish with it show; a mass is kept.
+func (f *Follower) keep(vanished []Entry) (gone []Entry) {
+	f.lost = slices.DeleteFunc(f.lost, func(at time.Duration) bool { return f.now-at > massSpan })
+	var due []Entry // whose moment is over
+	for _, e := range vanished {
+		until, held := f.held[e.ID]
+		switch {
+		case held && f.now < until:
+			// It stays.
+		case held && f.suspects[e.ID]:
+			due = append(due, e)
+		case held, f.cfg.Hold <= 0, e.State != policy.Ready, f.replaced(e):
+			gone = append(gone, e) // its time is over, or it was told to drain, or another stands in its place
+		default:
+			f.held[e.ID], f.suspects[e.ID] = f.now+moment, true
+		}
+	}
+	before := f.live + len(f.lost) // those that went one by one count too
+	n := len(f.suspects) + len(f.lost)
+	mass := n >= leastMass && float64(n) > f.cfg.Part*float64(before)
+	if len(due) > 0 && mass {
+		f.act.Note("list_held", fmt.Sprintf("servers=%d of=%d for=%s", len(f.suspects), before, f.cfg.Hold))
+		for id := range f.suspects {
+			f.held[id] = f.now + f.cfg.Hold
+			f.Counts.Held++
+		}
+		clear(f.suspects)
+		return gone
+	}
+	for _, e := range due {
+		f.lost = append(f.lost, f.now)
+		delete(f.suspects, e.ID)
+	}
+	return append(gone, due...)
+}
+
+// replaced reports whether another server stands at a vanished one's address.
+func (f *Follower) replaced(e Entry) bool {
+	return slices.ContainsFunc(f.byAddr[e.Addr], func(r *record) bool { return r.entry.ID != e.ID })
+}
+
+// Timer does what is due.
+func (f *Follower) Timer(now time.Duration) {
+	f.now = now
+	switch {
+	case f.call.ID != 0 && now >= f.by && f.heard && !f.call.Whole: // a stream that says nothing may be cut: a new one tells
+		f.drop()
+		f.ask()
+	case f.call.ID != 0 && now >= f.by:
+		f.again("no answer")
+	case f.call.ID == 0 && f.retry > 0 && now >= f.retry:
+		f.ask()
+	}
+	due := false
+	for _, until := range f.held {
+		due = due || now >= until
+	}
+	if due {
+		if len(f.suspects) == 0 {
+			f.act.Note("list_released", fmt.Sprintf("servers=%d", len(f.held)))
+		}
+		f.settle(false)
+	}
+	f.wake()
+}
+
+// wake asks for the next look.
+func (f *Follower) wake() {
+	at := time.Duration(0)
+	earlier := func(x time.Duration) {
+		if at == 0 || x < at {
+			at = x
+		}
+	}
+	switch {
+	case f.call.ID != 0:
+		earlier(f.by)
+	case f.retry > 0:
+		earlier(f.retry)
+	}
+	for _, until := range f.held {
+		earlier(until)
+	}
+	if at > 0 {
+		f.act.Wake(at)
+	}
+}
