The platform's discovery goes through decide/roster; etcd and Consul clients on the node's loop

Need: one follower for all registries, with less code than two would have. internal/registry speaks discovery, the JSON gateway of etcd v3 and blocking reads as Consul has them, over plain connections or TLS; internal/node/members.go takes what it tells; [registry] in the operator's file sets it. internal/node/discovery.go and list.go are gone.

--- a/cmd/lapisshelf/serve.go
+++ b/cmd/lapisshelf/serve.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return err
 	}
-	log.Printf("event=start name=%s listen=%s discovery=%s memory_mb=%d sockets=%d", cfg.Name, cfg.Listen, cfg.Discovery,
+	log.Printf("event=start name=%s listen=%s list=%s memory_mb=%d sockets=%d", cfg.Name, cfg.Listen, cfg.Registry.Endpoints,
 		cfg.MemoryMB, cfg.Sockets)
 	go func() {
 		<-ends
--- a/decide/roster/api.go
+++ b/decide/roster/api.go
@@ -78,6 +78,7 @@
 	List      Kind = iota // entries of the whole list, or a page of them
 	News                  // changes, in the order of their revisions; perhaps none
 	Alive                 // nothing, but the registry is there and at this revision
+	Progress              // all changes up to this revision have been told
 	Compacted             // what was asked for is forgotten there
 )
 
--- a/decide/roster/model_test.go
+++ b/decide/roster/model_test.go
@@ -231,9 +231,10 @@
 		news := m.since(p.watch, rev)
 		p.watch = rev
 		m.answer(p, Answer{Kind: News, Revision: rev, Changes: news})
-		if m.double { // and what was told before
+		if m.double { // and what was told before, and a progress that overtakes what it speaks of
 			m.answer(p, Answer{Kind: News, Revision: rev, Changes: m.since(rev-6, rev)})
 			m.answer(p, Answer{Kind: News, Revision: rev, Changes: m.since(rev-6, rev-2)})
+			m.answer(p, Answer{Kind: Progress, Revision: rev + 1})
 		}
 	}
 }
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -201,7 +201,11 @@
 		return
 	case a.Kind == News:
 		f.news(a)
-		f.rev = a.Revision
+	case a.Kind == Progress:
+		// The one before it counts: guards against a progress that overtakes the changes it speaks of, which a watch
+		// resumed from it would never tell.
+		f.rev = max(f.rev, f.caught)
+		f.caught = a.Revision
 	default:
 		// What is newer than the list held may still be on its way: only changes move its revision on.
 	}
@@ -298,7 +302,7 @@
 	named := map[string]bool{}
 	for _, c := range f.pages {
 		named[c.Key] = true
-		f.take(c, f.pageRev, true)
+		f.take(c, cmp.Or(c.Revision, f.pageRev))
 	}
 	for _, key := range slices.Sorted(maps.Keys(f.byKey)) {
 		if !named[key] {
@@ -306,32 +310,38 @@
 		}
 	}
 	maps.DeleteFunc(f.bad, func(key string, _ bool) bool { return !named[key] })
-	f.rev = f.pageRev
+	f.rev, f.listRev, f.caught = f.pageRev, f.pageRev, 0
+	clear(f.graves)
 	f.known, f.whole, f.anew, f.older, f.pages = true, false, false, 0, nil
 	return true
 }
 
-// news takes changes, in order. What is known already is passed over: a watch may repeat itself.
+// news takes changes. What is known already is passed over: a watch may repeat itself, and a change that is older than
+// what is known of its key, though gone since, would bring back what has drained.
 func (f *Follower) news(a Answer) {
-	for _, c := range a.Changes {
-		rev := c.Revision
-		if rev == 0 {
-			rev = a.Revision
+	rev := a.Revision
+	for i, c := range a.Changes {
+		if c.Revision == 0 { // they have none of their own: the answer's is theirs
+			f.Counts.Changes++
+			f.take(c, a.Revision)
+			continue
+		}
+		if i == 0 {
+			rev = 0
 		}
-		if r := f.byKey[c.Key]; c.Revision > 0 && (c.Revision <= f.rev || r != nil && c.Revision <= r.rev) {
+		rev = max(rev, c.Revision)
+		if r := f.byKey[c.Key]; c.Revision <= f.listRev || c.Revision <= f.graves[c.Key] || r != nil && c.Revision <= r.rev {
 			f.Counts.Repeated++
 			continue
 		}
 		f.Counts.Changes++
-		f.take(c, rev, false)
+		f.take(c, c.Revision)
 	}
+	f.rev = max(f.rev, rev)
 }
 
-// take takes one change into the list. Of a whole list, what is older than the entry held is the entry held.
-func (f *Follower) take(c Change, rev int64, whole bool) {
-	if c.Revision > 0 {
-		rev = c.Revision
-	}
+// take takes one change, of that revision, into the list.
+func (f *Follower) take(c Change, rev int64) {
 	switch {
 	case c.Bad:
 		f.Counts.BadEntries++
@@ -341,9 +351,12 @@
 		}
 	case c.Gone:
 		f.remove(c.Key)
+		if f.graves[c.Key] = rev; len(f.graves) > f.cfg.Most {
+			f.whole = true // what is gone is forgotten with the next list
+		}
 	default:
 		delete(f.bad, c.Key)
-		if r := f.byKey[c.Key]; whole && r != nil && r.rev == rev && r.entry == c.Entry {
+		if r := f.byKey[c.Key]; r != nil && r.rev == rev && r.entry == c.Entry {
 			return
 		}
 		if !f.put(c.Key, rev, c.Entry) {
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -533,3 +533,32 @@
 		}
 	}
 }
+
+// A watch is resumed from the last change told, so that a compaction of what is known costs nothing; and a change told
+// again that is older than the list, of a key that had gone before it, brings nothing back.
+func TestResumesFromTheLastChange(t *testing.T) {
+	m := newModel(t, stream, 1, 1, nil)
+	m.set("k1", entry("s1", policy.Ready))
+	m.set("k2", entry("s2", policy.Ready))
+	old := m.log[1]
+	m.set("k2", entry("s2", policy.Gone))
+	m.start()
+	m.run(time.Second)
+	p := m.followers[0]
+	for range 3 {
+		m.set("k1", entry("s1", policy.Draining))
+		m.set("k1", entry("s1", policy.Ready))
+		m.run(100 * ms)
+		m.min = m.rev
+		m.breakAll()
+		m.run(2 * time.Second)
+	}
+	if p.f.Counts.Compacted != 0 || p.f.Counts.Lists != 1 {
+		t.Errorf("%+v", p.f.Counts)
+	}
+	m.answer(p, Answer{Kind: News, Revision: m.rev, Changes: []Change{old}})
+	m.run(100 * ms)
+	if p.list() != m.list() {
+		t.Errorf("%s, want %s", p.list(), m.list())
+	}
+}
--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -28,7 +28,10 @@
 	fails  int           // calls that failed since the last answer
 	noted  time.Duration // when a failure was noted last
 
-	rev     int64 // of the list held
+	rev     int64            // of the list held: a watch goes on from there
+	listRev int64            // of the last whole list
+	caught  int64            // the last progress told
+	graves  map[string]int64 // keys that are gone since the last whole list, and the revision of that
 	epoch   string
 	known   bool          // a list is held that this registry, or the one before it, has told
 	whole   bool          // the next call reads the list
@@ -78,7 +81,7 @@
 
 // blank returns a follower that knows nothing.
 func blank(now time.Duration, cfg Config, seed uint64, act Actions) *Follower {
-	return &Follower{cfg: cfg.whole(), act: act, now: now, rng: rand.New(rand.NewPCG(seed, 0x726f73746572)), rev: -1,
+	return &Follower{cfg: cfg.whole(), act: act, now: now, rng: rand.New(rand.NewPCG(seed, 0x726f73746572)), rev: -1, graves: map[string]int64{},
 		byKey: map[string]*record{}, byID: map[string][]*record{}, byAddr: map[string][]*record{}, shown: map[string]Entry{},
 		held: map[string]time.Duration{}, suspects: map[string]bool{}, touched: map[string]bool{}, bad: map[string]bool{}}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"lapisshelf/internal/operator"
+	"lapisshelf/internal/registry"
 	"lapisshelf/internal/settings"
 	"lapisshelf/policy"
 )
@@ -19,11 +20,11 @@
 type Config struct {
 	Name      string
 	Listen    netip.AddrPort
-	Discovery netip.AddrPort
+	Registry  registry.Config // where the server list is
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
-	Known     serverList
+	Known     registry.Saved
 	BadKnown  error // why the list known before is ignored
 	Settings  policy.Settings
 	Transport settings.Transport
@@ -80,8 +81,17 @@
 	if c.Listen, err = netip.ParseAddrPort(cmp.Or(file.Listen, getenv("EDGE_LISTEN"), op.Node.Listen)); err != nil {
 		return bad("listen", err)
 	}
-	if c.Discovery, err = netip.ParseAddrPort(cmp.Or(file.Discovery, getenv("EDGE_DISCOVERY"), op.Node.Discovery)); err != nil {
-		return bad("discovery", err)
+	discovery := cmp.Or(file.Discovery, getenv("EDGE_DISCOVERY"), op.Node.Discovery)
+	if told, err := op.Registry(); err != nil {
+		return Config{}, err
+	} else if told != nil && discovery == "" {
+		c.Registry = *told
+	} else {
+		addr, err := netip.ParseAddrPort(discovery)
+		if err != nil {
+			return bad("discovery", err)
+		}
+		c.Registry = registry.Config{Kind: registry.Discovery, Endpoints: []netip.AddrPort{addr}}
 	}
 	if c.Seed, err = seed(file.Seed); err != nil {
 		return bad("seed", err)
@@ -100,7 +110,7 @@
 	}
 	if len(file.Known) > 0 && string(file.Known) != "null" {
 		// A list as bad as it may be is no reason not to start: discovery tells a better one.
-		c.Known, c.BadKnown = parseList(file.Known)
+		c.Known, c.BadKnown = registry.ParseSaved(file.Known)
 	}
 	if len(file.Settings) == 0 {
 		var told bool
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -12,7 +12,7 @@
 	taken, served, refused, failed, abandoned, overdue  int64
 	full, badLines, clientsIn, clientsShed, clientsSlow int64
 	attempts, links, linksShed, pipelined, dialsFailed  int64
-	badAnswers, lists, listsBad, listsFailed, panics    int64
+	badAnswers, knownBad, panics                        int64
 	surplus, reloads, reloadsBad                        int64
 	clientsBad, clientsIdle, sameID                     int64
 	outcomes                                            [policy.Moot + 1]int64
@@ -53,15 +53,29 @@
 	put("clients_slow", c.clientsSlow)
 	put("clients_bad", c.clientsBad)
 	put("clients_idle", c.clientsIdle)
-	put("lists", c.lists)
-	put("lists_bad", c.listsBad)
-	put("lists_failed", c.listsFailed)
+	l := n.registry.Counts()
+	revision, servers, kept := n.registry.Held()
+	put("lists", l.Answers)
+	put("lists_bad", n.registry.Bad+c.knownBad)
+	put("lists_failed", l.Failed)
+	put("lists_whole", l.Lists)
+	put("list_calls", l.Calls)
+	put("list_changes", l.Changes)
+	put("list_compacted", l.Compacted)
+	put("list_older", l.Older)
+	put("list_bytes", n.registry.Bytes)
+	put("entries_bad", l.BadEntries)
+	put("entries_left_out", l.LeftOut)
+	put("entries_held", l.Held)
 	put("reloads", c.reloads)
 	put("reloads_bad", c.reloadsBad)
 	put("panics", c.panics)
 	put("now_open", int64(len(n.calls)))
 	put("now_clients", int64(len(n.clients.all)))
 	put("now_server_conns", int64(n.links))
+	put("now_revision", revision)
+	put("now_servers", int64(servers))
+	put("now_held", int64(kept))
 	put("now_sockets", int64(n.loop.Open()))
 	fmt.Fprintf(&b, " late_max=%s", n.loop.Late)
 	return b.String()
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"log"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"lapisshelf/decide/roster"
+	"lapisshelf/internal/registry"
+	"lapisshelf/policy"
+)
+
+const (
+	watchFor    = 5 * time.Second         // how long a watch may wait for news; with it, how long a cut stays unseen
+	callGap     = time.Second             // all nodes together begin no more than a watch in so long
+	mostWatch   = 60 * time.Second        // the longest that discovery allows
+	callFor     = 1500 * time.Millisecond // how long a call may take besides
+	readyWithin = 2 * time.Second         // a node that knows a list serves by then, heard or not
+	mostList    = 8 << 20                 // bytes of a list
+	entriesPer  = 512                     // entries of a list, for each megabyte of memory
+)
+
+// followed is the registry's configuration with what follows from the node's own.
+func (n *Node) followed() registry.Config {
+	c := n.cfg.Registry
+	r := &c.Roster
+	r.Nodes, r.Within = n.cfg.Settings.Balancers, n.cfg.Settings.AskWithin
+	r.Limit, r.Quick = callFor, true
+	if r.Watch == 0 {
+		r.Watch = min(mostWatch, max(watchFor, callGap*time.Duration(n.cfg.Settings.Balancers)))
+	}
+	if r.Most == 0 {
+		r.Most = n.cfg.MemoryMB * entriesPer
+	}
+	c.MostBody = min(mostList, n.cfg.MemoryMB<<20/heldPart)
+	return c
+}
+
+// follow begins to follow the list, from the one known before.
+func (n *Node) follow() {
+	n.registry = registry.New(n.loop, n.followed(), n.cfg.Seed, n.told, func(event, why string) { log.Printf("event=%s %s", event, why) })
+	n.registry.Heard = n.nowReady
+	n.registry.Start(n.cfg.Known.Revision, n.cfg.Known.Entries)
+	n.loop.After(readyWithin, n.nowReady)
+}
+
+// nowReady lets clients in; a node without any list goes on waiting for one.
+func (n *Node) nowReady() {
+	if !n.ready && len(n.pools) > 0 {
+		n.ready = true
+		log.Printf("event=ready servers=%d", len(n.pools))
+	}
+}
+
+// told takes list news.
+func (n *Node) told(u roster.Update) {
+	kind := policy.ListChanges
+	if u.Whole {
+		kind = policy.ListWhole
+	}
+	n.members(kind, u.Entries)
+}
+
+// members tells the module of list news and brings the pools in line with it: before, with what may be sent to from
+// now on, and after, with what may not, lest the module sends again what ends with a server that it takes for ready.
+func (n *Node) members(kind policy.ListKind, entries []roster.Entry) {
+	servers := make([]policy.Server, len(entries))
+	named := map[string]bool{}
+	for i, e := range entries {
+		addr, err := netip.ParseAddrPort(e.Addr)
+		if err != nil && e.State != policy.Gone {
+			log.Printf("event=bad_address server=%s addr=%q", e.ID, e.Addr) // the parsers let none through
+			e.State = policy.Gone
+		}
+		n.pool(e.Server, addr)
+		servers[i], named[e.ID] = e.Server, e.State == policy.Ready
+	}
+	n.guard("members", func() { n.policy.Members(n.loop.Now(), kind, servers) })
+	whole := kind == policy.ListWhole || kind == policy.ListSaved
+	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
+		if ready, told := named[id]; told && !ready || !told && whole {
+			n.pools[id].leave()
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -1,20 +1,19 @@
 // Package node is the balancer as a process on sockets. It turns what comes on them into calls of the decision
 // module and the module's actions into bytes; it decides nothing of its own about where a request goes.
 //
-// One file a peer: clients.go, caches.go, origin.go, discovery.go; pool.go holds the connections to caches and
+// One file a peer: clients.go, caches.go, origin.go; members.go follows the list; pool.go holds the connections to caches and
 // origin. All of it runs on one loop.
 package node
 
 import (
 	"fmt"
 	"log"
-	"maps"
 	"runtime/debug"
-	"slices"
 	"time"
 
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
+	"lapisshelf/internal/registry"
 	"lapisshelf/policy"
 )
 
@@ -43,21 +42,21 @@
 
 // Node is one balancer on sockets.
 type Node struct {
-	cfg       Config
-	loop      *loop.Loop
-	policy    *policy.Balancer
-	calls     map[string]*call
-	pools     map[string]*pool // by server id
-	clients   clients
-	discovery discovery
-	links     int // connections to servers
-	held      int // bytes of writes kept
-	owed      int // bytes of answers that clients have yet to take, and of commands not whole
-	coming    int // bytes of answers that are not whole
-	shedding  bool
-	count     counters
-	ready     bool
-	leaving   bool
+	cfg      Config
+	loop     *loop.Loop
+	policy   *policy.Balancer
+	calls    map[string]*call
+	pools    map[string]*pool // by server id
+	clients  clients
+	registry *registry.Client
+	links    int // connections to servers
+	held     int // bytes of writes kept
+	owed     int // bytes of answers that clients have yet to take, and of commands not whole
+	coming   int // bytes of answers that are not whole
+	shedding bool
+	count    counters
+	ready    bool
+	leaving  bool
 	// lastAnswer is when, after SIGTERM, all answers must have been given.
 	lastAnswer time.Duration
 }
@@ -105,19 +104,19 @@
 	n := &Node{cfg: cfg, loop: l, calls: map[string]*call{}, pools: map[string]*pool{}}
 	// Nodes have no way to reach each other on these sockets: the module is told so.
 	n.cfg.Settings.MayTell = false
-	n.clients.node, n.discovery.node = n, n
+	n.clients.node = n
 	if err := n.clients.listen(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
 	if cfg.BadKnown != nil {
-		n.count.listsBad++
+		n.count.knownBad++
 		log.Printf("event=bad_known why=%q", cfg.BadKnown)
 	}
 	n.guard("start", func() {
 		n.policy = policy.New(l.Now(), n.cfg.Settings, cfg.Seed, actions{n})
-		n.members(policy.ListSaved, cfg.Known)
+		n.members(policy.ListSaved, cfg.Known.Entries)
 	})
-	n.discovery.start(cfg.Known.revision)
+	n.follow()
 	return n, nil
 }
 
@@ -133,25 +132,6 @@
 	f()
 }
 
-// members tells the module of list news and brings the pools in line with it: before, with what may be sent to from
-// now on, and after, with what may not, lest the module sends again what ends with a server that it takes for ready.
-func (n *Node) members(kind policy.ListKind, l serverList) {
-	for i, s := range l.servers {
-		n.pool(s, l.addresses[i])
-	}
-	n.guard("members", func() { n.policy.Members(n.loop.Now(), kind, l.servers) })
-	named := map[string]bool{}
-	for _, s := range l.servers {
-		named[s.ID] = s.State == policy.Ready
-	}
-	whole := kind == policy.ListWhole || kind == policy.ListSaved
-	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
-		if ready, told := named[id]; told && !ready || !told && whole {
-			n.pools[id].leave()
-		}
-	}
-}
-
 // take hands a client's request to the module.
 func (n *Node) take(c *call, now time.Duration) {
 	info := c.command.Info
@@ -301,8 +281,8 @@
 	n.loop.After(after, func() { n.guard("timer", func() { n.policy.Timer(n.loop.Now(), token) }) })
 }
 
-// Subscribe implements policy.Actions.
-func (a actions) Subscribe() { a.n.discovery.wanted() }
+// Subscribe implements policy.Actions. The list is followed in any case, see decide/roster.
+func (a actions) Subscribe() {}
 
 // Tell implements policy.Actions; there is no way between nodes here.
 func (a actions) Tell(int, []byte) {}
@@ -335,14 +315,14 @@
 		return false
 	}
 	n.count.reloads++
-	log.Printf("event=reload discovery=%s memory_mb=%d sockets=%d", cfg.Discovery, cfg.MemoryMB, cfg.Sockets)
+	log.Printf("event=reload list=%s memory_mb=%d sockets=%d", cfg.Registry.Endpoints, cfg.MemoryMB, cfg.Sockets)
 	if cfg.Listen != n.cfg.Listen {
 		log.Printf("event=reload_ignored listen=%s why=%q", cfg.Listen, "the address is given up only at the end")
 	}
 	n.cfg.MemoryMB, n.cfg.Sockets = cfg.MemoryMB, cfg.Sockets
-	if cfg.Discovery != n.cfg.Discovery {
-		n.cfg.Discovery = cfg.Discovery
-		n.discovery.move()
+	if !cfg.Registry.Same(&n.cfg.Registry) {
+		n.cfg.Registry = cfg.Registry
+		n.registry.Move(n.followed())
 	}
 	return true
 }
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -12,6 +12,7 @@
 
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
+	"lapisshelf/internal/registry"
 	"lapisshelf/internal/settings"
 	"lapisshelf/policy"
 )
@@ -36,14 +37,14 @@
 		t.Fatal(err)
 	}
 	local := netip.MustParseAddrPort("127.0.0.1:0")
-	n, err := New(Config{Listen: local, Discovery: netip.MustParseAddrPort(ln.Addr().String()), MemoryMB: 192, Sockets: 64,
+	n, err := New(Config{Listen: local, Registry: registry.Config{Endpoints: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}}, MemoryMB: 192, Sockets: 64,
 		Settings: policy.Settings{Classes: []policy.Class{{Name: "read", Aim: time.Second}}, MaxAttempts: 3},
 		Transport: settings.Transport{PerConn: 8, ConnIdle: 30 * time.Second,
 			ConnectTimeout: time.Second}}, l)
 	if err != nil {
 		t.Fatal(err)
 	}
-	n.discovery.due.Stop() // no list is asked for
+	n.registry.Close() // no list is asked for
 	n.pool(policy.Server{ID: "s-1", State: policy.Ready}, netip.MustParseAddrPort(ln.Addr().String()))
 	return &bench{t, n, n.pools["s-1"], ln}
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	Service *Service
 	Class   []Class
 	Tenant  []Tenant
+	List    *Registry `toml:"registry"`
 
 	file *tomlfile.File
 }
@@ -105,6 +106,10 @@
 		d := defaults()
 		f.Service = &d
 	}
+	if t.Has("registry") {
+		d := registryDefaults()
+		f.List = &d
+	}
 	if f.file, err = tomlfile.Read(path, f); err != nil {
 		return nil, err
 	}
@@ -143,7 +148,10 @@
 		rule{f.Service == nil && len(f.Class) > 0, at("class", 0), "classes need a [service] table"},
 		rule{f.Service == nil && len(f.Tenant) > 0, at("tenant", 0), "tenants need a [service] table"},
 		rule{f.Service != nil && len(f.Class) == 0, at("service"), "a service needs a [[class]] of requests"},
-	); err != nil || f.Service == nil {
+	); err != nil {
+		return err
+	}
+	if err := f.checkRegistry(); err != nil || f.Service == nil {
 		return err
 	}
 	s := f.Service
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -27,19 +27,37 @@
 	if d := defaults(); *f.Service != d {
 		t.Errorf("the file shows %+v, the defaults are %+v", *f.Service, d)
 	}
-	// It shows every key that there is.
+	// So does the table that is commented out.
 	text, err := os.ReadFile(shipped)
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, table := range []any{Node{}, Service{}, Class{}, Tenant{}} {
+	_, table, _ := strings.Cut(string(text), "\n# [registry]\n")
+	path := filepath.Join(t.TempDir(), "x.toml")
+	lines := strings.Split("[registry]\n"+table, "\n")
+	for i, l := range lines {
+		lines[i] = strings.TrimPrefix(l, "# ")
+	}
+	if err := os.WriteFile(path, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if f, err = Read(path); err != nil {
+		t.Fatal(err)
+	}
+	d := registryDefaults()
+	d.Endpoints = f.List.Endpoints
+	if !reflect.DeepEqual(*f.List, d) {
+		t.Errorf("the file shows %+v, the defaults are %+v", *f.List, d)
+	}
+	// It shows every key that there is.
+	for _, table := range []any{Node{}, Service{}, Class{}, Tenant{}, Registry{}} {
 		v := reflect.TypeOf(table)
 		for i := range v.NumField() {
 			name := v.Field(i).Tag.Get("toml")
 			if name == "" {
 				name = strings.ToLower(v.Field(i).Name)
 			}
-			if !strings.Contains(string(text), "\n"+name+" = ") {
+			if !strings.Contains(string(text), "\n"+name+" = ") && !strings.Contains(string(text), "\n# "+name+" = ") {
 				t.Errorf("%s.%s is not in the shipped file", v.Name(), name)
 			}
 		}
