--- /dev/null
+++ b/lab/world/store.go
@@ -0,0 +1,266 @@
+package world
+
+import (
+	"cmp"
+	"errors"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+)
+
+// KV is a key's value in a store.
+type KV struct {
+	Key     string
+	Value   []byte
+	Create  int64 // revisions
+	Mod     int64
+	Version int64 // changes of it since it was made
+	Lease   int64 // 0: none
+}
+
+// StoreEvent is a change of a store.
+type StoreEvent struct {
+	KV   KV
+	Gone bool
+}
+
+// Store is a key-value store with revisions, history, compaction and leases.
+type Store struct {
+	rev       int64
+	compacted int64 // what is older is forgotten
+	keys      map[string][]StoreEvent
+	log       []StoreEvent // by revision, those after the compaction
+	leases    map[int64]*lease
+	serial    int64
+}
+
+type lease struct {
+	ttl  time.Duration
+	end  time.Duration
+	keys map[string]bool
+}
+
+// ErrCompacted is a revision that the store has forgotten, ErrFuture one that it has not reached.
+var (
+	ErrCompacted = errors.New("required revision has been compacted")
+	ErrFuture    = errors.New("required revision is a future revision")
+	ErrNoLease   = errors.New("requested lease not found")
+)
+
+// NewStore makes an empty store at revision 1.
+func NewStore() *Store {
+	return &Store{rev: 1, keys: map[string][]StoreEvent{}, leases: map[int64]*lease{}}
+}
+
+// Revision is that of the last change.
+func (s *Store) Revision() int64 { return s.rev }
+
+// Compacted is the oldest revision that can still be read.
+func (s *Store) Compacted() int64 { return s.compacted }
+
+// add takes an event in.
+func (s *Store) add(e StoreEvent) {
+	s.keys[e.KV.Key] = append(s.keys[e.KV.Key], e)
+	s.log = append(s.log, e)
+}
+
+func (s *Store) last(key string) (StoreEvent, bool) {
+	list := s.keys[key]
+	if len(list) == 0 || list[len(list)-1].Gone {
+		return StoreEvent{}, false
+	}
+	return list[len(list)-1], true
+}
+
+// Put sets a key, under a lease unless that is 0.
+func (s *Store) Put(key string, value []byte, lease int64) (int64, error) {
+	if lease != 0 && s.leases[lease] == nil {
+		return 0, ErrNoLease
+	}
+	s.rev++
+	kv := KV{Key: key, Value: slices.Clone(value), Create: s.rev, Mod: s.rev, Version: 1, Lease: lease}
+	if old, ok := s.last(key); ok {
+		kv.Create, kv.Version = old.KV.Create, old.KV.Version+1
+		if l := s.leases[old.KV.Lease]; l != nil {
+			delete(l.keys, key)
+		}
+	}
+	if l := s.leases[lease]; l != nil {
+		l.keys[key] = true
+	}
+	s.add(StoreEvent{KV: kv})
+	return s.rev, nil
+}
+
+// Delete takes out the keys that begin with a prefix, all in one revision; it gives how many there were.
+func (s *Store) Delete(prefix string) int {
+	var gone []string
+	for key := range s.keys {
+		if _, ok := s.last(key); ok && strings.HasPrefix(key, prefix) {
+			gone = append(gone, key)
+		}
+	}
+	s.drop(gone)
+	return len(gone)
+}
+
+func (s *Store) drop(keys []string) {
+	if len(keys) == 0 {
+		return
+	}
+	slices.Sort(keys)
+	s.rev++
+	for _, key := range keys {
+		if old, ok := s.last(key); ok {
+			if l := s.leases[old.KV.Lease]; l != nil {
+				delete(l.keys, key)
+			}
+			s.add(StoreEvent{KV: KV{Key: key, Mod: s.rev}, Gone: true})
+		}
+	}
+}
+
+// Range reads the keys from one, that one included, up to another, in order, as they were at a revision (0: now).
+func (s *Store) Range(from, to string, rev int64, limit int) (kvs []KV, more bool, err error) {
+	switch {
+	case rev > s.rev:
+		return nil, false, ErrFuture
+	case rev > 0 && rev < s.compacted:
+		return nil, false, ErrCompacted
+	case rev <= 0:
+		rev = s.rev
+	}
+	for _, key := range slices.Sorted(maps.Keys(s.keys)) {
+		if key < from || to != "" && key >= to {
+			continue
+		}
+		list := s.keys[key]
+		i := sort.Search(len(list), func(i int) bool { return list[i].KV.Mod > rev })
+		if i == 0 || list[i-1].Gone {
+			continue
+		}
+		if limit > 0 && len(kvs) == limit {
+			return kvs, true, nil
+		}
+		kvs = append(kvs, list[i-1].KV)
+	}
+	return kvs, false, nil
+}
+
+// Since gives the changes from a revision on, that one included, up to another, of keys with a prefix.
+func (s *Store) Since(from, to int64, prefix string) ([]StoreEvent, error) {
+	if from <= s.compacted && s.compacted > 0 {
+		return nil, ErrCompacted
+	}
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].KV.Mod >= from })
+	var out []StoreEvent
+	for _, e := range s.log[i:] {
+		if e.KV.Mod > to {
+			break
+		}
+		if strings.HasPrefix(e.KV.Key, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+// LastChange is the revision of the last change, up to one, of keys with a prefix; 0 where none is known.
+func (s *Store) LastChange(to int64, prefix string) int64 {
+	for i := len(s.log) - 1; i >= 0; i-- {
+		if e := s.log[i]; e.KV.Mod <= to && strings.HasPrefix(e.KV.Key, prefix) {
+			return e.KV.Mod
+		}
+	}
+	return 0
+}
+
+// Compact forgets what is older than a revision, which itself can still be read.
+func (s *Store) Compact(rev int64) {
+	rev = min(rev, s.rev)
+	if rev <= s.compacted {
+		return
+	}
+	s.compacted = rev
+	for key, list := range s.keys {
+		i := sort.Search(len(list), func(i int) bool { return list[i].KV.Mod > rev })
+		if i > 0 && !list[i-1].Gone {
+			i-- // what it was at that revision
+		}
+		if list = slices.Clone(list[i:]); len(list) == 0 {
+			delete(s.keys, key)
+		} else {
+			s.keys[key] = list
+		}
+	}
+	i := sort.Search(len(s.log), func(i int) bool { return s.log[i].KV.Mod > rev })
+	s.log = slices.Clone(s.log[i:])
+}
+
+// Grant makes a lease.
+func (s *Store) Grant(now, ttl time.Duration) int64 {
+	s.serial++
+	s.leases[s.serial] = &lease{ttl: ttl, end: now + ttl, keys: map[string]bool{}}
+	return s.serial
+}
+
+// KeepAlive renews a lease and gives its time to live.
+func (s *Store) KeepAlive(now time.Duration, id int64) (time.Duration, error) {
+	s.Lapse(now)
+	l := s.leases[id]
+	if l == nil {
+		return 0, ErrNoLease
+	}
+	l.end = now + l.ttl
+	return l.ttl, nil
+}
+
+// Revoke ends a lease and takes out its keys.
+func (s *Store) Revoke(id int64) error {
+	l := s.leases[id]
+	if l == nil {
+		return ErrNoLease
+	}
+	delete(s.leases, id)
+	s.drop(slices.Collect(maps.Keys(l.keys)))
+	return nil
+}
+
+// Lapse ends the leases that are over, in order; it reports whether there were any.
+func (s *Store) Lapse(now time.Duration) bool {
+	var over []int64
+	for id, l := range s.leases {
+		if now >= l.end {
+			over = append(over, id)
+		}
+	}
+	slices.SortFunc(over, func(a, b int64) int { return cmp.Or(cmp.Compare(s.leases[a].end, s.leases[b].end), cmp.Compare(a, b)) })
+	for _, id := range over {
+		s.Revoke(id)
+	}
+	return len(over) > 0
+}
+
+// NextLapse is when the next lease ends if it is not kept alive.
+func (s *Store) NextLapse() (at time.Duration, ok bool) {
+	for _, l := range s.leases {
+		if !ok || l.end < at {
+			at, ok = l.end, true
+		}
+	}
+	return at, ok
+}
+
+// Backup is a copy of the store as it is; put in the store's place later, it is one restored from an old backup.
+func (s *Store) Backup() *Store {
+	b := &Store{rev: s.rev, compacted: s.compacted, keys: map[string][]StoreEvent{}, log: slices.Clone(s.log), leases: map[int64]*lease{}, serial: s.serial}
+	for k, v := range s.keys {
+		b.keys[k] = slices.Clone(v)
+	}
+	for id, l := range s.leases {
+		b.leases[id] = &lease{l.ttl, l.end, maps.Clone(l.keys)}
+	}
+	return b
+}
