--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -23,12 +23,13 @@
 )
 
 const (
-	noteGap   = time.Minute            // between notes of failures that go on
-	massSpan  = 5 * time.Second        // in which servers that vanish one by one count together
-	moment    = 100 * time.Millisecond // in which those that vanish together show; well inside any grace
-	leastMass = 2                      // servers that make a mass
-	mostIdle  = 3                      // watches that may come back early with nothing
-	jitter    = .5                     // part of a wait that is drawn
+	noteGap    = time.Minute            // between notes of failures that go on
+	massSpan   = 5 * time.Second        // in which servers that vanish one by one count together
+	moment     = 100 * time.Millisecond // in which those that vanish together show; well inside any grace
+	leastMass  = 2                      // servers that make a mass
+	mostGraves = 1024                   // keys that are gone and remembered: what is told again comes soon after
+	mostIdle   = 3                      // watches that may come back early with nothing
+	jitter     = .5                     // part of a wait that is drawn
 )
 
 // New starts a follower with the list that the node had before, which may be none. Nothing is asked before Start.
@@ -311,6 +312,7 @@
 	}
 	maps.DeleteFunc(f.bad, func(key string, _ bool) bool { return !named[key] })
 	f.rev, f.listRev, f.caught = f.pageRev, f.pageRev, 0
+	f.buried = nil
 	clear(f.graves)
 	f.known, f.whole, f.anew, f.older, f.pages = true, false, false, 0, nil
 	return true
@@ -351,9 +353,13 @@
 		}
 	case c.Gone:
 		f.remove(c.Key)
-		if f.graves[c.Key] = rev; len(f.graves) > f.cfg.Most {
-			f.whole = true // what is gone is forgotten with the next list
+		if _, known := f.graves[c.Key]; !known {
+			if f.buried = append(f.buried, c.Key); len(f.buried) > mostGraves {
+				delete(f.graves, f.buried[0])
+				f.buried = f.buried[1:]
+			}
 		}
+		f.graves[c.Key] = rev
 	default:
 		delete(f.bad, c.Key)
 		if r := f.byKey[c.Key]; r != nil && r.rev == rev && r.entry == c.Entry {
--- a/decide/roster/roster_test.go
+++ b/decide/roster/roster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -562,3 +563,37 @@
 		t.Errorf("%s, want %s", p.list(), m.list())
 	}
 }
+
+// Memory does not grow with the changes that have passed, only with the servers there are.
+func TestMemoryIsFlat(t *testing.T) {
+	m := newModel(t, stream, 1, 1, func(c *Config) { c.Page = 0 })
+	m.set("k", entry("s", policy.Ready))
+	m.start()
+	m.run(time.Second)
+	p := m.followers[0]
+	heap := func() uint64 {
+		runtime.GC()
+		var s runtime.MemStats
+		runtime.ReadMemStats(&s)
+		return s.HeapAlloc
+	}
+	rev := p.f.Revision()
+	churn := func(n int) {
+		for i := range n { // ever new servers that come, drain and go
+			rev++
+			id := fmt.Sprint("x", (i/3)%40, "-", rev/120)
+			c := Change{Key: id, Revision: rev, Entry: entry(id, policy.State(i%3)), Gone: i%3 == 2}
+			p.f.Answer(m.now, Answer{Call: p.call.ID, Kind: News, Revision: rev, Epoch: "one", Changes: []Change{c}})
+		}
+		clear(p.when)
+	}
+	churn(20000)
+	before := heap()
+	churn(100000)
+	if after := heap(); after > before+4<<20 {
+		t.Errorf("from %d KB to %d KB", before>>10, after>>10)
+	}
+	if p.f.Counts.Changes < 119000 {
+		t.Errorf("%+v", p.f.Counts)
+	}
+}
--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -31,6 +31,7 @@
 	rev     int64            // of the list held: a watch goes on from there
 	listRev int64            // of the last whole list
 	caught  int64            // the last progress told
+	buried  []string         // keys of graves, the first first
 	graves  map[string]int64 // keys that are gone since the last whole list, and the revision of that
 	epoch   string
 	known   bool          // a list is held that this registry, or the one before it, has told
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -9,7 +9,9 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
+	"lapisshelf/decide/roster"
 	"lapisshelf/internal/operator"
 	"lapisshelf/internal/registry"
 	"lapisshelf/internal/settings"
@@ -21,6 +23,7 @@
 	Name      string
 	Listen    netip.AddrPort
 	Registry  registry.Config // where the server list is
+	Announce  *Announce       // the node's own entry there; nil: none
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
@@ -30,6 +33,13 @@
 	Transport settings.Transport
 }
 
+// Announce is the entry that a node keeps of itself in the registry.
+type Announce struct {
+	Key   string
+	Value []byte
+	TTL   time.Duration // of its lease
+}
+
 // What a node takes its limits to be where it is not told.
 const (
 	usualMemoryMB = 192
@@ -86,6 +96,13 @@
 		return Config{}, err
 	} else if told != nil && discovery == "" {
 		c.Registry = *told
+		if a := op.Announce; a != nil {
+			if c.Name == "" {
+				return bad("announce", errors.New("a node that announces itself needs a name"))
+			}
+			own := roster.Entry{Addr: c.Listen.String(), Server: policy.Server{ID: c.Name, Kind: "node", Weight: -1}}
+			c.Announce = &Announce{Key: a.Prefix + c.Name, Value: registry.FormatEntry(own), TTL: a.TTL.D()}
+		}
 	} else {
 		addr, err := netip.ParseAddrPort(discovery)
 		if err != nil {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -40,7 +40,7 @@
 
 // follow begins to follow the list, from the one known before.
 func (n *Node) follow() {
-	n.registry = registry.New(n.loop, n.followed(), n.cfg.Seed, n.told, func(event, why string) { log.Printf("event=%s %s", event, why) })
+	n.registry = registry.New(n.loop, n.followed(), n.cfg.Seed, n.told, n.listNote)
 	n.registry.Heard = n.nowReady
 	n.registry.Start(n.cfg.Known.Revision, n.cfg.Known.Entries)
 	n.loop.After(readyWithin, n.nowReady)
@@ -51,9 +51,16 @@
 	if !n.ready && len(n.pools) > 0 {
 		n.ready = true
 		log.Printf("event=ready servers=%d", len(n.pools))
+		if a := n.cfg.Announce; a != nil && !n.leaving {
+			n.announcer = registry.NewAnnouncer(n.loop, n.cfg.Registry, a.Key, a.Value, a.TTL, n.cfg.Seed, n.listNote)
+			n.announcer.Start()
+		}
 	}
 }
 
+// listNote logs what the follower of the list, or the keeper of the node's own entry, has to say.
+func (n *Node) listNote(event, why string) { log.Printf("event=%s %s", event, why) }
+
 // told takes list news.
 func (n *Node) told(u roster.Update) {
 	kind := policy.ListChanges
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,21 +42,22 @@
 
 // Node is one balancer on sockets.
 type Node struct {
-	cfg      Config
-	loop     *loop.Loop
-	policy   *policy.Balancer
-	calls    map[string]*call
-	pools    map[string]*pool // by server id
-	clients  clients
-	registry *registry.Client
-	links    int // connections to servers
-	held     int // bytes of writes kept
-	owed     int // bytes of answers that clients have yet to take, and of commands not whole
-	coming   int // bytes of answers that are not whole
-	shedding bool
-	count    counters
-	ready    bool
-	leaving  bool
+	cfg       Config
+	loop      *loop.Loop
+	policy    *policy.Balancer
+	calls     map[string]*call
+	pools     map[string]*pool // by server id
+	clients   clients
+	registry  *registry.Client
+	announcer *registry.Announcer // nil: the node keeps no entry of itself
+	links     int                 // connections to servers
+	held      int                 // bytes of writes kept
+	owed      int                 // bytes of answers that clients have yet to take, and of commands not whole
+	coming    int                 // bytes of answers that are not whole
+	shedding  bool
+	count     counters
+	ready     bool
+	leaving   bool
 	// lastAnswer is when, after SIGTERM, all answers must have been given.
 	lastAnswer time.Duration
 }
@@ -303,6 +304,9 @@
 	}
 	n.lastAnswer = n.loop.Now() + longest + killAfter
 	log.Printf("event=leaving open=%d clients=%d", len(n.calls), len(n.clients.all))
+	if n.announcer != nil { // whoever follows the nodes knows before the listener closes
+		n.announcer.Stop(func() {})
+	}
 	n.loop.After(lameFor, n.clients.leave)
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,11 +18,12 @@
 // File is the operator's file. A table that does not stand there leaves its subsystem off; of the platform's own
 // configuration, what that tells wins.
 type File struct {
-	Node    Node
-	Service *Service
-	Class   []Class
-	Tenant  []Tenant
-	List    *Registry `toml:"registry"`
+	Node     Node
+	Service  *Service
+	Class    []Class
+	Tenant   []Tenant
+	List     *Registry `toml:"registry"`
+	Announce *Announce
 
 	file *tomlfile.File
 }
@@ -110,6 +111,10 @@
 		d := registryDefaults()
 		f.List = &d
 	}
+	if t.Has("announce") {
+		d := announceDefaults()
+		f.Announce = &d
+	}
 	if f.file, err = tomlfile.Read(path, f); err != nil {
 		return nil, err
 	}
@@ -151,7 +156,10 @@
 	); err != nil {
 		return err
 	}
-	if err := f.checkRegistry(); err != nil || f.Service == nil {
+	if err := f.checkRegistry(); err != nil {
+		return err
+	}
+	if err := f.checkAnnounce(); err != nil || f.Service == nil {
 		return err
 	}
 	s := f.Service
--- a/internal/operator/registry.go
+++ b/internal/operator/registry.go
@@ -35,6 +35,31 @@
 	CallsPerS  float64 `toml:"calls_per_s"`
 }
 
+// Announce makes the node keep an entry of itself in the registry, under a lease.
+type Announce struct {
+	Prefix string
+	TTL    Span
+}
+
+func announceDefaults() Announce {
+	return Announce{Prefix: "lapisshelf/nodes/", TTL: tomlfile.Span(10e9)}
+}
+
+// checkAnnounce checks the table and what it needs besides.
+func (f *File) checkAnnounce() error {
+	a := f.Announce
+	if a == nil {
+		return nil
+	}
+	at := func(key string) []any { return tomlfile.At("announce", key) }
+	return f.first(
+		rule{f.List == nil, tomlfile.At("announce"), "needs a [registry] table"},
+		rule{strings.ContainsAny(a.Prefix, "\r\n\x00") || a.Prefix == "", at("prefix"), "must be what the keys of nodes begin with"},
+		rule{f.List != nil && strings.HasPrefix(a.Prefix, f.List.Prefix), at("prefix"), "must not lie within registry.prefix: nodes are no servers"},
+		rule{a.TTL.D() < 1e9 || a.TTL.D() > longest, at("ttl"), "must be 1s to 1h"},
+	)
+}
+
 // registryDefaults are the figures where the table stands and does not tell them.
 func registryDefaults() Registry {
 	return Registry{Kind: string(registry.Etcd), Prefix: "lapisshelf/servers/", Hold: tomlfile.Span(30e9), HoldPart: 0.5, Rewind: tomlfile.Span(30e9),
--- /dev/null
+++ b/internal/registry/announce.go
@@ -0,0 +1,262 @@
+package registry
+
+import (
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/url"
+	"strconv"
+	"time"
+
+	"lapisshelf/decide/lease"
+	"lapisshelf/internal/httpc"
+	"lapisshelf/internal/loop"
+)
+
+// Announcer keeps an entry of this process in a registry, under a lease: it vanishes with the process. What is done when
+// is decided by decide/lease; each operation goes on a connection of its own. All of it runs on the loop.
+type Announcer struct {
+	loop   *loop.Loop
+	cfg    Config
+	key    string
+	keeper *lease.Keeper
+	note   func(event, why string)
+	wake   *loop.Timer
+	out    *once
+	over   func()
+}
+
+// NewAnnouncer makes one for a key of a key-value registry; it does nothing before Start.
+func NewAnnouncer(l *loop.Loop, cfg Config, key string, value []byte, ttl time.Duration, seed uint64, note func(event, why string)) *Announcer {
+	a := &Announcer{loop: l, cfg: cfg, key: key, note: note}
+	a.keeper = lease.New(lease.Config{Endpoints: len(cfg.Endpoints), TTL: ttl}, value, seed, a)
+	return a
+}
+
+// Start begins to keep the entry.
+func (a *Announcer) Start() { a.keeper.Start(a.loop.Now()) }
+
+// Change keeps another value from now on.
+func (a *Announcer) Change(value []byte) { a.keeper.Change(a.loop.Now(), value) }
+
+// Stop takes the entry out; over is called once that is done, or has failed.
+func (a *Announcer) Stop(over func()) {
+	a.over = over
+	a.keeper.Stop(a.loop.Now())
+	a.settle()
+}
+
+// Abandon does nothing more: the entry lapses with its lease.
+func (a *Announcer) Abandon() {
+	a.wake.Stop()
+	a.hangUp()
+}
+
+// Held reports whether the entry stands, as far as is known.
+func (a *Announcer) Held() bool { return a.keeper.Held(a.loop.Now()) }
+
+// settle tells of the end.
+func (a *Announcer) settle() {
+	if a.over != nil && a.keeper.Over() {
+		over := a.over
+		a.over = nil
+		a.wake.Stop()
+		over()
+	}
+}
+
+// Note implements lease.Actions.
+func (a *Announcer) Note(event, why string) { a.note(event, why) }
+
+// Wake implements lease.Actions.
+func (a *Announcer) Wake(at time.Duration) {
+	a.wake.Stop()
+	a.wake = a.loop.After(at-a.loop.Now(), func() {
+		a.hangUp() // a call whose time is over is over
+		a.keeper.Timer(a.loop.Now())
+		a.settle()
+	})
+}
+
+func (a *Announcer) hangUp() {
+	if o := a.out; o != nil {
+		a.out = nil
+		o.gone = true
+		o.conn.Close()
+	}
+}
+
+// Do implements lease.Actions.
+func (a *Announcer) Do(c lease.Call) {
+	a.hangUp()
+	addr := a.cfg.Endpoints[c.Endpoint]
+	o := &once{announcer: a, call: c}
+	conn, err := (&Client{loop: a.loop, cfg: a.cfg}).dial(addr, o)
+	if err != nil {
+		a.loop.Later(func() { a.failed(c.ID, err.Error(), false) })
+		return
+	}
+	o.conn, a.out = conn, o
+	method, target, headers, body := a.request(c)
+	conn.Write(httpc.AppendRequest(nil, method, target, addr.String(), headers, body))
+}
+
+func (a *Announcer) failed(call uint64, why string, gone bool) {
+	a.keeper.Fail(a.loop.Now(), call, why, gone)
+	a.settle()
+}
+
+// request is what an operation says.
+func (a *Announcer) request(c lease.Call) (method, target string, headers []httpc.Header, body []byte) {
+	seconds := strconv.FormatInt(int64(math.Ceil(c.TTL.Seconds())), 10)
+	if a.cfg.Kind == Consul {
+		headers = consul{"", a.cfg.Token}.headers()
+		switch c.Op {
+		case lease.Grant:
+			body, _ = json.Marshal(map[string]string{"Name": "lapisshelf", "TTL": seconds + "s", "Behavior": "delete", "LockDelay": "0s"})
+			return "PUT", "/v1/session/create", headers, body
+		case lease.Put:
+			return "PUT", "/v1/kv/" + (&url.URL{Path: a.key}).EscapedPath() + "?acquire=" + url.QueryEscape(c.Lease), headers, c.Value
+		case lease.Renew:
+			return "PUT", "/v1/session/renew/" + url.PathEscape(c.Lease), headers, []byte{}
+		}
+		return "PUT", "/v1/session/destroy/" + url.PathEscape(c.Lease), headers, []byte{}
+	}
+	headers = etcd{"", a.cfg.Token}.headers()
+	in := map[string]string{"ID": c.Lease}
+	switch c.Op {
+	case lease.Grant:
+		target, in = "/v3/lease/grant", map[string]string{"TTL": seconds, "ID": "0"}
+	case lease.Put:
+		b64 := base64.StdEncoding.EncodeToString
+		target, in = "/v3/kv/put", map[string]string{"key": b64([]byte(a.key)), "value": b64(c.Value), "lease": c.Lease}
+	case lease.Renew:
+		target = "/v3/lease/keepalive"
+	case lease.Revoke:
+		target = "/v3/lease/revoke"
+	}
+	body, _ = json.Marshal(in)
+	return "POST", target, headers, body
+}
+
+// errGone is a lease that the registry does not know.
+var errGone = errors.New("no such lease")
+
+// answer reads an operation's answer.
+func (a *Announcer) answer(c lease.Call, head *httpc.Answer, body []byte) (id string, ttl time.Duration, err error) {
+	if a.cfg.Kind == Consul {
+		switch {
+		case head.Status == 404 && c.Op == lease.Renew:
+			return "", 0, errGone
+		case head.Status != 200:
+			return "", 0, statusError(head, nil)
+		case c.Op == lease.Put && string(body) != "true": // another session holds the key, or this one is gone
+			return "", 0, errGone
+		case c.Op != lease.Grant:
+			return c.Lease, c.TTL, nil
+		}
+		var in struct{ ID string }
+		if err := json.Unmarshal(body, &in); err != nil || in.ID == "" {
+			return "", 0, fmt.Errorf("no session: %w", err)
+		}
+		return in.ID, c.TTL, nil
+	}
+	if head.Status != 200 {
+		var in struct{ Code int }
+		if json.Unmarshal(body, &in) == nil && in.Code == codeNotFound && c.Op != lease.Grant {
+			return "", 0, errGone
+		}
+		return "", 0, statusError(head, body)
+	}
+	var in struct {
+		ID     string
+		TTL    number
+		Result *struct {
+			ID  string
+			TTL number
+		}
+	}
+	if err := json.Unmarshal(body, &in); err != nil {
+		return "", 0, err
+	}
+	if in.Result != nil {
+		in.ID, in.TTL = in.Result.ID, in.Result.TTL
+	}
+	if in.TTL < 0 || in.TTL > math.MaxInt32 {
+		return "", 0, errors.New("a time to live that makes no sense")
+	}
+	return in.ID, time.Duration(in.TTL) * time.Second, nil
+}
+
+// codeNotFound is the gRPC code of what is not there.
+const codeNotFound = 5
+
+// mostReply bounds an operation's answer, in bytes.
+const mostReply = 64 << 10
+
+// once is one operation on a connection of its own.
+type once struct {
+	announcer *Announcer
+	call      lease.Call
+	conn      wire
+	stream    httpc.Stream
+	body      []byte
+	gone      bool
+}
+
+// Up implements loop.Handler.
+func (o *once) Up() {}
+
+// Drained implements loop.Handler.
+func (o *once) Drained() {}
+
+// End implements loop.Handler.
+func (o *once) End(err error) {
+	if o.gone {
+		return
+	}
+	if o.stream.HasHead && o.stream.End() == nil {
+		o.finish()
+		return
+	}
+	o.fail(fmt.Sprint("the connection has ended: ", err), false)
+}
+
+// Data implements loop.Handler.
+func (o *once) Data(data []byte) {
+	_, err := o.stream.Feed(data, func(piece []byte) {
+		if len(o.body) <= mostReply {
+			o.body = append(o.body, piece...)
+		}
+	})
+	switch {
+	case o.gone:
+	case err != nil:
+		o.fail(err.Error(), false)
+	case len(o.body) > mostReply:
+		o.fail("an answer too large", false)
+	case o.stream.Done:
+		o.finish()
+	}
+}
+
+func (o *once) finish() {
+	a := o.announcer
+	id, ttl, err := a.answer(o.call, &o.stream.Head, o.body)
+	if err != nil {
+		o.fail(err.Error(), errors.Is(err, errGone))
+		return
+	}
+	a.hangUp()
+	a.keeper.Done(a.loop.Now(), o.call.ID, id, ttl)
+	a.settle()
+}
+
+func (o *once) fail(why string, gone bool) {
+	a := o.announcer
+	a.hangUp()
+	o.gone = true
+	a.failed(o.call.ID, why, gone)
+}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -231,9 +231,11 @@
 	}
 	c, call := l.client, l.call
 	if l.stream.HasHead && l.stream.End() == nil && !c.proto.streams(call) { // an answer may end with its connection
-		l.gone = false
-		l.answered()
-		return
+		if a, err := c.proto.answer(call, &l.stream.Head, l.body); err == nil {
+			a.Call = call.ID
+			c.answer(a)
+			return
+		}
 	}
 	c.follower.Failed(c.loop.Now(), call.ID, fmt.Sprint("the connection has ended: ", err))
 }
@@ -299,10 +301,33 @@
 	}
 }
 
+// offLoop is the size of an answer from which it is read beside the loop: a list of thousands takes milliseconds, in which
+// no request would be served.
+const offLoop = 64 << 10
+
 // answered takes a whole answer.
 func (l *link) answered() {
+	c, call, head, body := l.client, l.call, l.stream.Head, l.body
+	l.body = nil
+	if len(body) < offLoop {
+		a, err := c.proto.answer(call, &head, body)
+		l.read(a, err)
+		return
+	}
+	proto := c.proto
+	go func() {
+		a, err := proto.answer(call, &head, body)
+		c.loop.Post(func() {
+			if !l.gone && l.call.ID == call.ID && l.out { // else it has been given up
+				l.read(a, err)
+			}
+		})
+	}()
+}
+
+// read takes what an answer was read as.
+func (l *link) read(a roster.Answer, err error) {
 	c := l.client
-	a, err := c.proto.answer(l.call, &l.stream.Head, l.body)
 	if err != nil {
 		if l.stream.Head.Status == 200 {
 			c.Bad++
@@ -310,7 +335,7 @@
 		l.fail(err.Error())
 		return
 	}
-	l.out, l.body = false, nil
+	l.out = false
 	if l.stream.Head.Close && !l.gone {
 		c.hangUp()
 	}
--- a/internal/registry/protocol.go
+++ b/internal/registry/protocol.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/base64"
 	"encoding/json"
 	"errors"
@@ -42,7 +43,7 @@
 func statusError(head *httpc.Answer, body []byte) error {
 	var in struct{ Error, Message string }
 	json.Unmarshal(body, &in)
-	if why := strings.TrimSpace(in.Error + " " + in.Message); why != "" && len(why) < 200 {
+	if why := cmp.Or(in.Message, in.Error); why != "" && len(why) < 200 {
 		return fmt.Errorf("status %d: %s", head.Status, why)
 	}
 	return fmt.Errorf("status %d", head.Status)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -404,3 +404,51 @@
 		}
 	})
 }
+
+// An entry of one's own stands while its process renews it, through a registry that fails for a while and one that forgets
+// the lease, and goes at the end; a process that dies leaves it to lapse.
+func TestAnnounce(t *testing.T) {
+	both(t, func(t *testing.T, k Kind) {
+		r := start(t, k, standin.RegistryOptions{Endpoints: 2, Token: "tok"}, func(c *Config) { c.Token = "tok" })
+		value := standin.EntryOf(time.Now(), server(1, world.Serving))
+		announce := func() *Announcer {
+			a := NewAnnouncer(r.loop, r.client.cfg, prefix+"s-00001", value, time.Second, 1, func(event, why string) {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.notes = append(r.notes, event+" "+why)
+			})
+			r.on(a.Start)
+			return a
+		}
+		there := func() bool { _, all := r.reg.Members(); return len(all) == 1 }
+		gone := func() bool { return !there() }
+		a := announce()
+		eventually(t, "it is there", there)
+		eventually(t, "and known", r.is)
+		for range 30 {
+			time.Sleep(50 * ms)
+			if gone() {
+				t.Fatal("it lapsed though it is renewed")
+			}
+		}
+		r.reg.Down(0, true)
+		r.reg.Down(1, true)
+		eventually(t, "it lapses while nobody can be reached", gone)
+		r.reg.Down(0, false)
+		eventually(t, "it is back", there)
+		r.reg.Down(1, false)
+		r.reg.Do(func(now time.Duration, s *world.Store) { s.Lapse(now + time.Hour) }) // the leases are lost
+		eventually(t, "the loss is known", gone)
+		eventually(t, "it is back under a new lease", there)
+		done := make(chan bool)
+		r.on(func() { a.Stop(func() { close(done) }) })
+		<-done
+		if there() {
+			t.Error("it outlives its process")
+		}
+		a = announce()
+		eventually(t, "it is there again", there)
+		r.on(a.Abandon) // the process dies
+		eventually(t, "it lapses", gone)
+	})
+}
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -149,14 +149,28 @@
 	None         bool // there is none
 }
 
-// List is the list service.
+// List is where the nodes have their list from.
 type List struct {
 	Delay Span
 	Keep  int
 	Whole bool
 	Wait  Span
+
+	Kind      string  // discovery, etcd or consul
+	Endpoints int     // of a registry
+	Lease     Span    // servers keep their entries under leases of that time; 0: they stand until they are taken out
+	Progress  Span    // between progress notices of a quiet watch
+	Token     string  // that the registry wants
+	Hold      Span    // what the nodes are told, see the operator's file
+	HoldPart  float64 `toml:"hold_part"`
+	Rewind    Span
+	Watch     Span
+	Announce  bool // nodes keep entries of themselves
 }
 
+// Registry reports whether the list is in a key-value registry.
+func (l *List) Registry() bool { return l.Kind != "discovery" }
+
 // Clients are who asks.
 type Clients struct {
 	Rate       float64
@@ -283,7 +297,7 @@
 			ReportEvery: ms(100), ReportNoise: 0.05}, Tolerance: ms(50)},
 		Origin: Origin{Cores: 8, Slots: 64, Room: 64, Work: ms(10), Sigma: 0.4, WriteFactor: 1.5, FallMultiple: 2.5,
 			FallFor: ms(3000), Down: ms(3000)},
-		List: List{Delay: ms(200)},
+		List: List{Delay: ms(200), Kind: "discovery", Endpoints: 1, Hold: ms(30000), HoldPart: 0.5, Rewind: ms(30000)},
 		Clients: Clients{Rate: 200, Keys: 2000, Zipf: 0.9, Offset: 5, Patience: []float64{0.8, 1}, Retries: 1, Pause: ms(200),
 			MarksRetry: true, Warm: 1},
 	}
@@ -333,6 +347,12 @@
 		rule{!(o.FallMultiple >= 0), at("origin", "fall_multiple"), "must not be negative"},
 		rule{o.None && s.Mode == "through", at("origin", "none"), "caches in through mode need an origin"},
 		rule{x.List.Delay.D() < 0, at("list", "delay"), "must not be negative"},
+		rule{!slices.Contains([]string{"discovery", "etcd", "consul"}, x.List.Kind), at("list", "kind"), "must be discovery, etcd or consul"},
+		rule{x.List.Endpoints < 1 || x.List.Endpoints > 8, at("list", "endpoints"), "must be 1 to 8"},
+		rule{x.List.Lease.D() < 0 || x.List.Lease.D() > 0 && x.List.Lease.D() < time.Second, at("list", "lease"), "must be 0s, or at least 1s"},
+		rule{x.List.Progress.D() < 0, at("list", "progress"), "must not be negative"},
+		rule{x.List.Registry() && n.Config != "", at("nodes", "config"), "the lab writes the operator's file itself where the list is in a registry"},
+		rule{!x.List.Registry() && (x.List.Endpoints > 1 || x.List.Lease.D() > 0 || x.List.Token != "" || x.List.Announce), at("list", "kind"), "endpoints, leases and tokens need a registry: etcd or consul"},
 		rule{!(c.Rate > 0 && c.Rate <= 200000), at("clients", "rate"), "must be above 0 and at most 200000 a second"},
 		rule{c.Rate*x.Length.D().Seconds() > 20e6, at("clients", "rate"), "over 20 million requests in a run"},
 		rule{c.Keys < 1 || c.Keys > 5e6, at("clients", "keys"), "must be 1 to 5000000"},
@@ -533,7 +553,7 @@
 	for _, t := range x.Tenants {
 		tenants = append(tenants, t.Name)
 	}
-	line, err := fault.Expand(x.Fault, fault.Stage{Length: x.Length.D(), Servers: names, Nodes: x.Nodes.Count, Tenants: tenants}, x.Seed)
+	line, err := fault.Expand(x.Fault, fault.Stage{Length: x.Length.D(), Servers: names, Nodes: x.Nodes.Count, Tenants: tenants, Ends: x.ends()}, x.Seed)
 	var bad *fault.Error
 	if errors.As(err, &bad) {
 		return f.Errorf(tomlfile.At("fault", bad.Spec, bad.Key), "%s", bad.Why)
@@ -555,6 +575,13 @@
 	return nil
 }
 
+func (x *Experiment) ends() int {
+	if !x.List.Registry() {
+		return 0
+	}
+	return x.List.Endpoints
+}
+
 // expects reads [expect]: FIGURE_min and FIGURE_max, and broken, the rules that are to be broken.
 func (x *Experiment) expects(f *tomlfile.File) error {
 	for _, key := range sortedKeys(x.Expect) {
@@ -660,6 +687,9 @@
 		OverWorth: s.OverWorth, Tolerance: x.Fleet.Tolerance.D(), ColdFrom: s.ColdFrom, WarmUp: s.WarmUp.D(),
 		FallMultiple: s.FallMultiple, FallWindow: s.FallWindow.D(), OriginFor: x.Origin.FallFor.D(), OriginKind: originKind,
 		Length: x.Length.D()}
+	if x.List.Registry() {
+		r.Hold, r.HoldPart = x.List.Hold.D(), x.List.HoldPart
+	}
 	for _, v := range x.Servers {
 		r.Members[v.ID] = v.Member
 	}
--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -55,6 +55,7 @@
 	Count   int
 	Share   float64
 	Nodes   []int // from 1; without them all nodes
+	Ends    []int `toml:"endpoints"` // of a registry, from 1; without them all
 	Factor  float64
 	Part    float64
 	Every   When   // of what comes and goes: how often
@@ -70,36 +71,46 @@
 
 // The verbs. A server is named by its name in the lab, a node by its number from 0.
 const (
-	Die         Verb = "die"          // the process ends: resets, then refused connections
-	Rise        Verb = "rise"         // a new process at the same place; X 1: cold; Text: the server's name that it comes back under
-	Silence     Verb = "silence"      // the machine says nothing; X 0: it is back
-	Hang        Verb = "hang"         // takes all, answers nothing; X 0: over
-	Refuse      Verb = "refuse"       // refuses connections, keeps those it has; X 0: over
-	Reset       Verb = "reset"        // the part X of the answers ends with the connection, in the midst
-	Garble      Verb = "garble"       // the part X of the answers is spoilt
-	Surplus     Verb = "surplus"      // more follows the part X of the answers
-	TurnAway    Verb = "turn_away"    // answers busy; X 0: over
-	Slow        Verb = "slow"         // X times slower; 1: as ever
-	Steal       Verb = "steal"        // a neighbour takes the part X of the machine
-	Pause       Verb = "pause"        // stands still; X 0: goes on
-	Drain       Verb = "drain"        // finishes what it has; the list says so
-	Leave       Verb = "leave"        // the list says that it is gone
-	Join        Verb = "join"         // a server of a new name starts; X 1: cold
-	Void        Verb = "void"         // the part X of its copies goes void
-	ListDown    Verb = "list_down"    // X 0: up
-	ListGarble  Verb = "list_garble"  // talks nonsense; X 0: over
-	ListLag     Verb = "list_lag"     // changes show X seconds late
-	ListCut     Verb = "list_cut"     // nothing comes from it to a node; X 0: over
-	NodeKill    Verb = "node_kill"    // SIGKILL
-	NodeTerm    Verb = "node_term"    // SIGTERM
-	NodeHup     Verb = "node_hup"     // SIGHUP
-	NodeStart   Verb = "node_start"   // a new process
-	NodeFreeze  Verb = "node_freeze"  // SIGSTOP; X 0: SIGCONT
-	Rude        Verb = "rude"         // X clients that send nonsense; 0: over
-	OriginSlow  Verb = "origin_slow"  // X times slower; 1: as ever
-	OriginStop  Verb = "origin_stop"  // refuses connections; X 0: back
-	OriginPause Verb = "origin_pause" // stands still; X 0: goes on
-	OriginSpoil Verb = "origin_spoil" // the part X of the answers is spoilt
+	Die         Verb = "die"              // the process ends: resets, then refused connections
+	Rise        Verb = "rise"             // a new process at the same place; X 1: cold; Text: the server's name that it comes back under
+	Silence     Verb = "silence"          // the machine says nothing; X 0: it is back
+	Hang        Verb = "hang"             // takes all, answers nothing; X 0: over
+	Refuse      Verb = "refuse"           // refuses connections, keeps those it has; X 0: over
+	Reset       Verb = "reset"            // the part X of the answers ends with the connection, in the midst
+	Garble      Verb = "garble"           // the part X of the answers is spoilt
+	Surplus     Verb = "surplus"          // more follows the part X of the answers
+	TurnAway    Verb = "turn_away"        // answers busy; X 0: over
+	Slow        Verb = "slow"             // X times slower; 1: as ever
+	Steal       Verb = "steal"            // a neighbour takes the part X of the machine
+	Pause       Verb = "pause"            // stands still; X 0: goes on
+	Drain       Verb = "drain"            // finishes what it has; the list says so
+	Leave       Verb = "leave"            // the list says that it is gone
+	Join        Verb = "join"             // a server of a new name starts; X 1: cold
+	Void        Verb = "void"             // the part X of its copies goes void
+	ListDown    Verb = "list_down"        // X 0: up
+	ListGarble  Verb = "list_garble"      // talks nonsense; X 0: over
+	ListLag     Verb = "list_lag"         // changes show X seconds late
+	ListCut     Verb = "list_cut"         // nothing comes from it to a node; X 0: over
+	NodeKill    Verb = "node_kill"        // SIGKILL
+	NodeTerm    Verb = "node_term"        // SIGTERM
+	NodeHup     Verb = "node_hup"         // SIGHUP
+	NodeStart   Verb = "node_start"       // a new process
+	NodeFreeze  Verb = "node_freeze"      // SIGSTOP; X 0: SIGCONT
+	RegDown     Verb = "registry_down"    // an endpoint answers 503; X 0: over
+	RegMute     Verb = "registry_mute"    // an endpoint says nothing; X 0: back
+	RegGarble   Verb = "registry_garble"  // an endpoint talks nonsense; X 0: over
+	RegLag      Verb = "registry_lag"     // an endpoint is X changes behind
+	RegCompact  Verb = "registry_compact" // all history is forgotten
+	RegWipe     Verb = "registry_wipe"    // all servers are taken out
+	RegSave     Verb = "registry_save"    // a backup is made
+	RegRestore  Verb = "registry_restore" // and put in the store's place
+	RegTwice    Verb = "registry_twice"   // changes are told twice, progress ahead of them; X 0: over
+	RegDrip     Verb = "registry_drip"    // answers come in small pieces, X ms apart; 0: over
+	Rude        Verb = "rude"             // X clients that send nonsense; 0: over
+	OriginSlow  Verb = "origin_slow"      // X times slower; 1: as ever
+	OriginStop  Verb = "origin_stop"      // refuses connections; X 0: back
+	OriginPause Verb = "origin_pause"     // stands still; X 0: goes on
+	OriginSpoil Verb = "origin_spoil"     // the part X of the answers is spoilt
 )
 
 // Action is one thing that happens at one time.
@@ -108,6 +119,7 @@
 	Verb   Verb
 	Server string  // name
 	Node   int     // from 0; -1: none
+	End    int     // of a registry, from 1; 0: none
 	X      float64 // as its verb says
 	Text   string
 }
@@ -121,6 +133,9 @@
 	if a.Node >= 0 {
 		s += fmt.Sprintf(" node=%d", a.Node+1)
 	}
+	if a.End > 0 {
+		s += fmt.Sprintf(" endpoint=%d", a.End)
+	}
 	if s += fmt.Sprintf(" x=%g", a.X); a.Text != "" {
 		s += " as=" + a.Text
 	}
@@ -133,6 +148,7 @@
 	Servers []string // names of the caches, in order
 	Nodes   int
 	Tenants []string
+	Ends    int // endpoints of a registry; 0: the list is no registry's
 }
 
 // Timeline is what happens in a run.
@@ -189,41 +205,59 @@
 			x.onOff(Action{Verb: v, Node: -1, X: on}, off)
 		}
 	}
+	ends := func(v Verb) func(x *expansion) {
+		return func(x *expansion) {
+			x.ends(func(e int) { x.onOff(Action{Verb: v, Node: -1, End: e, X: max(1, x.Factor)}, 0) })
+		}
+	}
+	moment := func(v Verb) func(x *expansion) {
+		return func(x *expansion) { x.add(Action{At: x.at, Verb: v, Node: -1}) }
+	}
 	shape := func(k world.ShapeKind) func(x *expansion) { return func(x *expansion) { x.shape(k) } }
 	kinds = map[string]kind{
-		"crash":         {on: "servers", expand: (*expansion).crash},
-		"silent":        {on: "servers", expand: toggle(Silence)},
-		"hang":          {on: "servers", expand: toggle(Hang)},
-		"refuse":        {on: "servers", expand: toggle(Refuse)},
-		"busy":          {on: "servers", expand: toggle(TurnAway)},
-		"reset":         {on: "servers", part: true, expand: share(Reset)},
-		"garble":        {on: "servers", part: true, expand: share(Garble)},
-		"surplus":       {on: "servers", part: true, expand: share(Surplus)},
-		"slow":          {on: "servers", factor: true, expand: (*expansion).slow},
-		"neighbour":     {on: "servers", part: true, expand: (*expansion).neighbour},
-		"pause":         {on: "servers", expand: (*expansion).pause},
-		"flush":         {on: "servers", part: true, expand: (*expansion).flush},
-		"drain":         {on: "servers", expand: (*expansion).drain},
-		"deploy":        {on: "servers", span: true, expand: (*expansion).deploy},
-		"shrink":        {on: "servers", span: true, expand: (*expansion).shrink},
-		"grow":          {on: "fleet", expand: (*expansion).grow},
-		"origin_slow":   {on: "origin", factor: true, expand: single(OriginSlow, 1)},
-		"origin_stop":   {on: "origin", expand: single(OriginStop, 0)},
-		"origin_pause":  {on: "origin", expand: single(OriginPause, 0)},
-		"origin_garble": {on: "origin", part: true, expand: single(OriginSpoil, 0)},
-		"list_down":     {on: "list", expand: single(ListDown, 0)},
-		"list_garble":   {on: "list", expand: single(ListGarble, 0)},
-		"list_lag":      {on: "list", factor: true, expand: single(ListLag, 0)},
-		"list_cut":      {on: "nodes", expand: nodes(ListCut, 1, 0)},
-		"node_kill":     {on: "nodes", expand: (*expansion).nodeEnds},
-		"node_term":     {on: "nodes", expand: (*expansion).nodeEnds},
-		"node_hup":      {on: "nodes", expand: (*expansion).nodeHup},
-		"node_freeze":   {on: "nodes", expand: nodes(NodeFreeze, 1, 0)},
-		"rude":          {on: "load", expand: (*expansion).rude},
-		"surge":         {on: "load", factor: true, expand: shape(world.Surge)},
-		"hot_key":       {on: "load", part: true, expand: shape(world.HotKeys)},
-		"hot_tenant":    {on: "load", part: true, expand: shape(world.HotTenant)},
-		"hot_node":      {on: "load", part: true, expand: shape(world.HotNode)},
+		"crash":            {on: "servers", expand: (*expansion).crash},
+		"silent":           {on: "servers", expand: toggle(Silence)},
+		"hang":             {on: "servers", expand: toggle(Hang)},
+		"refuse":           {on: "servers", expand: toggle(Refuse)},
+		"busy":             {on: "servers", expand: toggle(TurnAway)},
+		"reset":            {on: "servers", part: true, expand: share(Reset)},
+		"garble":           {on: "servers", part: true, expand: share(Garble)},
+		"surplus":          {on: "servers", part: true, expand: share(Surplus)},
+		"slow":             {on: "servers", factor: true, expand: (*expansion).slow},
+		"neighbour":        {on: "servers", part: true, expand: (*expansion).neighbour},
+		"pause":            {on: "servers", expand: (*expansion).pause},
+		"flush":            {on: "servers", part: true, expand: (*expansion).flush},
+		"drain":            {on: "servers", expand: (*expansion).drain},
+		"deploy":           {on: "servers", span: true, expand: (*expansion).deploy},
+		"shrink":           {on: "servers", span: true, expand: (*expansion).shrink},
+		"grow":             {on: "fleet", expand: (*expansion).grow},
+		"origin_slow":      {on: "origin", factor: true, expand: single(OriginSlow, 1)},
+		"origin_stop":      {on: "origin", expand: single(OriginStop, 0)},
+		"origin_pause":     {on: "origin", expand: single(OriginPause, 0)},
+		"origin_garble":    {on: "origin", part: true, expand: single(OriginSpoil, 0)},
+		"list_down":        {on: "list", expand: single(ListDown, 0)},
+		"list_garble":      {on: "list", expand: single(ListGarble, 0)},
+		"list_lag":         {on: "list", factor: true, expand: single(ListLag, 0)},
+		"list_cut":         {on: "nodes", expand: nodes(ListCut, 1, 0)},
+		"node_kill":        {on: "nodes", expand: (*expansion).nodeEnds},
+		"node_term":        {on: "nodes", expand: (*expansion).nodeEnds},
+		"node_hup":         {on: "nodes", expand: (*expansion).nodeHup},
+		"node_freeze":      {on: "nodes", expand: nodes(NodeFreeze, 1, 0)},
+		"registry_down":    {on: "registry", expand: ends(RegDown)},
+		"registry_mute":    {on: "registry", expand: ends(RegMute)},
+		"registry_garble":  {on: "registry", expand: ends(RegGarble)},
+		"registry_lag":     {on: "registry", factor: true, expand: ends(RegLag)},
+		"registry_compact": {on: "registry", expand: moment(RegCompact)},
+		"registry_wipe":    {on: "registry", expand: moment(RegWipe)},
+		"registry_save":    {on: "registry", expand: moment(RegSave)},
+		"registry_restore": {on: "registry", expand: moment(RegRestore)},
+		"registry_twice":   {on: "registry", expand: single(RegTwice, 0)},
+		"registry_drip":    {on: "registry", factor: true, expand: single(RegDrip, 0)},
+		"rude":             {on: "load", expand: (*expansion).rude},
+		"surge":            {on: "load", factor: true, expand: shape(world.Surge)},
+		"hot_key":          {on: "load", part: true, expand: shape(world.HotKeys)},
+		"hot_tenant":       {on: "load", part: true, expand: shape(world.HotTenant)},
+		"hot_node":         {on: "load", part: true, expand: shape(world.HotNode)},
 	}
 }
 
@@ -281,6 +315,14 @@
 				return nil, bad("servers", "unknown server %q (number %d); there are %s", name, j+1, strings.Join(stage.Servers, ", "))
 			}
 		}
+		if k.on == "registry" && stage.Ends == 0 {
+			return nil, bad("kind", "%s needs a registry: list.kind etcd or consul", s.Kind)
+		}
+		for _, e := range s.Ends {
+			if e < 1 || e > stage.Ends {
+				return nil, bad("endpoints", "unknown endpoint %d; there are 1 to %d", e, stage.Ends)
+			}
+		}
 		for _, n := range s.Nodes {
 			if n < 1 || n > stage.Nodes {
 				return nil, bad("nodes", "unknown node %d; there are 1 to %d", n, stage.Nodes)
@@ -348,6 +390,18 @@
 	}
 }
 
+func (x *expansion) ends(f func(e int)) {
+	if len(x.Ends) == 0 {
+		for e := range x.stage.Ends {
+			f(e + 1)
+		}
+		return
+	}
+	for _, e := range x.Ends {
+		f(e)
+	}
+}
+
 func (x *expansion) cold() float64 {
 	if x.Warm {
 		return 0
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -27,7 +27,9 @@
 	AnswerSlack time.Duration           // after the client's deadline, in which a final answer still counts
 	DrainGrace  time.Duration
 	AskWithin   time.Duration // a node that has not asked for so long counts as told; 0: never
-	OverWorth   float64       // part of its worth that a request beyond its tenant's quota keeps
+	Hold        time.Duration // servers that vanish in a mass without draining count as told only after it; 0: at once
+	HoldPart    float64
+	OverWorth   float64 // part of its worth that a request beyond its tenant's quota keeps
 	Tolerance   time.Duration
 
 	ColdFrom     float64
--- a/lab/standin/registry.go
+++ b/lab/standin/registry.go
@@ -41,6 +41,7 @@
 	twice bool // changes are told again, and a progress goes ahead of what it speaks of
 	split bool // answers come in small pieces
 	drip  time.Duration
+	cut   []chan struct{} // by node
 	lives []int
 	news  chan struct{}
 	timer *time.Timer
@@ -103,7 +104,7 @@
 // NewRegistry starts one, with an empty store.
 func NewRegistry(common *Common, opt RegistryOptions) (*Registry, error) {
 	r := &Registry{Common: common, opt: opt, store: world.NewStore(), lags: make([]int64, opt.Endpoints), ends: make([]endState, opt.Endpoints),
-		lives: make([]int, opt.Nodes), news: make(chan struct{}), shut: make(chan struct{}), rng: world.Stream(common.Seed, "registry")}
+		cut: make([]chan struct{}, opt.Nodes), lives: make([]int, opt.Nodes), news: make(chan struct{}), shut: make(chan struct{}), rng: world.Stream(common.Seed, "registry")}
 	r.timer = time.AfterFunc(time.Hour, r.lapse)
 	for end := range opt.Endpoints {
 		for node := range opt.Nodes {
@@ -234,6 +235,18 @@
 	})
 }
 
+// Cut keeps everything from a node, until that ends with a reset.
+func (r *Registry) Cut(node int, on bool) {
+	r.change(func() {
+		if on && r.cut[node] == nil {
+			r.cut[node] = make(chan struct{})
+		} else if !on && r.cut[node] != nil {
+			close(r.cut[node])
+			r.cut[node] = nil
+		}
+	})
+}
+
 // Twice makes it tell changes again and let a progress go ahead of them; Split sends answers in small pieces, each after a
 // while.
 func (r *Registry) Twice(on bool) { r.change(func() { r.twice = on }) }
@@ -285,6 +298,7 @@
 	q    *http.Request
 	call *seen.Call
 	from *world.Store // that it began with: a restore ends it
+	said bool         // a part of the answer is out
 }
 
 func (r *Registry) handle(end, node int, w http.ResponseWriter, q *http.Request) {
@@ -317,6 +331,9 @@
 func (x *exchange) alive() bool {
 	x.r.mu.Lock()
 	e := x.r.ends[x.end]
+	if cut := x.r.cut[x.node]; cut != nil {
+		e.mute, e.unmute = true, cut
+	}
 	over := x.r.store != x.from
 	x.r.mu.Unlock()
 	switch {
@@ -328,6 +345,9 @@
 		}
 		hangUp(x.w)
 		return false
+	case x.said && (e.down || over):
+		hangUp(x.w)
+		return false
 	case e.down, over:
 		x.fail(http.StatusServiceUnavailable, 14, "etcdserver: no leader")
 		return false
@@ -358,11 +378,18 @@
 	fmt.Fprintf(x.w, `{"error":%q,"code":%d,"message":%q}`, why, code, why)
 }
 
+// broken reports whether something is wrong with the endpoint, or the way to it.
+func (x *exchange) broken() bool {
+	e := x.r.ends[x.end]
+	return x.r.store != x.from || e.down || e.garble || e.mute || x.r.cut[x.node] != nil
+}
+
 // visible is the newest revision that an endpoint tells of.
 func (x *exchange) visible() int64 { return max(1, x.r.store.Revision()-x.r.lags[x.end]) }
 
 // send writes an answer, or a piece of a stream.
 func (x *exchange) send(text []byte) error {
+	x.said = true
 	x.r.mu.Lock()
 	x.r.bytes += int64(len(text))
 	split, drip := x.r.split, x.r.drip
@@ -576,7 +603,7 @@
 		rev, news, twice := x.visible(), r.news, r.twice
 		events, err := r.store.Since(next, rev, string(in.Create.Key))
 		compacted := r.store.Compacted()
-		broken := r.store != x.from || r.ends[x.end].down || r.ends[x.end].garble || r.ends[x.end].mute
+		broken := x.broken()
 		r.mu.Unlock()
 		if broken && !x.alive() {
 			return
@@ -688,7 +715,7 @@
 		last := max(1, r.store.LastChange(rev, prefix), r.store.Compacted())
 		kvs, _, _ := r.store.Range(prefix, prefixEnd(prefix), rev, 0)
 		members := r.members(rev)
-		broken := r.store != x.from || r.ends[x.end].down || r.ends[x.end].garble || r.ends[x.end].mute
+		broken := x.broken()
 		r.mu.Unlock()
 		if broken && !x.alive() {
 			return
