Experiments in virtual time: lapislab model plays the decisions of hundreds of nodes before the lab's models

Need: planners and resizing must be tried at hundreds of nodes, which no machine holds as processes. lab/fleet runs policy.Balancer instances on lab/world's models with an event queue; the judge and the reports are the same.

--- a/cmd/lapislab/commands.go
+++ b/cmd/lapislab/commands.go
@@ -14,6 +14,7 @@
 	"github.com/spf13/cobra"
 
 	"lapisshelf/lab/experiment"
+	"lapisshelf/lab/fleet"
 	"lapisshelf/lab/report"
 	"lapisshelf/lab/stage"
 )
@@ -367,3 +368,32 @@
 	s.flags(c)
 	return c
 }
+
+func modelCommand() *cobra.Command {
+	var s setup
+	var jsonTo, htmlTo, pngTo string
+	c := &cobra.Command{Use: "model FILE", Short: "Play an experiment in virtual time: the decisions before models, hundreds of nodes in seconds", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s.Model = true
+			x, err := s.read(args[0])
+			if err != nil {
+				return err
+			}
+			r, err := fleet.Run(x, fleet.Options{})
+			if err != nil {
+				return err
+			}
+			out := report.New(x, "model", &stage.Result{Verdict: r.Verdict, Record: r.Record})
+			out.Model = true
+			out.Text(c.OutOrStdout())
+			if err := write(out, jsonTo, htmlTo, pngTo); err != nil {
+				return err
+			}
+			return status(out)
+		}}
+	s.flags(c)
+	c.Flags().StringVar(&jsonTo, "json", "", "write the report as JSON to this file; - is standard output")
+	c.Flags().StringVar(&htmlTo, "html", "", "write a page with plots into this folder")
+	c.Flags().StringVar(&pngTo, "png", "", "write the plots into this folder")
+	return c
+}
--- a/cmd/lapislab/main.go
+++ b/cmd/lapislab/main.go
@@ -35,7 +35,7 @@
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(upCommand(), runCommand(), compareCommand(), listCommand(), planCommand())
+	root.AddCommand(upCommand(), runCommand(), compareCommand(), listCommand(), planCommand(), modelCommand())
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	var status errStatus
