A second address for operators: readiness, figures and drains

Need: operators call the node beside its clients, and drain it.

Ruled out: net/http beside the loop (docs/operations.md).

--- /dev/null
+++ b/cmd/lapisshelf/operate_test.go
@@ -0,0 +1,242 @@
+package main
+
+// The second address of the built node.
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"lapisshelf/lab/load"
+)
+
+// operated starts a node with a second address.
+func operated(t *testing.T, d discovery, change func(map[string]any)) (n *process, control string) {
+	t.Helper()
+	control = refusing(t)
+	return start(t, d, func(c map[string]any) {
+		c["control"] = control
+		if change != nil {
+			change(c)
+		}
+	}), control
+}
+
+// call makes a call at a second address and gives its status, 0 for none within the second that callers wait, and its text.
+func call(t *testing.T, addr, method, path string) (int, string) {
+	t.Helper()
+	conn, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprintf(conn, "%s %s HTTP/1.1\r\nHost: %s\r\n\r\n", method, path, addr)
+	text, err := io.ReadAll(conn)
+	status := 0
+	if _, scanned := fmt.Sscanf(string(text), "HTTP/1.1 %d ", &status); scanned != nil || err != nil {
+		return 0, fmt.Sprint(err)
+	}
+	_, body, _ := strings.Cut(string(text), "\r\n\r\n")
+	return status, body
+}
+
+// figures fetches and reads the figures as a collector does. What it cannot read fails the test.
+func figures(t *testing.T, addr string) map[string]float64 {
+	t.Helper()
+	status, text := call(t, addr, "GET", "/_vars")
+	if status != 200 {
+		t.Fatalf("/_vars: %d %s", status, text)
+	}
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(bytes.NewReader([]byte(text)))
+	if err != nil {
+		t.Fatalf("/_vars cannot be read: %v\n%s", err, text)
+	}
+	got := map[string]float64{}
+	for name, f := range families {
+		for _, m := range f.Metric {
+			key := name
+			for _, l := range m.Label {
+				key += " " + l.GetName() + "=" + l.GetValue()
+			}
+			if f.GetType() == dto.MetricType_COUNTER {
+				got[key] = m.GetCounter().GetValue()
+			} else {
+				got[key] = m.GetGauge().GetValue()
+			}
+		}
+	}
+	return got
+}
+
+func requests(class, outcome string) string {
+	return "app_requests_total class=" + class + " outcome=" + outcome
+}
+
+func TestSecondAddress(t *testing.T) {
+	n, control := operated(t, startDiscovery(t, serving("s-1", refusing(t), "m2")), nil)
+	for _, c := range []struct {
+		method, path string
+		status       int
+	}{
+		{"GET", "/_ready", 200}, {"GET", "/_vars", 200}, {"GET", "/_vars?x=1", 200}, {"GET", "/", 404}, {"GET", "/_ready/", 404},
+		{"POST", "/_ready", 405}, {"GET", "/_lameduck/on", 405}, {"GET", "no", 400}, {"BREW\x00", "/", 400},
+		{"GET", "/" + strings.Repeat("x", 8<<10), 431},
+	} {
+		if status, text := call(t, control, c.method, c.path); status != c.status || strings.Count(text, "\n") != 1 && c.path[:2] != "/_" {
+			t.Errorf("%s %.20s: %d %q, want %d", c.method, c.path, status, text, c.status)
+		}
+	}
+	resp, err := http.Get("http://" + control + "/_lameduck/on")
+	if err != nil || resp.Header.Get("Allow") != "POST" {
+		t.Errorf("no Allow with a 405: %v", err)
+	}
+	// Guards against callers that finish no call: they cost only themselves, however many.
+	for i := range 60 {
+		conn, err := net.Dial("tcp", control)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if i%2 == 0 {
+			io.WriteString(conn, "GET /_vars HTTP/1.1\r\n")
+		}
+	}
+	for range 30 {
+		if status, text := call(t, control, "GET", "/_vars"); status != 200 {
+			t.Fatalf("among callers that finish nothing: %d %s", status, text)
+		}
+	}
+	if !load.Ready(n.addr) {
+		t.Error("not ready")
+	}
+}
+
+// With every descriptor that clients may have taken, and more asking, the operators' calls are answered.
+func TestCallsInAFlood(t *testing.T) {
+	n, control := operated(t, startDiscovery(t, serving("s-1", refusing(t), "m2")), func(c map[string]any) {
+		c["limits"] = map[string]any{"memory_mb": 32, "sockets": 64}
+	})
+	for range 200 {
+		conn, err := net.DialTimeout("tcp", n.addr, time.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		io.WriteString(conn, "mg k")
+	}
+	for i := range 40 {
+		if status, text := call(t, control, "GET", "/_ready"); status != 200 {
+			t.Fatalf("call %d: %d %s", i, status, text)
+		}
+	}
+}
+
+func TestFigures(t *testing.T) {
+	var hold atomic.Bool
+	c := startCache(t, func(line string, v []byte) string {
+		for hold.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		if strings.HasPrefix(line, "mg bad ") {
+			return "SERVER_ERROR failed " + opaque(line) + "\r\n"
+		}
+		return holding("v")(line, v)
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", c.Addr(), "m2"), serving("s-2", refusing(t), "m2")), patientReads)
+	got := figures(t, control)
+	for _, class := range []string{"read", "put", "pay"} {
+		for _, outcome := range []string{"served", "refused", "failed"} {
+			if v, there := got[requests(class, outcome)]; !there || v != 0 {
+				t.Errorf("%s %s is %v, there %v, at the start", class, outcome, v, there)
+			}
+		}
+	}
+	if got["app_cache_servers_known"] != 2 || got["app_cache_servers_excluded"] != 0 {
+		t.Errorf("known %v, excluded %v", got["app_cache_servers_known"], got["app_cache_servers_excluded"])
+	}
+	cl := n.dial()
+	for i := range 40 { // enough that the dead server is skipped
+		cl.send(fmt.Sprintf("mg k%d v Oa%d Pc=read,d=2500\r\n", i, i))
+		cl.want(fmt.Sprintf("VA 1 Oa%d", i), "v")
+	}
+	cl.send("ms k 1 Ob Pc=pay,d=2500\r\nx\r\n") // there is no origin
+	cl.want("SERVER_ERROR busy", "")
+	sent := len(c.Lines())
+	hold.Store(true)
+	cl.send("mg k v Oc Pc=read,d=2500\r\n")
+	eventually(t, "the read is out", func() bool { return len(c.Lines()) > sent })
+	got = figures(t, control)
+	for name, want := range map[string]float64{requests("read", "served"): 40, requests("pay", "refused"): 1,
+		requests("read", "failed"): 0, "app_in_flight": 1, "app_attempts_total": float64(len(c.Lines())),
+		"app_cache_servers_known": 2, "app_cache_servers_excluded": 1} {
+		if got[name] != want {
+			t.Errorf("%s is %v, want %v", name, got[name], want)
+		}
+	}
+	hold.Store(false)
+	cl.want("VA 1 Oc", "v")
+	if got = figures(t, control); got["app_in_flight"] != 0 || got[requests("read", "served")] != 41 {
+		t.Errorf("after the last answer: in flight %v, served %v", got["app_in_flight"], got[requests("read", "served")])
+	}
+}
+
+// A drained node says so, closes clients' connections between requests and none under one, and takes clients again.
+func TestLameduck(t *testing.T) {
+	c := startCache(t, func(line string, v []byte) string {
+		if strings.HasPrefix(line, "mg slow ") {
+			time.Sleep(900 * time.Millisecond)
+		}
+		return holding("v")(line, v)
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", c.Addr(), "m2")), patientReads)
+	duck := func(on string, want int) {
+		t.Helper()
+		if status, text := call(t, control, "POST", "/_lameduck/"+on); status != want {
+			t.Errorf("lameduck %s: %d %s", on, status, text)
+		}
+	}
+	duck("off", 200) // when it was not on
+	idle, busy, spare := n.dial(), n.dial(), n.dial()
+	idle.send("mn\r\n")
+	idle.want("MN", "")
+	duck("on", 200)
+	duck("on", 200)
+	idle.send("mn\r\n")
+	idle.want("SERVER_ERROR draining", "")
+	busy.send("mg slow v O1 Pc=read,d=2900\r\nmg k v O2 Pc=read,d=2900\r\n")
+	busy.want("VA 1 O1", "v")
+	busy.want("VA 1 O2", "v")
+	if !idle.ended() || !busy.ended() || !spare.ended() {
+		t.Error("a connection is held")
+	}
+	late := n.dial() // the address still listens: whoever asks is served, and sent away
+	late.send("mg k v O3 Pc=read,d=2900\r\n")
+	late.want("VA 1 O3", "v")
+	if !late.ended() {
+		t.Error("a late connection is held")
+	}
+	duck("off", 200)
+	eventually(t, "clients are taken again", func() bool { return load.Ready(n.addr) })
+	cl := n.dial()
+	for i := range 3 { // and kept
+		cl.send(fmt.Sprintf("mg k v Ob%d Pc=read,d=2900\r\n", i))
+		cl.want(fmt.Sprintf("VA 1 Ob%d", i), "v")
+		time.Sleep(100 * time.Millisecond)
+	}
+	duck("on", 200)
+	duck("off", 200) // before any connection has begun to close
+	cl.send("mg k v O5 Pc=read,d=2900\r\n")
+	cl.want("VA 1 O5", "v")
+}
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,213 @@
+// Package control is the operators' second address: HTTP/1.1, one call to a connection, on the node's loop. It knows who
+// may call what and how; what a call does is its owner's.
+package control
+
+import (
+	"container/list"
+	"errors"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+	"time"
+
+	"lapisshelf/internal/httpc"
+	"lapisshelf/internal/loop"
+)
+
+const (
+	// Most is how many connections of callers are held at once, and Descriptors what the address takes in all.
+	Most        = 12
+	Descriptors = Most + 1
+	mostHead    = 4 << 10         // bytes of a call's head
+	callWithin  = 5 * time.Second // from connecting to a whole call
+	lingerFor   = 500 * time.Millisecond
+)
+
+// Reply is what a call is answered: 2xx is yes, 4xx and 5xx no.
+type Reply struct {
+	Status int
+	Type   string // of the body; empty: plain text
+	Body   []byte
+}
+
+// Say is a reply of one plain line.
+func Say(status int, line string) Reply { return Reply{Status: status, Body: []byte(line + "\n")} }
+
+// Route is one call. A path that ends in a slash takes one more segment, which Do is given, unescaped.
+type Route struct {
+	Method, Path string
+	Do           func(arg string) Reply
+}
+
+// Server owns the listener and the connections of callers.
+type Server struct {
+	loop     *loop.Loop
+	listener *loop.Listener
+	routes   []Route
+	conns    *list.List // all that hold a descriptor, oldest first
+	closed   bool
+
+	// Calls counts answers by status; Shed the connections that made room for others or brought no call in time.
+	Calls map[int]int64
+	Shed  int64
+}
+
+// caller is one connection. It leaves the list when its descriptor is given back.
+type caller struct {
+	server   *Server
+	conn     *loop.Conn
+	place    *list.Element
+	input    []byte
+	answered bool
+	timer    *loop.Timer
+}
+
+// Listen opens the address, and nothing but it.
+func Listen(l *loop.Loop, addr netip.AddrPort, routes []Route) (*Server, error) {
+	s := &Server{loop: l, routes: routes, conns: list.New(), Calls: map[int]int64{}}
+	var err error
+	if s.listener, err = l.Listen(addr, s.accept); err != nil {
+		return nil, err
+	}
+	s.listener.Urgent()
+	return s, nil
+}
+
+// Open is how many descriptors are held; a nil Server holds none.
+func (s *Server) Open() int {
+	if s == nil || s.closed {
+		return 0
+	}
+	return s.conns.Len() + 1
+}
+
+// Share is how many descriptors are kept for the address; a nil Server needs none.
+func (s *Server) Share() int {
+	if s == nil {
+		return 0
+	}
+	return Descriptors
+}
+
+// accept takes a caller. With no place left the oldest that has finished no call makes room, then the oldest that only
+// waits for the other end to close: callers that never finish must cost only themselves.
+func (s *Server) accept(fd int) {
+	c := &caller{server: s}
+	conn, err := s.loop.Accept(fd, c)
+	if err != nil {
+		return
+	}
+	for s.conns.Len() >= Most {
+		oldest := s.conns.Front()
+		for e := oldest; e != nil; e = e.Next() {
+			if !e.Value.(*caller).answered {
+				oldest = e
+				break
+			}
+		}
+		s.Shed++
+		oldest.Value.(*caller).conn.Close()
+	}
+	c.conn = conn
+	c.place = s.conns.PushBack(c)
+	conn.Urgent()
+	conn.OnRelease(func() {
+		c.timer.Stop()
+		s.conns.Remove(c.place)
+	})
+	c.timer = s.loop.After(callWithin, func() {
+		s.Shed++
+		conn.Close()
+	})
+}
+
+// Up implements loop.Handler.
+func (c *caller) Up() {}
+
+// Drained implements loop.Handler.
+func (c *caller) Drained() {}
+
+// End implements loop.Handler.
+func (c *caller) End(error) {}
+
+// Data implements loop.Handler.
+func (c *caller) Data(data []byte) {
+	if c.answered {
+		return
+	}
+	c.input = append(c.input, data...)
+	r, used, err := httpc.NextRequest(c.input, mostHead)
+	switch {
+	case errors.Is(err, httpc.ErrLarge):
+		c.answer(Say(431, "the head is too long"), "")
+	case err != nil:
+		c.answer(Say(400, "no HTTP/1.1 request"), "")
+	case used > 0:
+		reply, allow := c.server.call(string(r.Method), string(r.Path))
+		c.answer(reply, allow)
+	}
+}
+
+// call finds and makes a call; allow tells the methods that its path has.
+func (s *Server) call(method, path string) (reply Reply, allow string) {
+	var methods []string
+	for _, r := range s.routes {
+		arg, ok := match(r.Path, path)
+		if !ok {
+			continue
+		}
+		if r.Method == method {
+			return r.Do(arg), ""
+		}
+		methods = append(methods, r.Method)
+	}
+	if len(methods) > 0 {
+		return Say(405, "not with this method"), strings.Join(slices.Compact(methods), ", ")
+	}
+	return Say(404, "no such call"), ""
+}
+
+// match reports whether a path is a route's and gives its argument.
+func match(route, path string) (arg string, ok bool) {
+	if !strings.HasSuffix(route, "/") {
+		return "", path == route
+	}
+	rest, ok := strings.CutPrefix(path, route)
+	if !ok || rest == "" || strings.Contains(rest, "/") {
+		return "", false
+	}
+	arg, err := url.PathUnescape(rest)
+	return arg, err == nil
+}
+
+// answer ends the call.
+func (c *caller) answer(r Reply, allow string) {
+	c.answered, c.input = true, nil
+	c.server.Calls[r.Status]++
+	headers := []httpc.Header{{Name: "Content-Type", Value: "text/plain; charset=utf-8"}, {Name: "Cache-Control", Value: "no-store"}}
+	if r.Type != "" {
+		headers[0].Value = r.Type
+	}
+	if allow != "" {
+		headers = append(headers, httpc.Header{Name: "Allow", Value: allow})
+	}
+	c.conn.Write(httpc.AppendAnswer(nil, r.Status, headers, r.Body))
+	c.conn.Finish(lingerFor)
+}
+
+// Close gives the address back; calls that were answered reach their callers.
+func (s *Server) Close() {
+	if s == nil || s.closed {
+		return
+	}
+	s.closed = true
+	s.listener.Close()
+	for e := s.conns.Front(); e != nil; {
+		next := e.Next()
+		if c := e.Value.(*caller); !c.answered {
+			c.conn.Close()
+		}
+		e = next
+	}
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -37,6 +37,19 @@
 	linger  *Timer // set once it only waits for the other end to finish
 	passed  int    // bytes passed over since
 	last    bool   // it closes when out is empty
+	freed   func() // called when the descriptor is given back
+}
+
+// Urgent has its events come before all others of a turn.
+func (c *Conn) Urgent() { c.source.urgent = true }
+
+// OnRelease calls f when the descriptor is given back, however that comes about; at once if it has been.
+func (c *Conn) OnRelease(f func()) {
+	if c.closed {
+		f()
+		return
+	}
+	c.freed = f
 }
 
 // Dial begins a connection; its outcome is told by Up or End. An error means that nothing was begun.
@@ -200,6 +213,9 @@
 	c.closed, c.out = true, nil
 	c.linger.Stop()
 	c.loop.release(c.source)
+	if c.freed != nil {
+		c.freed()
+	}
 }
 
 // end gives the connection back and tells the owner.
@@ -332,6 +348,9 @@
 	}
 }
 
+// Urgent has new connections accepted before all else of a turn.
+func (ln *Listener) Urgent() { ln.source.urgent = true }
+
 // Accept makes a Conn of an accepted descriptor.
 func (l *Loop) Accept(fd int, h Handler) (*Conn, error) {
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -41,6 +41,7 @@
 	fd     int
 	serial int32
 	events uint32
+	urgent bool // its events come first in each turn
 	ready  func(events uint32)
 }
 
@@ -109,18 +110,24 @@
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return err
 		}
-		for _, e := range events[:max(n, 0)] {
-			// Guards against an event for a descriptor that an earlier event of this batch has closed.
-			if s := l.sources[e.Fd]; s != nil && s.serial == e.Pad {
-				s.ready(e.Events)
-				l.settle()
-			}
-		}
+		l.turn(events[:max(n, 0)], true)
+		l.turn(events[:max(n, 0)], false)
 		l.ring()
 	}
 	return nil
 }
 
+// turn handles the events of a batch that are urgent, or those that are not.
+func (l *Loop) turn(events []unix.EpollEvent, urgent bool) {
+	for _, e := range events {
+		// Guards against an event for a descriptor that an earlier event of this batch has closed.
+		if s := l.sources[e.Fd]; s != nil && s.serial == e.Pad && s.urgent == urgent {
+			s.ready(e.Events)
+			l.settle()
+		}
+	}
+}
+
 // settle runs what callbacks have put off.
 func (l *Loop) settle() {
 	for len(l.later) > 0 {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -37,10 +37,11 @@
 	node     *Node
 	listener *loop.Listener
 	all      map[*client]bool
-	idle     *list.List // those with nothing open, longest unused first
-	owing    *list.List // those that owe the rest of a command, longest first
-	seen     ids        // of requests lately
-	closing  bool       // connections close between requests
+	idle     *list.List  // those with nothing open, longest unused first
+	owing    *list.List  // those that owe the rest of a command, longest first
+	seen     ids         // of requests lately
+	closing  bool        // connections close between requests
+	drained  *loop.Timer // the next step of sending clients away
 	retry    *loop.Timer
 }
 
@@ -87,11 +88,11 @@
 // full reports whether there is no room for one more client: they may have all that servers don't hold or must have.
 func (s *clients) full() bool {
 	n := s.node
-	return n.loop.Open()-n.links >= n.room()-max(n.links, n.linkLeast())
+	return n.open()-n.links >= n.room()-max(n.links, n.linkLeast())
 }
 
 // brimful reports whether not even the reserve has a descriptor left.
-func (s *clients) brimful() bool { return s.node.loop.Open() >= s.node.cfg.Sockets-ownSockets }
+func (s *clients) brimful() bool { return s.node.open() >= s.node.room()+reserve-ownSockets }
 
 // accept takes a connection. In a full house it stands in the reserve, to have its request refused: one that waits
 // unread in the system's queue is lost.
@@ -187,32 +188,54 @@
 	switch {
 	case used > 0.5:
 		return max(idleLeast, time.Duration(float64(idleShort)*(0.875-used)/0.375))
-	case 2*n.loop.Open() > n.room():
+	case 2*n.open() > n.room():
 		return idleShort
 	}
 	return idleFor
 }
 
-// leave closes the listener. From then on a connection closes with its next answer, so that its client learns of the
-// end before it sends again; those that get no request close once they have rested.
-func (s *clients) leave() {
-	s.listener.Close()
+// drain sends the clients away, at a planned end or when an operator says so: for a while all goes on, then a connection
+// closes with its next answer, so that its client learns of it before it sends again, and those that get no request
+// close once they have rested. At an end the listener closes too.
+func (s *clients) drain() {
+	if s.drained == nil {
+		s.drained = s.node.loop.After(lameFor, s.empty)
+	}
+}
+
+// empty begins to close connections.
+func (s *clients) empty() {
 	s.closing = true
 	s.retire()
 }
 
-// retire closes connections that have rested, and comes back while there are others. Each unanswered request belongs
-// to one of them, so after the last the loop stops; closing between requests takes a moment.
+// retire closes connections that have rested, and comes back while there may be others. At an end, each unanswered
+// request belongs to one of them, so after the last the loop stops; closing between requests takes a moment.
 func (s *clients) retire() {
+	n := s.node
+	if n.leaving {
+		s.listener.Close()
+	}
+	due := n.lame && n.loop.Now() >= n.lameUntil
 	for c := range s.all {
-		if len(c.calls) == 0 && c.rested() {
+		// Guards against a connection that a drained node still holds after the time it has for that.
+		if len(c.calls) == 0 && (c.rested() || due && !c.conn.Stale()) {
 			c.finish()
 		}
 	}
-	if len(s.all) > 0 {
-		s.node.loop.After(lookEvery, s.retire)
-	} else {
-		s.node.loop.After(lingerFor/4, s.node.loop.Stop)
+	if n.leaving && len(s.all) == 0 {
+		n.loop.After(lingerFor/4, n.loop.Stop)
+		return
+	}
+	s.drained = n.loop.After(lookEvery, s.retire)
+}
+
+// resume takes a drain back: connections that have begun to close between requests do close.
+func (s *clients) resume() {
+	s.drained.Stop()
+	s.drained, s.closing = nil, false
+	for c := range s.all {
+		c.node.loop.Later(c.flush)
 	}
 }
 
@@ -284,14 +307,17 @@
 	c.asked = true
 	c.unrest() // it owes nothing, whatever room is made below
 	if m.Kind == meta.Noop {
-		if n.ready {
+		switch {
+		case n.lame:
+			c.say("SERVER_ERROR draining\r\n")
+		case n.ready:
 			c.say("MN\r\n")
-		} else {
+		default:
 			c.say("SERVER_ERROR starting\r\n")
 		}
 		return
 	}
-	wait, err := n.patience(m.Info)
+	kind, wait, err := n.patience(m.Info)
 	// Guards against one who sends the id of another's request: an open one would be taken for that request, and a
 	// refusal would be taken for that request's. Each request has an id of its own, also a retry.
 	if err == nil && (n.calls[string(m.ID)] != nil || n.clients.seen.has(m.ID)) {
@@ -306,19 +332,21 @@
 	n.count.taken++
 	// Whoever asks goes before those who may be about to.
 	if c.excess = c.excess && n.clients.full() && !n.clients.evict(0); c.excess {
-		c.refuse()
+		c.refuse(kind)
 		c.parting = true // its descriptor is wanted
 		return
 	}
 	if n.full(len(m.Value)) {
-		c.refuse()
+		c.refuse(kind)
 		return
 	}
 	now := n.loop.Now()
 	if n.leaving { // what is unanswered at the kill is lost, however long its client would wait
 		wait = min(wait, n.lastAnswer-now)
+	} else if n.lame && n.lameUntil-now < lameYoung { // a request as young as that may not be held any more then
+		wait = max(min(wait, n.lameUntil-now), lameLeast)
 	}
-	k := &call{id: string(m.ID), client: c, command: keep(m), deadline: now + wait,
+	k := &call{id: string(m.ID), class: kind, client: c, command: keep(m), deadline: now + wait,
 		end: now + wait - min(margin, wait/2)}
 	c.calls = append(c.calls, k)
 	n.held += len(m.Value)
@@ -336,9 +364,9 @@
 }
 
 // refuse turns a request away that the module has not seen.
-func (c *client) refuse() {
+func (c *client) refuse(kind *class) {
 	c.node.count.full++
-	c.node.count.refused++
+	c.node.end(kind, refused)
 	c.say(string(meta.AppendBusy(nil, 0)))
 }
 
@@ -355,14 +383,13 @@
 // (launceston-platform, rate+silent+leave: up to 360 KB, each taken for a spoilt answer, and the servers skipped for it).
 func (n *Node) valueMost() int { return max(meta.MaxValue, n.cfg.MemoryMB<<20/valuePart) }
 
-// patience is how long the client waits, as the request tells; no longer than its class allows.
-func (n *Node) patience(info []byte) (time.Duration, error) {
-	class := meta.Text(info, "c")
-	longest, known := n.cfg.Transport.Deadlines[class]
-	if !known {
+// patience is the request's class and how long the client waits, as the request tells; no longer than its class allows.
+func (n *Node) patience(info []byte) (*class, time.Duration, error) {
+	kind := n.classes[meta.Text(info, "c")]
+	if kind == nil {
 		// Guards against what servers turn away: each such answer told against a healthy server, and three skipped it
 		// (launceston-platform, rude+garble 3: all nine caches skipped at once).
-		return 0, errors.New("no such class")
+		return nil, 0, errors.New("no such class")
 	}
 	text := meta.Text(info, "d") // an empty one is no number either: servers turn it away
 	if whole, _, ok := strings.Cut(text, "."); ok {
@@ -370,9 +397,9 @@
 	}
 	ms, err := strconv.ParseInt(text, 10, 32)
 	if err != nil || ms <= 0 {
-		return 0, errors.New("bad deadline")
+		return nil, 0, errors.New("bad deadline")
 	}
-	return min(time.Duration(ms)*time.Millisecond, longest), nil
+	return kind, min(time.Duration(ms)*time.Millisecond, kind.longest), nil
 }
 
 // keep copies a command out of the buffer it was parsed from.
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -22,6 +22,7 @@
 type Config struct {
 	Name      string
 	Listen    netip.AddrPort
+	Control   netip.AddrPort  // the operators' address; none if it is not valid
 	Registry  registry.Config // where the server list is
 	Announce  *Announce       // the node's own entry there; nil: none
 	Seed      uint64
@@ -70,9 +71,9 @@
 		op = &operator.File{}
 	}
 	var file struct {
-		Name, Listen, Discovery string
-		Seed                    json.RawMessage
-		Limits                  struct {
+		Name, Listen, Discovery, Control string
+		Seed                             json.RawMessage
+		Limits                           struct {
 			MemoryMB int `json:"memory_mb"`
 			Sockets  int
 		}
@@ -91,6 +92,14 @@
 	if c.Listen, err = netip.ParseAddrPort(cmp.Or(file.Listen, getenv("EDGE_LISTEN"), op.Node.Listen)); err != nil {
 		return bad("listen", err)
 	}
+	if control := cmp.Or(file.Control, getenv("EDGE_CONTROL"), op.Node.Control); control != "" {
+		if c.Control, err = netip.ParseAddrPort(control); err != nil {
+			return bad("control", err)
+		}
+		if c.Control == c.Listen && c.Listen.Port() != 0 {
+			return bad("control", errors.New("the address is the one that clients connect to"))
+		}
+	}
 	discovery := cmp.Or(file.Discovery, getenv("EDGE_DISCOVERY"), op.Node.Discovery)
 	if told, err := op.Registry(); err != nil {
 		return Config{}, err
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -3,19 +3,46 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"lapisshelf/policy"
 )
 
 // counters tell what has been taken in, sent and answered since the start.
 type counters struct {
-	taken, served, refused, failed, abandoned, overdue  int64
-	full, badLines, clientsIn, clientsShed, clientsSlow int64
-	attempts, links, linksShed, pipelined, dialsFailed  int64
-	badAnswers, knownBad, panics                        int64
-	surplus, reloads, reloadsBad                        int64
-	clientsBad, clientsIdle, sameID                     int64
-	outcomes                                            [policy.Moot + 1]int64
+	taken, abandoned, overdue                                   int64
+	full, badLines, clientsIn, clientsShed, clientsSlow         int64
+	attempts, written, links, linksShed, pipelined, dialsFailed int64
+	badAnswers, knownBad, panics                                int64
+	surplus, reloads, reloadsBad                                int64
+	clientsBad, clientsIdle, sameID                             int64
+	outcomes                                                    [policy.Moot + 1]int64
+	ended                                                       [endings]int64 // of the classes together
+}
+
+// ending is how a request ended for its client.
+type ending int
+
+const (
+	served ending = iota
+	refused
+	failed
+	endings
+)
+
+var endingNames = [endings]string{served: "served", refused: "refused", failed: "failed"}
+
+// class is what the node knows of a class of requests.
+type class struct {
+	name    string
+	longest time.Duration // the deadline that no request of it exceeds
+	ended   [endings]int64
+}
+
+// end counts a request's end, and is the one place that does.
+func (n *Node) end(c *class, how ending) {
+	c.ended[how]++
+	n.count.ended[how]++
 }
 
 var outcomeNames = [...]string{policy.OK: "ok", policy.Miss: "miss", policy.Errored: "error", policy.Full: "busy",
@@ -30,15 +57,16 @@
 	b.WriteString("event=counters")
 	put := func(name string, value int64) { fmt.Fprintf(&b, " %s=%d", name, value) }
 	put("taken", c.taken)
-	put("served", c.served)
-	put("refused", c.refused)
-	put("failed", c.failed)
+	for how, name := range endingNames {
+		put(name, c.ended[how])
+	}
 	put("abandoned", c.abandoned)
 	put("overdue", c.overdue)
 	put("full_house", c.full)
 	put("bad_lines", c.badLines)
 	put("same_id", c.sameID)
 	put("attempts", c.attempts)
+	put("written", c.written)
 	for o, name := range outcomeNames {
 		put(name, c.outcomes[o])
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"time"
 
+	"lapisshelf/internal/control"
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
 	"lapisshelf/internal/registry"
@@ -37,7 +38,7 @@
 	// valuePart bounds one value, as a part of the memory limit.
 	valuePart = 64
 	// failed is the answer that promises nothing.
-	failed = "SERVER_ERROR failed\r\n"
+	failure = "SERVER_ERROR failed\r\n"
 )
 
 // Node is one balancer on sockets.
@@ -45,7 +46,10 @@
 	cfg       Config
 	loop      *loop.Loop
 	policy    *policy.Balancer
+	control   *control.Server // nil: none
+	classes   map[string]*class
 	calls     map[string]*call
+	inFlight  int              // of them, not answered
 	pools     map[string]*pool // by server id
 	clients   clients
 	registry  *registry.Client
@@ -58,6 +62,8 @@
 	count     counters
 	ready     bool
 	leaving   bool
+	lame      bool          // drained by an operator
+	lameUntil time.Duration // when nothing idle may be held any more
 	// lastAnswer is when, after SIGTERM, all answers must have been given.
 	lastAnswer time.Duration
 }
@@ -66,6 +72,7 @@
 // answered and all its attempts have ended.
 type call struct {
 	id       string
+	class    *class
 	client   *client // nil once nobody waits
 	command  meta.Command
 	deadline time.Duration // the client's
@@ -85,6 +92,7 @@
 	at    time.Duration
 	link  *link // while it is out
 	last  int64 // where its last byte stands on the link
+	whole bool  // it has been written whole
 	timer *loop.Timer
 	done  bool
 }
@@ -102,13 +110,19 @@
 
 // New builds a node that listens and follows the list. Nothing happens until the loop runs.
 func New(cfg Config, l *loop.Loop) (*Node, error) {
-	n := &Node{cfg: cfg, loop: l, calls: map[string]*call{}, pools: map[string]*pool{}}
+	n := &Node{cfg: cfg, loop: l, calls: map[string]*call{}, pools: map[string]*pool{}, classes: map[string]*class{}}
+	for name, longest := range cfg.Transport.Deadlines {
+		n.classes[name] = &class{name: name, longest: longest}
+	}
 	// Nodes have no way to reach each other on these sockets: the module is told so.
 	n.cfg.Settings.MayTell = false
 	n.clients.node = n
 	if err := n.clients.listen(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
+	if err := n.operate(); err != nil {
+		return nil, err
+	}
 	if cfg.BadKnown != nil {
 		n.count.knownBad++
 		log.Printf("event=bad_known why=%q", cfg.BadKnown)
@@ -137,12 +151,13 @@
 func (n *Node) take(c *call, now time.Duration) {
 	info := c.command.Info
 	n.calls[c.id] = c
+	n.inFlight++
 	// Guards against taking a request with hardly any time for one left unanswered: with 6 ms or less the last call came
 	// before the end that the module is told (lab, slow-origin: a retry with 5 ms left).
 	last := min(lastCall, (c.deadline-c.end)/3)
 	c.timer = n.loop.After(c.deadline-last-now, func() { n.overdue(c) })
 	n.guard("request", func() {
-		n.policy.Request(now, policy.Request{ID: c.id, Class: meta.Text(info, "c"), Tenant: meta.Text(info, "t"),
+		n.policy.Request(now, policy.Request{ID: c.id, Class: c.class.name, Tenant: meta.Text(info, "t"),
 			Key: string(c.command.Key), Left: c.end - now, Write: c.command.Kind == meta.Set})
 	})
 }
@@ -155,16 +170,17 @@
 	}
 	n.count.overdue++
 	log.Printf("event=overdue id=%s attempts=%d", c.id, len(c.tries))
-	n.reply(c, []byte(failed), &n.count.failed)
+	n.reply(c, []byte(failure), failed)
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
 }
 
 // reply gives a request its one answer.
-func (n *Node) reply(c *call, text []byte, kind *int64) {
+func (n *Node) reply(c *call, text []byte, how ending) {
 	if c.answered {
 		return
 	}
-	*kind++
+	n.end(c.class, how)
+	n.inFlight--
 	c.answered, c.answer = true, text
 	c.timer.Stop()
 	if c.client != nil {
@@ -181,6 +197,7 @@
 		return
 	}
 	n.count.abandoned++
+	n.inFlight--
 	c.answered = true
 	c.timer.Stop()
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
@@ -214,7 +231,7 @@
 		} else {
 			text = meta.AppendValue(make([]byte, 0, len(a.value)+len(id)+24), id, a.value)
 		}
-		n.reply(c, text, &n.count.served)
+		n.reply(c, text, served)
 	}
 	res := policy.Result{ID: c.id, N: t.n, Server: t.pool.id, Outcome: a.outcome, Note: a.note, Final: c.answered,
 		Kept: a.kept}
@@ -255,14 +272,14 @@
 // Refuse implements policy.Actions.
 func (a actions) Refuse(id string, comeBack time.Duration) {
 	if c := a.n.calls[id]; c != nil {
-		a.n.reply(c, meta.AppendBusy(nil, comeBack.Milliseconds()), &a.n.count.refused)
+		a.n.reply(c, meta.AppendBusy(nil, comeBack.Milliseconds()), refused)
 	}
 }
 
 // Fail implements policy.Actions.
 func (a actions) Fail(id string) {
 	if c := a.n.calls[id]; c != nil {
-		a.n.reply(c, []byte(failed), &a.n.count.failed)
+		a.n.reply(c, []byte(failure), failed)
 	}
 }
 
@@ -307,7 +324,7 @@
 	if n.announcer != nil { // whoever follows the nodes knows before the listener closes
 		n.announcer.Stop(func() {})
 	}
-	n.loop.After(lameFor, n.clients.leave)
+	n.clients.drain()
 }
 
 // Reload takes the configuration as it is after a change of its file: where discovery is, and the limits. All else
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -112,7 +112,7 @@
 	l := p.fresh()
 	switch {
 	case l != nil:
-	case n.links < n.linkMost() && n.loop.Open() < n.room() || n.shed():
+	case n.links < n.linkMost() && n.open() < n.room() || n.shed():
 		l = p.dial()
 	default:
 		l = p.shared()
@@ -128,6 +128,17 @@
 	text := p.proto.request(nil, t, wait)
 	t.last = l.conn.Queued() + int64(len(text)) // first: what a broken connection does not take was never written
 	l.conn.Write(text)
+	l.wrote()
+}
+
+// wrote counts the attempts that have been written whole.
+func (l *link) wrote() {
+	for i := len(l.tries) - 1; i >= 0; i-- {
+		if t := l.tries[i]; t != nil && !t.whole && t.last <= l.conn.Written() {
+			t.whole = true
+			l.pool.node.count.written++
+		}
+	}
 }
 
 // fresh takes the idle connection used last that still stands.
@@ -161,8 +172,10 @@
 	return l
 }
 
-// room is how many connections the node may have, of clients and to servers.
-func (n *Node) room() int { return n.cfg.Sockets - reserve }
+// room is how many connections the node may have, of clients and to servers; open is how many descriptors they, and what
+// is in reserve, hold. The operators' address has its own.
+func (n *Node) room() int { return n.cfg.Sockets - reserve - n.control.Share() }
+func (n *Node) open() int { return n.loop.Open() - n.control.Open() }
 
 // linkMost is how many of them may be to servers, linkLeast how many clients must leave to servers.
 func (n *Node) linkMost() int  { return n.room() * 2 / 5 }
@@ -328,7 +341,7 @@
 }
 
 // Drained implements loop.Handler.
-func (l *link) Drained() {}
+func (l *link) Drained() { l.wrote() }
 
 // End implements loop.Handler.
 func (l *link) End(error) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -33,6 +33,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Control   string
 	Seed      uint64
 	MemoryMB  int `toml:"memory_mb"`
 	Sockets   int
--- a/policy/state.go
+++ b/policy/state.go
@@ -191,6 +191,20 @@
 	}
 }
 
+// Known tells how many caches the list has, and how many of these are avoided now.
+func (b *Balancer) Known(now time.Duration) (listed, avoided int) {
+	b.now = now
+	for _, s := range b.servers {
+		if s == b.origin || s.State == Gone {
+			continue
+		}
+		if listed++; b.down(s) || s.State == Draining {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 // forget takes a request that has ended off all that holds it.
 func (b *Balancer) forget(r *request) {
 	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
