Bans by hand: a cache server gets nothing until the call back, whatever the list says

Need: operators take a cache server out for a restart and put it back. Cause of the loss: no call did so.

Change: policy.Ban and policy.Hand, a word by hand beside the list's states, with what is held for a shut server sent on its way at once (for drains too); the node gives back idle and coming connections and takes back what is queued and unwritten (loop.Conn.TakeBack). A server comes back cold from the call, or from a start that the list tells of since the ban. A never-listed id is answered 404, the ids ever listed are remembered within a bound. Faults of a configuration name its file.

Ruled out: telling the module that the server drains (docs/operations.md). Tests: the property test plays bans; each guard has a test.

--- a/cmd/lapisshelf/node_test.go
+++ b/cmd/lapisshelf/node_test.go
@@ -927,6 +927,8 @@
 		"listen":      func(c map[string]any) { c["listen"] = "here" },
 		"discovery":   func(c map[string]any) { c["discovery"] = 7 },
 		"seed":        func(c map[string]any) { c["seed"] = "xyz" },
+		"control":     func(c map[string]any) { c["control"] = "9901" },
+		"one address": func(c map[string]any) { c["control"] = c["listen"] },
 		"limits":      func(c map[string]any) { c["limits"] = map[string]any{"sockets": 3} },
 		"no settings": func(c map[string]any) { delete(c, "settings") },
 		"no class":    func(c map[string]any) { c["settings"].(map[string]any)["Classes"] = []any{} },
--- a/cmd/lapisshelf/operate_test.go
+++ b/cmd/lapisshelf/operate_test.go
@@ -240,3 +240,60 @@
 	cl.send("mg k v O5 Pc=read,d=2900\r\n")
 	cl.want("VA 1 O5", "v")
 }
+
+// A banned cache server gets nothing, though the list goes on naming it, and is used again after the call back.
+func TestDetachAndAttach(t *testing.T) {
+	a, b := startCache(t, holding("a")), startCache(t, holding("b"))
+	entryA, entryB := serving("s-a", a.Addr(), "m2"), serving("s-b", b.Addr(), "m2")
+	d := startDiscovery(t, entryA, entryB)
+	n, control := operated(t, d, nil)
+	hand := func(verb, id string, want int) {
+		t.Helper()
+		if status, text := call(t, control, "POST", "/_cache-servers/"+verb+"/"+id); status != want {
+			t.Errorf("%s %s: %d %s, want %d", verb, id, status, text, want)
+		}
+	}
+	cl := n.dial()
+	asked := 0
+	ask := func(times int) {
+		t.Helper()
+		for range times {
+			asked++
+			cl.send(fmt.Sprintf("mg k%d v O%d Pc=read,d=2500\r\n", asked, asked))
+			if line, _ := cl.answer(); !strings.HasPrefix(line, "VA ") {
+				t.Fatalf("answer %q", line)
+			}
+		}
+	}
+	ask(40)
+	before := len(a.Lines())
+	if before == 0 || before == 40 {
+		t.Fatalf("%d of 40 reads at one of two", before)
+	}
+	hand("detach", "s-x", 404)
+	hand("attach", "s-x", 404)
+	hand("detach", "s%2Da", 200)
+	hand("detach", "s-a", 200)
+	if got := figures(t, control); got["app_cache_servers_excluded"] != 1 || got["app_cache_servers_known"] != 2 {
+		t.Errorf("excluded %v of %v", got["app_cache_servers_excluded"], got["app_cache_servers_known"])
+	}
+	ask(40)
+	restarted := entryA
+	restarted.Started = time.Second
+	d.Replace(entryB)
+	eventually(t, "it is gone", func() bool { return figures(t, control)["app_cache_servers_known"] == 1 })
+	hand("detach", "s-a", 200) // listed once and gone
+	d.Replace(restarted, entryB)
+	eventually(t, "it is listed again", func() bool { return figures(t, control)["app_cache_servers_known"] == 2 })
+	ask(40)
+	if got := len(a.Lines()); got != before {
+		t.Errorf("%d reads went to a banned server", got-before)
+	}
+	hand("attach", "s-a", 200)
+	for end := time.Now().Add(5 * time.Second); len(a.Lines()) == before && time.Now().Before(end); {
+		ask(10)
+	}
+	if len(a.Lines()) == before {
+		t.Error("not used within 5 s of the call back")
+	}
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -130,6 +130,16 @@
 	}
 }
 
+// TakeBack takes back what was written from a place on, as Queued told it, unless a byte of that has been handed to the
+// system. It reports whether it did.
+func (c *Conn) TakeBack(from int64) bool {
+	if from < c.written || from > c.Queued() || c.closed || c.last {
+		return false
+	}
+	c.out = c.out[:from-c.written]
+	return true
+}
+
 // send writes what the system takes.
 func send(fd int, data []byte) (sent int, err error) {
 	for sent < len(data) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -62,7 +62,11 @@
 	case op == nil:
 		return Config{}, errors.New("EDGE_CONFIG names no file, and there is no operator's file (--config or LAPISSHELF_CONFIG)")
 	}
-	return ParseConfig(text, getenv, op)
+	c, err := ParseConfig(text, getenv, op)
+	if err != nil && path != "" {
+		err = fmt.Errorf("%s: %w", path, err)
+	}
+	return c, err
 }
 
 // ParseConfig reads a configuration as EDGE_CONFIG names one; op may be nil.
--- a/internal/node/ids.go
+++ b/internal/node/ids.go
@@ -8,6 +8,8 @@
 const (
 	idsFor    = 3 * time.Second // about how long an id is remembered
 	idsEachMB = 128             // how many of a generation for each megabyte of memory
+
+	listedEachMB = 32 // servers ever listed that are remembered, for each megabyte of memory
 )
 
 // ids remembers what requests were called lately, in two generations: neither grows beyond its bound nor is made anew.
@@ -38,3 +40,26 @@
 	}
 	s.recent[maphash.Bytes(s.seed, id)] = struct{}{}
 }
+
+// listed remembers which servers have ever been in the list, the latest so many.
+type listed struct {
+	most  int
+	known map[string]bool
+	order []string // oldest first
+}
+
+func newListed(memoryMB int) listed {
+	return listed{most: max(1, memoryMB*listedEachMB), known: map[string]bool{}}
+}
+
+func (s *listed) add(id string) {
+	if s.known[id] {
+		return
+	}
+	for len(s.order) >= s.most {
+		delete(s.known, s.order[0])
+		s.order = s.order[1:]
+	}
+	s.known[id] = true
+	s.order = append(s.order, id)
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -82,12 +82,14 @@
 			e.State = policy.Gone
 		}
 		n.pool(e.Server, addr)
+		n.listed.add(e.ID)
 		servers[i], named[e.ID] = e.Server, e.State == policy.Ready
 	}
 	n.guard("members", func() { n.policy.Members(n.loop.Now(), kind, servers) })
 	whole := kind == policy.ListWhole || kind == policy.ListSaved
 	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
 		if ready, told := named[id]; told && !ready || !told && whole {
+			n.pools[id].ready = false
 			n.pools[id].leave()
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -49,7 +49,9 @@
 	control   *control.Server // nil: none
 	classes   map[string]*class
 	calls     map[string]*call
-	inFlight  int              // of them, not answered
+	inFlight  int // of them, not answered
+	listed    listed
+	bans      map[string]bool  // servers banned by hand
 	pools     map[string]*pool // by server id
 	clients   clients
 	registry  *registry.Client
@@ -91,7 +93,8 @@
 	pool  *pool
 	at    time.Duration
 	link  *link // while it is out
-	last  int64 // where its last byte stands on the link
+	first int64 // where its first byte stands on the link
+	last  int64 // and the byte behind its last
 	whole bool  // it has been written whole
 	timer *loop.Timer
 	done  bool
@@ -110,13 +113,14 @@
 
 // New builds a node that listens and follows the list. Nothing happens until the loop runs.
 func New(cfg Config, l *loop.Loop) (*Node, error) {
-	n := &Node{cfg: cfg, loop: l, calls: map[string]*call{}, pools: map[string]*pool{}, classes: map[string]*class{}}
+	n := &Node{cfg: cfg, loop: l, calls: map[string]*call{}, pools: map[string]*pool{}, classes: map[string]*class{}, bans: map[string]bool{}}
 	for name, longest := range cfg.Transport.Deadlines {
 		n.classes[name] = &class{name: name, longest: longest}
 	}
 	// Nodes have no way to reach each other on these sockets: the module is told so.
 	n.cfg.Settings.MayTell = false
 	n.clients.node = n
+	n.listed = newListed(cfg.MemoryMB)
 	if err := n.clients.listen(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
 	}
@@ -256,8 +260,8 @@
 	if wait > 0 {
 		left = min(left, wait)
 	}
-	if t.pool == nil { // never listed here: nothing can have been sent
-		t.pool = &pool{node: n, id: server}
+	if t.pool == nil || t.pool.banned { // never listed here, or kept from it by hand: nothing can have been sent
+		t.pool = &pool{node: n, id: server, banned: true}
 		n.loop.Later(func() { n.finished(t, answer{outcome: policy.ConnectFailed}) })
 		return
 	}
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"log"
+	"maps"
+	"slices"
 	"time"
 
 	"lapisshelf/internal/control"
@@ -27,6 +29,8 @@
 	n.control, err = control.Listen(n.loop, n.cfg.Control, []control.Route{
 		{Method: "GET", Path: "/_ready", Do: func(string) control.Reply { return n.readiness() }},
 		{Method: "GET", Path: "/_vars", Do: func(string) control.Reply { return n.vars() }},
+		{Method: "POST", Path: "/_cache-servers/detach/", Do: func(id string) control.Reply { return n.ban(id, true) }},
+		{Method: "POST", Path: "/_cache-servers/attach/", Do: func(id string) control.Reply { return n.ban(id, false) }},
 		{Method: "POST", Path: "/_lameduck/on", Do: func(string) control.Reply { return n.lameduck(true) }},
 		{Method: "POST", Path: "/_lameduck/off", Do: func(string) control.Reply { return n.lameduck(false) }},
 	})
@@ -49,6 +53,39 @@
 	return control.Say(200, "ready")
 }
 
+// banned reports whether a server is banned by hand, listed or not.
+func (n *Node) banned(id string) bool { return n.bans[id] }
+
+// ban has a server get nothing more, or lifts that. It is in force when the call is answered.
+func (n *Node) ban(id string, on bool) control.Reply {
+	if !n.listed.known[id] && !n.bans[id] {
+		return control.Say(404, "no cache server of this id was ever listed")
+	}
+	n.guard("ban", func() { n.policy.Ban(n.loop.Now(), id, on) })
+	n.hands()
+	log.Printf("event=ban server=%s on=%t", id, on)
+	if on {
+		return control.Say(200, "banned")
+	}
+	return control.Say(200, "may serve")
+}
+
+// hands brings the pools in line with what the module has been told by hand.
+func (n *Node) hands() {
+	clear(n.bans)
+	for _, h := range n.policy.Hands() {
+		n.bans[h.ID] = h.Banned
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
+		p := n.pools[id]
+		if was := p.banned; was != n.bans[id] {
+			if p.banned = n.bans[id]; p.banned {
+				p.leave()
+			}
+		}
+	}
+}
+
 // lameduck begins and ends a drain; a second call of a kind changes nothing.
 func (n *Node) lameduck(on bool) control.Reply {
 	switch {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -37,7 +37,8 @@
 	id     string
 	addr   netip.AddrPort
 	proto  protocol
-	listed bool          // ready, as far as the list tells
+	ready  bool          // as far as the list tells
+	banned bool          // by hand
 	heard  time.Duration // when bytes last came from it
 	links  []*link
 	idle   []*link // of links, those that carry nothing, longest unused first
@@ -65,7 +66,7 @@
 		if s.State == policy.Gone {
 			return
 		}
-		p = &pool{node: n, id: s.ID, addr: addr}
+		p = &pool{node: n, id: s.ID, addr: addr, banned: n.banned(s.ID)}
 		n.pools[s.ID] = p
 	}
 	if s.State != policy.Gone && p.addr != addr {
@@ -80,17 +81,21 @@
 	} else {
 		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn}
 	}
-	p.listed = s.State == policy.Ready
+	p.ready = s.State == policy.Ready
 }
 
-// leave closes what is idle of a server that drains or is gone, and what has not come up: it must get nothing new,
-// and a connection may come up only after the grace. What is out goes on.
+// open reports whether anything new may go to the server.
+func (p *pool) open() bool { return p.ready && !p.banned }
+
+// leave closes what is idle of a server that drains, is gone or is banned, and what has not come up: it must get nothing
+// new, and a connection may come up only after the grace. What waits behind others and has not begun to be written is
+// taken back: it would be written when those have been answered. What is out goes on.
 func (p *pool) leave() {
-	p.listed = false
 	for _, l := range slices.Clone(p.links) {
 		if !l.up {
 			l.over()
 		}
+		l.takeBack()
 		l.rest()
 	}
 	for _, l := range slices.Clone(p.idle) {
@@ -101,7 +106,7 @@
 
 // forget lets go of a pool that nothing needs.
 func (p *pool) forget() {
-	if !p.listed && len(p.links) == 0 && p.node.pools[p.id] == p {
+	if !p.ready && len(p.links) == 0 && p.node.pools[p.id] == p {
 		delete(p.node.pools, p.id)
 	}
 }
@@ -126,11 +131,27 @@
 	t.link = l
 	l.tries = append(l.tries, t)
 	text := p.proto.request(nil, t, wait)
-	t.last = l.conn.Queued() + int64(len(text)) // first: what a broken connection does not take was never written
+	t.first = l.conn.Queued()
+	t.last = t.first + int64(len(text)) // before writing: what a broken connection does not take was never written
 	l.conn.Write(text)
 	l.wrote()
 }
 
+// takeBack takes back the attempts of which no byte has been written.
+func (l *link) takeBack() {
+	for i := len(l.tries) - 1; i >= 0 && !l.gone; i-- {
+		t := l.tries[i]
+		if t == nil {
+			continue
+		}
+		if !l.conn.TakeBack(t.first) {
+			break
+		}
+		t.link, l.tries = nil, l.tries[:i]
+		l.pool.node.finished(t, answer{outcome: policy.ConnectFailed})
+	}
+}
+
 // wrote counts the attempts that have been written whole.
 func (l *link) wrote() {
 	for i := len(l.tries) - 1; i >= 0; i-- {
@@ -225,7 +246,7 @@
 		return
 	}
 	p := l.pool
-	if l.old || !p.listed || len(l.input) > 0 {
+	if l.old || !p.open() || len(l.input) > 0 {
 		l.drop()
 		return
 	}
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -160,12 +160,35 @@
 func TestDrainGivesUpWhatIsComingUp(t *testing.T) {
 	b := newBench(t)
 	b.send("1")
+	b.pool.ready = false
 	b.pool.leave()
 	if b.outcomes(policy.ConnectFailed) != 1 || b.node.links != 0 || b.node.pools["s-1"] != nil {
 		t.Errorf("%v, %d connections", b.node.count.outcomes, b.node.links)
 	}
 }
 
+// An attempt that waits unwritten behind another is no send yet: written after the grace it would be one to a server that
+// drains or is banned.
+func TestABanTakesBackWhatIsNotWritten(t *testing.T) {
+	b := newBench(t)
+	b.send("1")
+	b.accept(1)
+	b.run("it stands", func() bool { return b.pool.links[0].up })
+	b.node.links = b.node.linkMost() // what follows shares the connection
+	b.pool.links[0].conn.Write(make([]byte, 32<<20))
+	second, third := b.send("2"), b.send("3")
+	b.node.listed.add("s-1")
+	if r := b.node.ban("s-1", true); r.Status != 200 {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	if !second.done || !third.done || b.outcomes(policy.ConnectFailed) != 2 || len(b.pool.links) != 1 || len(b.pool.links[0].tries) != 1 {
+		t.Errorf("%v, %d connections", b.node.count.outcomes, len(b.pool.links))
+	}
+	if b.node.count.written != 1 {
+		t.Errorf("%d attempts count as written", b.node.count.written)
+	}
+}
+
 // A machine that vanished leaves its idle connections silent: the first time-out with nothing heard gives them back.
 func TestASilentServersIdleConnectionsAreGivenBack(t *testing.T) {
 	for _, heard := range []bool{false, true} {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -149,6 +149,8 @@
 	if err := f.first(
 		rule{address(n.Listen), at("node", "listen"), "must be an address and a port, such as 127.0.0.1:11211"},
 		rule{address(n.Discovery), at("node", "discovery"), "must be an address and a port, such as 127.0.0.1:8500"},
+		rule{address(n.Control), at("node", "control"), "must be an address and a port, such as 127.0.0.1:9901"},
+		rule{n.Control != "" && n.Control == n.Listen, at("node", "control"), "must not be the address that clients connect to"},
 		rule{n.MemoryMB != 0 && n.MemoryMB < fewestMB, at("node", "memory_mb"), "must be at least 8"},
 		rule{n.Sockets != 0 && n.Sockets < fewestSockets, at("node", "sockets"), "must be at least 64"},
 		rule{f.Service == nil && len(f.Class) > 0, at("class", 0), "classes need a [service] table"},
--- a/policy/api.go
+++ b/policy/api.go
@@ -116,6 +116,14 @@
 	Started time.Duration // last start on the event clock; 0 for long ago
 }
 
+// Hand is the last word said of a server by hand.
+type Hand struct {
+	ID          string
+	Banned      bool
+	At          time.Duration // when it was said
+	Since, Back time.Duration // of the last ban: when it began, when it was lifted; 0: there was none, or it stands
+}
+
 // ListKind says how a Members event relates to the list held before.
 type ListKind int
 
--- /dev/null
+++ b/policy/ban_test.go
@@ -0,0 +1,174 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// A ban outlasts whatever the list says of the server, a restart under its id included, and ends with one call back.
+func TestABanOutlastsTheList(t *testing.T) {
+	w := start(t, settings(), 4)
+	top := ranking(w, "k")[0]
+	entry := w.b.servers[top].Server
+	w.b.Ban(w.now, top, true)
+	w.b.Ban(w.now+1, top, true)
+	say := func(kind ListKind, change func(s *Server)) {
+		s := entry
+		change(&s)
+		w.b.Members(w.now, kind, []Server{s})
+	}
+	check := func(when string) {
+		t.Helper()
+		for i := range 40 {
+			w.request(when+string(rune('a'+i)), "read", "k")
+			if w.last().server == top {
+				t.Fatalf("%s: sent to %s, which is banned", when, top)
+			}
+		}
+	}
+	check("at once")
+	say(ListChanges, func(*Server) {})
+	check("listed again")
+	say(ListChanges, func(s *Server) { s.State = Gone })
+	say(ListChanges, func(s *Server) { s.Started = w.now })
+	check("restarted")
+	say(ListChanges, func(s *Server) { s.State = Draining })
+	if listed, avoided := w.b.Known(w.now); listed != 4 || avoided != 1 {
+		t.Errorf("%d listed, %d avoided", listed, avoided)
+	}
+	say(ListChanges, func(*Server) {})
+	w.b.Ban(w.now+2, top, false)
+	if got := ranking(w, "k")[0]; !w.b.servers[top].open() || len(ranking(w, "k")) != 4 {
+		t.Errorf("not used after the call back; %s is first", got)
+	}
+}
+
+// What is held for a server when it is banned, or drains, goes elsewhere at once, not when there is room again.
+func TestWhatIsHeldForABannedServerMovesOn(t *testing.T) {
+	for name, shut := range map[string]func(w *world, id string){
+		"banned": func(w *world, id string) { w.b.Ban(w.now, id, true) },
+		"drains": func(w *world, id string) {
+			s := w.b.servers[id].Server
+			s.State = Draining
+			w.b.Members(w.now, ListChanges, []Server{s})
+		},
+	} {
+		w := start(t, settings(), 2)
+		w.cold = true
+		for _, s := range w.b.servers {
+			s.limit = 1
+		}
+		w.b.usual = float64(ms)
+		top := ranking(w, "k")[0]
+		other := ranking(w, "k")[1]
+		w.request("a", "write", "k")
+		w.request("b", "write", "k")
+		w.request("c", "write", "k") // both are full now: it is held
+		r := w.b.open["c"]
+		if r == nil || r.held == nil {
+			t.Fatalf("%s: nothing is held", name)
+		}
+		held := r.held.ID
+		for _, s := range w.b.servers {
+			if s.ID != held {
+				s.limit = 4 // room came meanwhile
+			}
+		}
+		shut(w, held)
+		if got := w.last(); got.id != "c" || got.server == held || (got.server != top && got.server != other) {
+			t.Errorf("%s: last sent %v, held for %s", name, got, held)
+		}
+		if len(w.b.servers[held].queue) > 0 {
+			t.Errorf("%s: still queued", name)
+		}
+	}
+}
+
+// With the origin banned what needs it is refused at once, and goes there again after the call back.
+func TestTheOriginBanned(t *testing.T) {
+	set := settings()
+	set.Mode = Aside
+	w := start(t, set, 3)
+	w.b.Ban(w.now, "o", true)
+	w.request("r", "read", "k")
+	w.answer(w.last(), Miss, NoteMiss, ms)
+	for range 3 { // the other caches may have it
+		if w.ended["r"] == "" && len(w.sends) > 0 {
+			w.answer(w.last(), Miss, NoteMiss, ms)
+		}
+	}
+	w.request("p", "write", "k2")
+	if w.ended["r"] != "refused" || w.ended["p"] != "refused" {
+		t.Errorf("a miss ended %q, a write %q", w.ended["r"], w.ended["p"])
+	}
+	w.b.Ban(w.now, "o", false)
+	w.request("p2", "write", "k2")
+	if w.last().server != "o" {
+		t.Error("the origin is not used after the call back")
+	}
+	for _, s := range slices.Clone(w.b.caches) {
+		w.b.Ban(w.now, s.ID, true)
+	}
+	w.request("r2", "read", "k3")
+	if w.ended["r2"] != "refused" {
+		t.Errorf("with every cache banned a read ended %q", w.ended["r2"])
+	}
+}
+
+// A server comes back from a ban cold, with a clean record, and warm only by the time since its start.
+func TestBackFromABanItIsCold(t *testing.T) {
+	w := start(t, settings(), 4)
+	s := w.b.servers["c01"]
+	s.fails, s.skipUntil, s.limit = failsToSkip, w.now+time.Hour, 0.1
+	w.b.Ban(w.now, "c01", true)
+	w.now += time.Second
+	w.b.Ban(w.now, "c01", false)
+	if s.fails != 0 || s.limit < firstLimit || w.b.warmth(s) != w.b.set.ColdFrom {
+		t.Errorf("back with %d failures, limit %v, warmth %v", s.fails, s.limit, w.b.warmth(s))
+	}
+	e := s.Server // the list tells of the restart, which was before the call back
+	e.Started = w.now - 500*ms
+	w.b.Members(w.now, ListChanges, []Server{e})
+	if got := w.b.warmth(s); got <= w.b.set.ColdFrom || got > 0.3 {
+		t.Errorf("warmth %v half a second after the start", got)
+	}
+	w.now += 2 * w.b.set.WarmUp
+	w.b.Members(w.now, ListChanges, nil)
+	if w.b.warmth(s) != 1 || len(w.b.hands) != 0 {
+		t.Errorf("warmth %v, %d words by hand are kept", w.b.warmth(s), len(w.b.hands))
+	}
+	w.b.Ban(w.now, "c02", false) // a call back of what was not banned makes nothing cold
+	if w.b.warmth(w.b.servers["c02"]) != 1 {
+		t.Error("cold without a ban")
+	}
+}
+
+// Of what two processes of a node were told, the latest word holds, whatever the order in which it is heard.
+func TestTheLatestWordHolds(t *testing.T) {
+	ban := Hand{ID: "c01", Banned: true, At: 10, Since: 10}
+	lift := Hand{ID: "c01", At: 20} // by a process that had not heard of the ban
+	again := Hand{ID: "c01", Banned: true, At: 30, Since: 30}
+	for _, c := range []struct {
+		words  []Hand
+		banned bool
+	}{
+		{[]Hand{ban, lift}, false}, {[]Hand{lift, ban}, false}, {[]Hand{again, ban, lift}, true}, {[]Hand{lift, again, ban}, true},
+	} {
+		w := start(t, settings(), 3)
+		w.now = 40
+		for _, h := range c.words {
+			w.b.Hand(w.now, h)
+		}
+		if s := w.b.servers["c01"]; s.banned != c.banned || len(w.b.Hands()) != 1 {
+			t.Errorf("%v: banned %v", c.words, s.banned)
+		}
+	}
+	w := start(t, settings(), 3)
+	w.now = 40
+	w.b.Hand(w.now, ban)
+	w.b.Hand(w.now, lift)
+	if w.b.servers["c01"].started != 20 {
+		t.Errorf("started %d: the lifted ban is not known", w.b.servers["c01"].started)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,11 +64,53 @@
 		b.askWait = b.within / 16
 	}
 	b.merge(kind, list)
+	b.regate()
 	if b.set.Mode == Through && !b.origin.strained { // all keys are unknown at first, few of them missing
 		b.origin.limit = max(b.origin.limit, float64(len(b.caches)))
 	}
 }
 
+// Ban has a server get nothing more, whatever the list says of it, until the ban is lifted.
+func (b *Balancer) Ban(now time.Duration, id string, on bool) {
+	h := b.hands[id]
+	if on {
+		h.Since = now
+	} else if h.Banned {
+		h.Back = now
+	}
+	b.Hand(now, Hand{ID: id, Banned: on, At: now, Since: h.Since, Back: h.Back})
+}
+
+// Hand takes what was said of a server by hand, to this process of the node or to another; the latest word holds.
+// Whoever lifts a ban vouches for the server: what was held against it is void. It counts as started then, unless
+// the list tells of a start since the ban: it was banned to be restarted, and the list is seconds late.
+func (b *Balancer) Hand(now time.Duration, h Hand) {
+	b.now = now
+	s, was := b.servers[h.ID], b.hands[h.ID]
+	if h.At <= was.At {
+		return
+	}
+	if was.Banned && !h.Banned && h.Back < was.Since { // who lifted it did not know of it yet
+		h.Since, h.Back = was.Since, h.At
+	}
+	b.hands[h.ID] = h
+	if s != nil && !h.Banned {
+		s.fails, s.skipUntil, s.late, s.limit, s.strained = 0, 0, fading{}, max(s.limit, firstLimit), false
+	}
+	b.reindex()
+	b.regate()
+}
+
+// regate sends on their way the requests held for servers that may get nothing any more.
+func (b *Balancer) regate() {
+	for _, r := range slices.Clone(b.order) {
+		if s := r.held; !r.ended && s != nil && !s.open() {
+			r.held, s.queue = nil, nil // each of the queue is in order, and comes by here
+			b.route(r)
+		}
+	}
+}
+
 // hrw is the shared score of a server for a key: blake2b, 8 bytes, over id, a zero byte and key.
 func (b *Balancer) hrw(id, key string) uint64 {
 	b.scratch = append(append(append(b.scratch[:0], id...), 0), key...)
@@ -105,8 +147,8 @@
 
 // warmth is the part of its capacity that a server is sure to have by now: keys move in a few at a time.
 func (b *Balancer) warmth(s *server) float64 {
-	age := b.now - s.Started
-	if s.Started == 0 || age >= b.set.WarmUp {
+	age := b.now - s.started
+	if s.started == 0 || age >= b.set.WarmUp {
 		return 1
 	}
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.WarmUp))
@@ -114,7 +156,7 @@
 
 // may holds rules 1 to 3: whether the request may be sent to s now. Every send passes through it.
 func (b *Balancer) may(r *request, s *server) bool {
-	if r.ended || b.now >= r.end || s.State != Ready || len(r.tries) >= b.set.MaxAttempts {
+	if r.ended || b.now >= r.end || !s.open() || len(r.tries) >= b.set.MaxAttempts {
 		return false
 	}
 	if r.out > 0 && (r.class.Effect != Safe || !b.set.Parallel) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -814,7 +814,7 @@
 	lives := map[string]*life{}
 	var out []sent
 	servers := fleet(set, 6)
-	state := map[string]Server{}
+	state, banned := map[string]Server{}, map[string]bool{}
 	for _, s := range servers {
 		state[s.ID] = s
 	}
@@ -826,8 +826,8 @@
 			t.Errorf("%s sent after its end", id)
 		case w.now >= l.end:
 			t.Errorf("%s sent after its deadline", id)
-		case s.State != Ready:
-			t.Errorf("%s sent to %s, which is not ready", id, server)
+		case s.State != Ready || banned[server]:
+			t.Errorf("%s sent to %s, which is not ready, or banned: %v", id, server, banned[server])
 		case len(l.tries) >= set.MaxAttempts:
 			t.Errorf("%s sent %d times", id, len(l.tries)+1)
 		}
@@ -897,6 +897,10 @@
 			w.b.Members(w.now, ListChanges, []Server{s})
 		case p == 17:
 			w.b.Members(w.now, ListFailed, nil)
+		case p == 18 && rng.Intn(4) == 0:
+			id := servers[rng.Intn(len(servers))].ID
+			banned[id] = rng.Intn(2) == 0
+			w.b.Ban(w.now, id, banned[id])
 		}
 		for i := 0; i < len(out); i++ { // deadlines end what is out
 			if l := lives[out[i].id]; !l.finished && w.now >= l.end {
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"hash"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -19,6 +20,8 @@
 
 type server struct {
 	Server
+	banned    bool            // by hand
+	started   time.Duration   // as the list says, or when a ban was lifted
 	weight    float64         // listed, or the mean where none is listed
 	score     float64         // of the ranking being made
 	sent      []*attempt      // out now, oldest first
@@ -37,6 +40,9 @@
 	timely    fading        // and those in time
 }
 
+// open reports whether the server may get anything new.
+func (s *server) open() bool { return s.State == Ready && !s.banned }
+
 type attempt struct {
 	n      int
 	req    *request
@@ -82,8 +88,9 @@
 	tenants map[string]*tenant
 	classes map[string]*Class
 	servers map[string]*server
-	caches  []*server // ready, by id
-	weights float64   // the sum of their weights as ranked last
+	hands   map[string]Hand // by id, listed or not
+	caches  []*server       // ready, by id
+	weights float64         // the sum of their weights as ranked last
 	origin  *server
 	open    map[string]*request
 	order   []*request     // open requests by arrival
@@ -114,7 +121,7 @@
 // blank returns a balancer that has decided nothing yet.
 func blank(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{set: set, act: act, now: now, rng: rand.New(rand.NewSource(int64(seed))),
-		classes: map[string]*Class{}, servers: map[string]*server{}, open: map[string]*request{},
+		classes: map[string]*Class{}, servers: map[string]*server{}, hands: map[string]Hand{}, open: map[string]*request{},
 		fetches: map[string]*fetch{}, keyed: map[string]int{}, recent: recent{count: map[note]int{}},
 		tenants: map[string]*tenant{}, memo: map[string][]uint64{}, shortest: math.MaxInt64,
 		period: max(2*set.Tick, time.Millisecond)}
@@ -198,13 +205,18 @@
 		if s == b.origin || s.State == Gone {
 			continue
 		}
-		if listed++; b.down(s) || s.State == Draining {
+		if listed++; b.down(s) || !s.open() {
 			avoided++
 		}
 	}
 	return listed, avoided
 }
 
+// Hands gives what was said by hand and still counts, by id.
+func (b *Balancer) Hands() []Hand {
+	return slices.SortedFunc(maps.Values(b.hands), func(x, y Hand) int { return strings.Compare(x.ID, y.ID) })
+}
+
 // forget takes a request that has ended off all that holds it.
 func (b *Balancer) forget(r *request) {
 	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
@@ -390,12 +402,21 @@
 	if b.set.Mode == Aside {
 		b.origin = nil
 	}
+	for id, h := range b.hands {
+		if !h.Banned && b.now-h.At > b.set.WarmUp {
+			delete(b.hands, id) // nothing is to be known of it any more
+		}
+	}
 	listed, sum := 0, 0.0
 	for _, s := range b.servers {
+		h := b.hands[s.ID]
+		if s.banned, s.started = h.Banned, s.Started; s.Started <= h.Since {
+			s.started = max(s.Started, h.Back)
+		}
 		switch {
 		case s.State == Gone && len(s.sent) == 0 && len(s.queue) == 0:
 			delete(b.servers, s.ID) // a fleet that changes for days must not fill the memory
-		case s.State != Ready:
+		case !s.open():
 		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
 			if b.origin == nil || s.ID < b.origin.ID {
 				b.origin = s
