Upgrades in place: a new process takes the old one's place under load

Cause of the loss: the second process found the address taken and ended with 1; the old one's planned end then closed under clients.

Change: processes of a node know of each other by files and locks in a directory that they share (internal/handover), share its descriptors and memory (decide/handover, pure, property-tested), and its address by SO_REUSEPORT while a successor lives, with new connections steered to the new one by a one-instruction filter so that the old one's queue is empty at its close. Bans, drains and drains told by a newer list hold in both. A killed process's words by hand are taken over, files that make no sense refused with a line.

Ruled out: handing over the listening socket (docs/operations.md); sharing the address at all times, which would let a stranger divide the clients unnoticed.

--- a/cmd/lapislab/lapislab_test.go
+++ b/cmd/lapislab/lapislab_test.go
@@ -153,8 +153,8 @@
 	}{
 		{"an answer twice", "internal/node/clients.go", "		c.conn.Write(k.answer)\n",
 			"		c.conn.Write(k.answer)\n		if k.id != \"\" && k.id[0] == '7' {\n			c.conn.Write(k.answer)\n		}\n", calm, "one_answer", "twice"},
-		{"no answer", "internal/node/node.go", "	*kind++\n	c.answered, c.answer = true, text\n",
-			"	*kind++\n	if c.id != \"\" && c.id[0] == '7' {\n		return\n	}\n	c.answered, c.answer = true, text\n", calm, "one_answer", "lost"},
+		{"no answer", "internal/node/node.go", "	n.inFlight--\n	c.answered, c.answer = true, text\n",
+			"	n.inFlight--\n	if c.id != \"\" && c.id[0] == '7' {\n		return\n	}\n	c.answered, c.answer = true, text\n", calm, "one_answer", "lost"},
 		{"a value cut short", "internal/node/node.go", "text = meta.AppendValue(make([]byte, 0, len(a.value)+len(id)+24), id, a.value)",
 			"text = meta.AppendValue(nil, id, a.value[:len(a.value)-min(len(a.value), int(c.id[0]&1)*290)])", calm, "one_answer", "wrong_value"},
 		{"another id goes on", "internal/meta/meta.go", "		buf = append(buf, c.Line[:c.InfoPos+from]...)",
@@ -172,8 +172,8 @@
 		{"two attempts at once", "internal/node/pool.go", "	if !l.carries() || end.outcome != policy.Cancelled {\n		l.over()\n	}\n	p.node.finished(t, end)\n",
 			"	p.node.finished(t, end)\n", calm + "[[fault]]\nkind = \"hang\"\nat = \"10%\"\nservers = [\"c1\"]\n", "no_double", "two_at_once"},
 		{"a send after the drain's grace", "internal/registry/entry.go", `"DRAINING": policy.Draining`, `"DRAINING": policy.Ready`, drain, "drains", "sent_to_drained"},
-		{"a burst at a cold cache", "policy/policy.go", "	age := b.now - s.Started\n	if s.Started == 0 || age >= b.set.WarmUp {",
-			"	age := b.now - s.Started\n	if s.Started == 0 || age >= 0 {", cold, "cold", "cold_pushed"},
+		{"a burst at a cold cache", "policy/policy.go", "	age := b.now - s.started\n	if s.started == 0 || age >= b.set.WarmUp {",
+			"	age := b.now - s.started\n	if s.started == 0 || age >= 0 {", cold, "cold", "cold_pushed"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
--- a/cmd/lapisshelf/harness_test.go
+++ b/cmd/lapisshelf/harness_test.go
@@ -137,6 +137,7 @@
 	t *testing.T
 	*stage.Node
 	addr   string
+	tmp    string         // its directory for temporary files
 	config map[string]any // as it was at the start
 }
 
@@ -199,8 +200,14 @@
 // launch starts the program with a configuration file.
 func launch(t *testing.T, config, listen string, to *os.File, args ...string) *process {
 	t.Helper()
-	n := &process{t: t, addr: listen, Node: stage.NewNode(stage.NodeOptions{Log: seen.NewLog(), Command: strings.Join(append([]string{binary}, args...), " "),
-		Dir: t.TempDir(), Listen: listen, MemoryMB: 1 << 10, Sockets: 1024, Text: config, Output: to})}
+	return launchIn(t, t.TempDir(), config, listen, to, args...)
+}
+
+// launchIn starts it with a directory for temporary files, which another process may share.
+func launchIn(t *testing.T, tmp, config, listen string, to *os.File, args ...string) *process {
+	t.Helper()
+	n := &process{t: t, addr: listen, tmp: tmp, Node: stage.NewNode(stage.NodeOptions{Log: seen.NewLog(), Command: strings.Join(append([]string{binary}, args...), " "),
+		Dir: t.TempDir(), Listen: listen, MemoryMB: 1 << 10, Sockets: 1024, Text: config, Output: to, Env: []string{"TMPDIR=" + tmp}})}
 	if err := n.Start(0, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/lapisshelf/serve.go
+++ b/cmd/lapisshelf/serve.go
@@ -29,7 +29,6 @@
 		return err
 	}
 	runtime.GOMAXPROCS(2) // the loop, and the collector or the runtime's own beside it, on one core
-	limitMemory(cfg)
 	l, err := loop.New()
 	if err != nil {
 		return err
@@ -38,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	n.Limit(limitMemory)
 	log.Printf("event=start name=%s listen=%s list=%s memory_mb=%d sockets=%d", cfg.Name, cfg.Listen, cfg.Registry.Endpoints,
 		cfg.MemoryMB, cfg.Sockets)
 	go func() {
@@ -51,11 +51,7 @@
 				continue
 			}
 			cfg, err := configure(file) // here, so that a slow disk does not stop the loop
-			l.Post(func() {
-				if n.Reload(cfg, err) {
-					limitMemory(cfg)
-				}
-			})
+			l.Post(func() { n.Reload(cfg, err) })
 		}
 	}()
 	err = l.Run()
@@ -76,4 +72,4 @@
 }
 
 // limitMemory has the collector work harder well before the limit at which the program is killed.
-func limitMemory(cfg node.Config) { debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3) }
+func limitMemory(mb int) { debug.SetMemoryLimit(int64(mb) << 20 * 2 / 3) }
--- a/floors_test.go
+++ b/floors_test.go
@@ -15,7 +15,7 @@
 // floors of the architecture; a package imports from its own floor or below. The longest prefix counts.
 var floors = map[string]int{
 	"cmd/": 5, "lab/": 4,
-	"internal/node": 3, "internal/control": 3, "internal/simhost": 3, "internal/operator": 3, "internal/registry": 3,
+	"internal/node": 3, "internal/control": 3, "internal/handover": 3, "internal/simhost": 3, "internal/operator": 3, "internal/registry": 3,
 	"internal/settings": 3, "internal/simwire": 3,
 	"policy": 2, "decide/": 2,
 	"internal/loop": 1, "internal/meta": 1, "internal/httpc": 1, "internal/tomlfile": 1,
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -15,6 +15,9 @@
 // shortOf is how long accepting rests when the system has no descriptor or memory for a connection.
 const shortOf = 50 * time.Millisecond
 
+// mostQueue is how many connections the system may hold for a listener.
+const mostQueue = 1024
+
 // Handler is a connection's owner. The calls come from the loop, never from inside one of the Conn's own methods.
 type Handler interface {
 	Up()              // the connection stands
@@ -308,23 +311,63 @@
 	loop   *Loop
 	source *source
 	accept func(fd int)
+	steers bool // new connections come to it alone
 	closed bool
 }
 
+// Steers reports whether new connections come to this one alone of those that share its address.
+func (ln *Listener) Steers() bool { return ln.steers }
+
+// Share lets other processes of the same user listen on the same address, or no more of them. While it is not shared
+// the system refuses them: two by mistake would divide the connections between them unnoticed.
+func (ln *Listener) Share(on bool) {
+	if ln == nil || ln.closed {
+		return
+	}
+	value := 0
+	if on {
+		value = 1
+	}
+	unix.SetsockoptInt(ln.source.fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, value)
+}
+
 // Listen listens on exactly this address. Each connection's descriptor is given to accept, which passes it to Accept
 // or, if it has no room, is not called until Pause(false).
 func (l *Loop) Listen(addr netip.AddrPort, accept func(fd int)) (*Listener, error) {
+	return l.listen(addr, accept, false)
+}
+
+// Join listens on an address beside another process whose listener is shared, see Share. With others so many before it,
+// new connections come to this one alone from then on, where the system can do that: the others' queues run empty, and
+// nothing is lost when they close.
+func (l *Loop) Join(addr netip.AddrPort, others int, accept func(fd int)) (*Listener, error) {
+	ln, err := l.listen(addr, accept, true)
+	if err != nil {
+		return nil, err
+	}
+	// One instruction: return the number of the socket in the group, which they enter in the order of listening. One
+	// that is too high, as it is when the others have closed, leaves the choice to the system.
+	program := []unix.SockFilter{{Code: unix.BPF_RET | unix.BPF_K, K: uint32(others)}}
+	ln.steers = unix.SetsockoptSockFprog(ln.source.fd, unix.SOL_SOCKET, unix.SO_ATTACH_REUSEPORT_CBPF,
+		&unix.SockFprog{Len: uint16(len(program)), Filter: &program[0]}) == nil
+	return ln, nil
+}
+
+func (l *Loop) listen(addr netip.AddrPort, accept func(fd int), shared bool) (*Listener, error) {
 	family, at := sockaddr(addr)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, err
 	}
 	unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1) // a restart comes back to the same address
+	if shared {
+		unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	}
 	if err := unix.Bind(fd, at); err != nil {
 		unix.Close(fd)
 		return nil, err
 	}
-	if err := unix.Listen(fd, 1024); err != nil {
+	if err := unix.Listen(fd, mostQueue); err != nil {
 		unix.Close(fd)
 		return nil, err
 	}
@@ -361,6 +404,20 @@
 // Urgent has new connections accepted before all else of a turn.
 func (ln *Listener) Urgent() { ln.source.urgent = true }
 
+// drainQueue takes all that waits, whether accepting rests or not: what the system has accepted would be reset.
+func (ln *Listener) drainQueue() {
+	for range mostQueue {
+		fd, _, err := unix.Accept4(ln.source.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err != nil {
+			if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
+				continue
+			}
+			return
+		}
+		ln.accept(fd)
+	}
+}
+
 // Accept makes a Conn of an accepted descriptor.
 func (l *Loop) Accept(fd int, h Handler) (*Conn, error) {
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
@@ -373,7 +430,7 @@
 
 // Pause stops accepting, and goes on with it.
 func (ln *Listener) Pause(on bool) {
-	if ln.closed {
+	if ln == nil || ln.closed {
 		return
 	}
 	if on {
@@ -385,10 +442,10 @@
 
 // Close takes what has been accepted by the system already and gives the listener back.
 func (ln *Listener) Close() {
-	if ln.closed {
+	if ln == nil || ln.closed {
 		return
 	}
-	ln.take()
+	ln.drainQueue()
 	ln.closed = true
 	ln.loop.release(ln.source)
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -151,6 +151,32 @@
 	return s, nil
 }
 
+// File is a descriptor that is no connection and is watched for what can be read from it.
+type File struct {
+	loop   *Loop
+	source *source
+	closed bool
+}
+
+// Watch calls ready whenever something can be read from a descriptor, which it owns from then on.
+func (l *Loop) Watch(fd int, ready func()) (*File, error) {
+	s, err := l.watch(fd, unix.EPOLLIN, func(uint32) { ready() })
+	if err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	l.open++
+	return &File{loop: l, source: s}, nil
+}
+
+// Close gives the descriptor back.
+func (f *File) Close() {
+	if !f.closed {
+		f.closed = true
+		f.loop.release(f.source)
+	}
+}
+
 // expect changes what is watched for.
 func (l *Loop) expect(s *source, events uint32) {
 	if s.events == events {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -70,11 +70,24 @@
 	again   bool // what had to wait will be looked at
 }
 
-// listen opens the node's address.
-func (s *clients) listen() error {
+func (s *clients) init() {
 	s.seen = newIDs(s.node.cfg.MemoryMB)
 	s.all, s.idle, s.owing = map[*client]bool{}, list.New(), list.New()
 	s.node.loop.After(tidyEvery, s.tidy)
+}
+
+// join opens the node's address beside so many others of its processes.
+func (s *clients) join(others int) (err error) {
+	if others == 0 {
+		s.listener, err = s.node.loop.Listen(s.node.cfg.Listen, s.accept)
+	} else {
+		s.listener, err = s.node.loop.Join(s.node.cfg.Listen, others, s.accept)
+	}
+	return err
+}
+
+// listen opens the node's address.
+func (s *clients) listen() error {
 	var err error
 	for range listenTries { // the process that had the address before may still be going
 		if s.listener, err = s.node.loop.Listen(s.node.cfg.Listen, s.accept); !errors.Is(err, syscall.EADDRINUSE) {
@@ -92,7 +105,10 @@
 }
 
 // brimful reports whether not even the reserve has a descriptor left.
-func (s *clients) brimful() bool { return s.node.open() >= s.node.room()+reserve-ownSockets }
+func (s *clients) brimful() bool {
+	n := s.node
+	return n.open() >= n.room()+n.reserve()-min(ownSockets, n.sockets()/4)
+}
 
 // accept takes a connection. In a full house it stands in the reserve, to have its request refused: one that waits
 // unread in the system's queue is lost.
@@ -184,7 +200,7 @@
 // node has room (launceston-platform rfa7819: three in four, at 128 idle connections closed after 2 s each).
 func (s *clients) idleMost() time.Duration {
 	n := s.node
-	used := float64(len(s.all)-s.owing.Len()) * heldByClients / float64(n.cfg.Sockets)
+	used := float64(len(s.all)-s.owing.Len()) * heldByClients / float64(max(1, n.sockets()))
 	switch {
 	case used > 0.5:
 		return max(idleLeast, time.Duration(float64(idleShort)*(0.875-used)/0.375))
@@ -197,8 +213,14 @@
 // drain sends the clients away, at a planned end or when an operator says so: for a while all goes on, then a connection
 // closes with its next answer, so that its client learns of it before it sends again, and those that get no request
 // close once they have rested. At an end the listener closes too.
-func (s *clients) drain() {
-	if s.drained == nil {
+// With a successor that takes clients already there is nothing to wait for.
+func (s *clients) drain(succeeded bool) {
+	switch {
+	case succeeded:
+		s.listener.Close()
+		s.drained.Stop()
+		s.node.loop.Later(s.empty)
+	case s.drained == nil:
 		s.drained = s.node.loop.After(lameFor, s.empty)
 	}
 }
@@ -377,7 +399,7 @@
 }
 
 // most is how many bytes of values the node may hold, and of answers as many again.
-func (n *Node) most() int { return n.cfg.MemoryMB << 20 / heldPart }
+func (n *Node) most() int { return n.memoryMB() << 20 / heldPart }
 
 // valueMost is how many bytes a value may hold: many must have room at once. Values over the usual size do come
 // (launceston-platform, rate+silent+leave: up to 360 KB, each taken for a spoilt answer, and the servers skipped for it).
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -23,6 +23,7 @@
 	Name      string
 	Listen    netip.AddrPort
 	Control   netip.AddrPort  // the operators' address; none if it is not valid
+	StateDir  string          // where the processes of this node know of each other; empty: they don't
 	Registry  registry.Config // where the server list is
 	Announce  *Announce       // the node's own entry there; nil: none
 	Seed      uint64
@@ -100,10 +101,14 @@
 		if c.Control, err = netip.ParseAddrPort(control); err != nil {
 			return bad("control", err)
 		}
+		if file.Control != "" || getenv("EDGE_CONTROL") != "" { // a platform that tells it runs upgrades beside the old process
+			c.StateDir = getenv("TMPDIR")
+		}
 		if c.Control == c.Listen && c.Listen.Port() != 0 {
 			return bad("control", errors.New("the address is the one that clients connect to"))
 		}
 	}
+	c.StateDir = cmp.Or(op.Node.StateDir, c.StateDir)
 	discovery := cmp.Or(file.Discovery, getenv("EDGE_DISCOVERY"), op.Node.Discovery)
 	if told, err := op.Registry(); err != nil {
 		return Config{}, err
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -50,6 +50,7 @@
 func (n *Node) nowReady() {
 	if !n.ready && len(n.pools) > 0 {
 		n.ready = true
+		n.takeClients()
 		log.Printf("event=ready servers=%d", len(n.pools))
 		if a := n.cfg.Announce; a != nil && !n.leaving {
 			n.announcer = registry.NewAnnouncer(n.loop, n.cfg.Registry, a.Key, a.Value, a.TTL, n.cfg.Seed, n.listNote)
@@ -83,14 +84,17 @@
 		}
 		n.pool(e.Server, addr)
 		n.listed.add(e.ID)
+		n.succession.noteState(e.ID, e.State)
 		servers[i], named[e.ID] = e.Server, e.State == policy.Ready
 	}
 	n.guard("members", func() { n.policy.Members(n.loop.Now(), kind, servers) })
 	whole := kind == policy.ListWhole || kind == policy.ListSaved
 	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
 		if ready, told := named[id]; told && !ready || !told && whole {
+			n.succession.noteState(id, policy.Gone)
 			n.pools[id].ready = false
 			n.pools[id].leave()
 		}
 	}
+	n.succession.heedLists()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -43,29 +43,32 @@
 
 // Node is one balancer on sockets.
 type Node struct {
-	cfg       Config
-	loop      *loop.Loop
-	policy    *policy.Balancer
-	control   *control.Server // nil: none
-	classes   map[string]*class
-	calls     map[string]*call
-	inFlight  int // of them, not answered
-	listed    listed
-	bans      map[string]bool  // servers banned by hand
-	pools     map[string]*pool // by server id
-	clients   clients
-	registry  *registry.Client
-	announcer *registry.Announcer // nil: the node keeps no entry of itself
-	links     int                 // connections to servers
-	held      int                 // bytes of writes kept
-	owed      int                 // bytes of answers that clients have yet to take, and of commands not whole
-	coming    int                 // bytes of answers that are not whole
-	shedding  bool
-	count     counters
-	ready     bool
-	leaving   bool
-	lame      bool          // drained by an operator
-	lameUntil time.Duration // when nothing idle may be held any more
+	cfg        Config
+	loop       *loop.Loop
+	policy     *policy.Balancer
+	control    *control.Server // nil: none
+	classes    map[string]*class
+	calls      map[string]*call
+	inFlight   int // of them, not answered
+	listed     listed
+	bans       map[string]bool  // servers banned by hand
+	pools      map[string]*pool // by server id
+	clients    clients
+	registry   *registry.Client
+	announcer  *registry.Announcer // nil: the node keeps no entry of itself
+	links      int                 // connections to servers
+	held       int                 // bytes of writes kept
+	owed       int                 // bytes of answers that clients have yet to take, and of commands not whole
+	coming     int                 // bytes of answers that are not whole
+	shedding   bool
+	count      counters
+	ready      bool
+	leaving    bool
+	lame       bool          // drained by an operator
+	lameAt     time.Duration // when that, or its end, was said
+	lameUntil  time.Duration // when nothing idle may be held any more
+	succession succession
+	limit      func(mb int) // told of the megabytes that the process may use
 	// lastAnswer is when, after SIGTERM, all answers must have been given.
 	lastAnswer time.Duration
 }
@@ -121,8 +124,12 @@
 	n.cfg.Settings.MayTell = false
 	n.clients.node = n
 	n.listed = newListed(cfg.MemoryMB)
-	if err := n.clients.listen(); err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
+	n.clients.init()
+	n.succession.join(n)
+	if len(n.succession.others()) == 0 {
+		if err := n.clients.listen(); err != nil {
+			return nil, fmt.Errorf("listen on %s: %w", cfg.Listen, err)
+		}
 	}
 	if err := n.operate(); err != nil {
 		return nil, err
@@ -135,6 +142,7 @@
 		n.policy = policy.New(l.Now(), n.cfg.Settings, cfg.Seed, actions{n})
 		n.members(policy.ListSaved, cfg.Known.Entries)
 	})
+	n.succession.begin()
 	n.follow()
 	return n, nil
 }
@@ -324,11 +332,13 @@
 		longest = max(longest, d)
 	}
 	n.lastAnswer = n.loop.Now() + longest + killAfter
-	log.Printf("event=leaving open=%d clients=%d", len(n.calls), len(n.clients.all))
+	succeeded := n.succession.succeeded()
+	log.Printf("event=leaving open=%d clients=%d succeeded=%t", len(n.calls), len(n.clients.all), succeeded)
 	if n.announcer != nil { // whoever follows the nodes knows before the listener closes
 		n.announcer.Stop(func() {})
 	}
-	n.clients.drain()
+	n.clients.drain(succeeded)
+	n.succession.settle()
 }
 
 // Reload takes the configuration as it is after a change of its file: where discovery is, and the limits. All else
@@ -345,6 +355,7 @@
 		log.Printf("event=reload_ignored listen=%s why=%q", cfg.Listen, "the address is given up only at the end")
 	}
 	n.cfg.MemoryMB, n.cfg.Sockets = cfg.MemoryMB, cfg.Sockets
+	n.tellMemory()
 	if !cfg.Registry.Same(&n.cfg.Registry) {
 		n.cfg.Registry = cfg.Registry
 		n.registry.Move(n.followed())
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -45,7 +45,7 @@
 	switch {
 	case n.leaving:
 		return control.Say(503, "leaving")
-	case !n.ready:
+	case !n.ready || n.clients.listener == nil:
 		return control.Say(503, "starting")
 	case n.lame:
 		return control.Say(200, "ready, draining")
@@ -63,6 +63,7 @@
 	}
 	n.guard("ban", func() { n.policy.Ban(n.loop.Now(), id, on) })
 	n.hands()
+	n.succession.settle() // it is made known before the call is answered
 	log.Printf("event=ban server=%s on=%t", id, on)
 	if on {
 		return control.Say(200, "banned")
@@ -86,19 +87,31 @@
 	}
 }
 
+// drained has the node drain, or take clients again, from a moment on, as said to this process or to another of the node.
+func (n *Node) drained(on bool, at time.Duration) {
+	was := n.lame
+	n.lameAt = at
+	if n.leaving || on == was {
+		return
+	}
+	n.lame = on
+	log.Printf("event=lameduck on=%t open=%d clients=%d", on, len(n.calls), len(n.clients.all))
+	if on {
+		n.lameUntil = at + lameAll
+		n.clients.drain(false)
+	} else {
+		n.clients.resume()
+	}
+}
+
 // lameduck begins and ends a drain; a second call of a kind changes nothing.
 func (n *Node) lameduck(on bool) control.Reply {
 	switch {
 	case n.leaving && !on:
 		return control.Say(409, "the process is ending")
-	case on && !n.lame:
-		n.lame, n.lameUntil = true, n.loop.Now()+lameAll
-		log.Printf("event=lameduck on=true open=%d clients=%d", len(n.calls), len(n.clients.all))
-		n.clients.drain()
-	case !on && n.lame:
-		n.lame = false
-		log.Printf("event=lameduck on=false open=%d clients=%d", len(n.calls), len(n.clients.all))
-		n.clients.resume()
+	default:
+		n.drained(on, n.loop.Now())
+		n.succession.settle()
 	}
 	if n.lame {
 		return control.Say(200, "draining")
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -195,7 +195,7 @@
 
 // room is how many connections the node may have, of clients and to servers; open is how many descriptors they, and what
 // is in reserve, hold. The operators' address has its own.
-func (n *Node) room() int { return n.cfg.Sockets - reserve - n.control.Share() }
+func (n *Node) room() int { return n.sockets() - n.reserve() - n.control.Share() }
 func (n *Node) open() int { return n.loop.Open() - n.control.Open() }
 
 // linkMost is how many of them may be to servers, linkLeast how many clients must leave to servers.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,6 +34,7 @@
 	Listen    string
 	Discovery string
 	Control   string
+	StateDir  string `toml:"state_dir"`
 	Seed      uint64
 	MemoryMB  int `toml:"memory_mb"`
 	Sockets   int
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -89,23 +89,23 @@
 		t.Fatal(err)
 	}
 	for _, c := range []struct{ from, to, want string }{
-		{"memory_mb = 192", "memory = 192", "x.toml:13: node.memory: no such key"},
-		{"memory_mb = 192", "memory_mb = 3", "x.toml:13: node.memory_mb: must be at least 8"},
-		{"sockets = 1024", "sockets = 10", "x.toml:14: node.sockets: must be at least 64"},
+		{"memory_mb = 192", "memory = 192", "x.toml:14: node.memory: no such key"},
+		{"memory_mb = 192", "memory_mb = 3", "x.toml:14: node.memory_mb: must be at least 8"},
+		{"sockets = 1024", "sockets = 10", "x.toml:15: node.sockets: must be at least 64"},
 		{`listen = "127.0.0.1:11211"`, `listen = "here"`, "x.toml:9: node.listen: must be an address"},
 		{`control = ""`, `control = "9901"`, "x.toml:11: node.control: must be an address"},
 		{`control = ""`, `control = "127.0.0.1:11211"`, "x.toml:11: node.control: must not be the address that clients"},
-		{`mode = "aside"`, `mode = "beside"`, "x.toml:18: service.mode: must be aside or through"},
-		{`warm_up = "10s"`, `warm_up = 10`, "x.toml:29: service.warm_up: "},
-		{`warm_up = "10s"`, `warm_up = "10"`, "x.toml:29: service.warm_up: "},
-		{`warm_up = "10s"`, `warm_up = "-1s"`, "x.toml:29: service.warm_up: must be 0s to 1h"},
-		{"cold_from = 0.2", "cold_from = nan", "x.toml:30: service.cold_from: must be above 0 and at most 1"},
-		{"position = 0", "position = 1", "x.toml:22: service.position: must be 0 to one less than balancers"},
-		{`effect = "safe"`, `effect = "sound"`, "x.toml:41: class[1].effect: must be safe, keyed or unsafe"},
-		{`window = "1200ms"`, `window = "0s"`, "x.toml:50: class[2].window: a keyed class needs"},
-		{`name = "put"`, `name = "read"`, "x.toml:47: class[2].name: must be a name that no other class has"},
-		{"quota = 50.0", "quota = -50.0", "x.toml:57: tenant[1].quota: must be 0 to 1000000000"},
-		{"[service]", "[servce]", "x.toml:17: servce"},
+		{`mode = "aside"`, `mode = "beside"`, "x.toml:19: service.mode: must be aside or through"},
+		{`warm_up = "10s"`, `warm_up = 10`, "x.toml:30: service.warm_up: "},
+		{`warm_up = "10s"`, `warm_up = "10"`, "x.toml:30: service.warm_up: "},
+		{`warm_up = "10s"`, `warm_up = "-1s"`, "x.toml:30: service.warm_up: must be 0s to 1h"},
+		{"cold_from = 0.2", "cold_from = nan", "x.toml:31: service.cold_from: must be above 0 and at most 1"},
+		{"position = 0", "position = 1", "x.toml:23: service.position: must be 0 to one less than balancers"},
+		{`effect = "safe"`, `effect = "sound"`, "x.toml:42: class[1].effect: must be safe, keyed or unsafe"},
+		{`window = "1200ms"`, `window = "0s"`, "x.toml:51: class[2].window: a keyed class needs"},
+		{`name = "put"`, `name = "read"`, "x.toml:48: class[2].name: must be a name that no other class has"},
+		{"quota = 50.0", "quota = -50.0", "x.toml:58: tenant[1].quota: must be 0 to 1000000000"},
+		{"[service]", "[servce]", "x.toml:18: servce"},
 	} {
 		if strings.Count(string(text), c.from) != 1 {
 			t.Fatalf("%q is not once in the file", c.from)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,6 +101,16 @@
 	b.regate()
 }
 
+// Drains notes that a server drains, as another process of the node knows by a newer list than this one has.
+func (b *Balancer) Drains(now time.Duration, id string) {
+	b.now = now
+	if s := b.servers[id]; s != nil && s.State == Ready {
+		s.State = Draining
+		b.reindex()
+		b.regate()
+	}
+}
+
 // regate sends on their way the requests held for servers that may get nothing any more.
 func (b *Balancer) regate() {
 	for _, r := range slices.Clone(b.order) {
