Long values go to clients in pieces, the module told when an answer has begun

Need: values of up to 4 MiB, together far over the memory limit. Ruled out: slow servers and time-outs (1 in 100 attempts).

Change: a body object between a server's connection and a client's: nothing is read from the server while the client has not taken what it was given; the line end behind a value is looked at before the client's is written; what breaks off ends the client's connection. policy.Begun binds the request, frees the server's room and lets reads that waited for the fetch go on. A client that takes nothing is given up within 6 s in place of up to 10, also while a long value flows (found by its test).

--- /dev/null
+++ b/cmd/lapisshelf/large_test.go
@@ -0,0 +1,240 @@
+package main
+
+// Values that are far larger than what the node keeps, through the built node.
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// startRaw starts a server that is given each line that comes, with its connection to write what it likes, as slowly as it
+// likes; its return closes the connection if it says so.
+func startRaw(t *testing.T, handle func(conn net.Conn, line string) (closes bool)) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for in := bufio.NewReader(conn); ; {
+					line, err := in.ReadString('\n')
+					if err != nil || handle(conn, strings.TrimRight(line, "\r\n")) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// long is a value in which each place is its own, for a key.
+func long(key string, size int) string {
+	var b strings.Builder
+	for b.Len() < size {
+		fmt.Fprintf(&b, "%s:%d;", key, b.Len())
+	}
+	return b.String()[:size]
+}
+
+// peak is the most memory that a process has held, in MB.
+func (n *process) peak() int {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.Pid()))
+	for line := range strings.Lines(string(text)) {
+		if f := strings.Fields(line); len(f) > 1 && f[0] == "VmHWM:" {
+			kb, _ := strconv.Atoi(f[1])
+			return kb >> 10
+		}
+	}
+	return 0
+}
+
+// Many values of 4 MiB at once, from a cache that gives them in pieces and from the origin, to readers that are slow: far
+// more than the memory holds, each whole, the first bytes at once and small ones not kept waiting.
+func TestLongValuesToSlowReaders(t *testing.T) {
+	const size, readers = 4 << 20, 24
+	cache := startRaw(t, func(conn net.Conn, line string) bool {
+		key := strings.Fields(line)[1]
+		switch {
+		case strings.HasPrefix(key, "o"):
+			fmt.Fprintf(conn, "EN %s\r\n", opaque(line))
+		case strings.HasPrefix(key, "small"):
+			fmt.Fprintf(conn, "VA 5 %s h1\r\nsmall\r\n", opaque(line))
+		default:
+			text := fmt.Sprintf("VA %d %s h1 Lutil=0.1\r\n%s\r\n", size, opaque(line), long(key, size))
+			for len(text) > 0 {
+				n := min(len(text), 70_001)
+				io.WriteString(conn, text[:n])
+				text = text[n:]
+			}
+		}
+		return false
+	})
+	o := startOrigin(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Length", strconv.Itoa(size))
+		io.WriteString(w, long(r.URL.Path[1:], size))
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", cache, "m2"), serving("s-0", o.Addr(), "origin")), func(c map[string]any) {
+		c["limits"] = map[string]any{"memory_mb": 32, "sockets": 1024}
+		patientReads(c)
+	})
+	var done sync.WaitGroup
+	var begun atomic.Int64
+	for i := range readers {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			key := fmt.Sprintf("%c%d", "ko"[i%2], i)
+			want := long(key, size)
+			for try := 0; ; try++ { // one cache takes only so many at once
+				conn, err := net.Dial("tcp", n.addr)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				fmt.Fprintf(conn, "mg %s v O%d-%d Pc=read,d=2900\r\n", key, i, try)
+				in := bufio.NewReaderSize(conn, 16<<10)
+				line, err := in.ReadString('\n')
+				if strings.HasPrefix(line, "SERVER_ERROR busy") && try < 100 {
+					time.Sleep(50 * time.Millisecond)
+					continue
+				}
+				if want := fmt.Sprintf("VA %d O%d-%d\r\n", size, i, try); line != want || err != nil {
+					t.Errorf("%s: %q, %v", key, line, err)
+					return
+				}
+				begun.Add(1)
+				got := make([]byte, size+2)
+				for at := 0; at < len(got); {
+					m, err := in.Read(got[at:min(len(got), at+64<<10)])
+					if at += m; err != nil {
+						t.Errorf("%s: cut off at %d: %v", key, at, err)
+						return
+					}
+					if at < 1<<20 {
+						time.Sleep(5 * time.Millisecond)
+					}
+				}
+				if string(got) != want+"\r\n" {
+					t.Errorf("%s: not what was given", key)
+				}
+				return
+			}
+		}()
+	}
+	eventually(t, "long values flow", func() bool { return begun.Load() > readers/2 })
+	cl := n.dial()
+	for i := range 20 {
+		cl.send(fmt.Sprintf("mg small%d v Os%d Pc=read,d=500\r\n", i, i))
+		cl.want(fmt.Sprintf("VA 5 Os%d", i), "small")
+	}
+	done.Wait()
+	if peak := n.peak(); peak >= 32 {
+		t.Errorf("%d MB of memory at the most", peak)
+	}
+	if got := figures(t, control); got[requests("read", "served")] != readers+20 || got["app_in_flight"] != 0 {
+		t.Errorf("served %v, in flight %v", got[requests("read", "served")], got["app_in_flight"])
+	}
+}
+
+// A long value that breaks off, stops, or does not end where it should: the client can tell, nobody is served with it, and
+// no second answer comes. What waits behind it on the connection is no part of it.
+func TestLongValuesThatBreak(t *testing.T) {
+	const size = 300_000
+	var times atomic.Int64
+	cache := startRaw(t, func(conn net.Conn, line string) bool {
+		key := strings.Fields(line)[1]
+		head := fmt.Sprintf("VA %d %s h1\r\n", size, opaque(line))
+		switch key {
+		case "good":
+			io.WriteString(conn, head+long(key, size)+"\r\n")
+			return false
+		case "breaks":
+			times.Add(1)
+			io.WriteString(conn, head+long(key, size/2))
+			return true
+		case "stops":
+			io.WriteString(conn, head+long(key, size-1))
+			return false
+		case "longer":
+			io.WriteString(conn, head+long(key, size+1)+"\r\n")
+			return false
+		case "other":
+			io.WriteString(conn, fmt.Sprintf("VA %d Oother h1\r\n", size)+long(key, size)+"\r\n")
+			return false
+		}
+		io.WriteString(conn, "VA 3000000000 "+opaque(line)+"\r\n"+long(key, size))
+		return false
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", cache, "m2")), patientReads)
+	for i, key := range []string{"breaks", "stops", "longer"} {
+		cl := n.dial()
+		cl.send(fmt.Sprintf("mg good v Oa%d Pc=read,d=2900\r\nmg %s v Ob%d Pc=read,d=2900\r\n", i, key, i))
+		cl.want(fmt.Sprintf("VA %d Oa%d", size, i), long("good", size))
+		cl.conn.SetReadDeadline(time.Now().Add(patience))
+		line, _ := cl.in.ReadString('\n')
+		rest, err := io.ReadAll(cl.in)
+		if line != fmt.Sprintf("VA %d Ob%d\r\n", size, i) || err != nil || len(rest) > size || !strings.HasPrefix(long(key, size+1), string(rest)) {
+			t.Errorf("%s: %q and %d bytes, %v", key, line, len(rest), err)
+		}
+	}
+	cl := n.dial()
+	for i, key := range []string{"other", "huge"} { // told by the head: nothing goes on, and another try may be made
+		cl.send(fmt.Sprintf("mg %s v Oc%d Pc=read,d=900\r\n", key, i))
+		if line, _ := cl.answer(); !strings.HasPrefix(line, "SERVER_ERROR ") {
+			t.Errorf("%s: %q", key, line)
+		}
+	}
+	if times.Load() != 1 {
+		t.Errorf("%d attempts for one that had begun to flow", times.Load())
+	}
+	got := figures(t, control)
+	if got[requests("read", "failed")] < 3 || got[requests("read", "served")] != 3 || got["app_in_flight"] != 0 {
+		t.Errorf("served %v, failed %v, in flight %v", got[requests("read", "served")], got[requests("read", "failed")], got["app_in_flight"])
+	}
+}
+
+// Clients that stop reading a long value, or leave in its midst, give back what it holds; its server's connection is not
+// left behind.
+func TestReadersThatLeave(t *testing.T) {
+	const size = 4 << 20
+	var open atomic.Int64
+	cache := startRaw(t, func(conn net.Conn, line string) bool {
+		open.Add(1)
+		defer open.Add(-1)
+		_, err := io.WriteString(conn, fmt.Sprintf("VA %d %s h1\r\n%s\r\n", size, opaque(line), long("k", size)))
+		return err != nil
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", cache, "m2")), patientReads)
+	for i := range 4 {
+		cl := n.dial()
+		cl.conn.(*net.TCPConn).SetReadBuffer(8 << 10)
+		cl.send(fmt.Sprintf("mg k v O%d Pc=read,d=2900\r\n", i))
+		if line, err := cl.in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "VA ") {
+			t.Fatalf("%q, %v", line, err)
+		}
+		if i%2 == 0 {
+			cl.conn.Close()
+		}
+	}
+	eventually(t, "all is given back", func() bool { return open.Load() == 0 && figures(t, control)["app_in_flight"] == 0 })
+}
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -74,36 +74,51 @@
 // Next parses the first answer, whose body may hold at most limit bytes. It returns how many bytes that took: 0 when
 // more must come first. Ended says that the other end has finished, which ends a body of no stated length.
 func Next(data []byte, limit int, ended bool) (a Answer, used int, err error) {
+	a, _, used, err = Head(data)
+	if err != nil || used == 0 {
+		if err == nil && ended {
+			err = ErrCutOff
+		}
+		return a, 0, err
+	}
+	n, err := a.body(data[used:], limit, ended)
+	if n < 0 || err != nil {
+		return Answer{}, 0, err
+	}
+	return a, used + n, nil
+}
+
+// Head parses the head of the first answer whose status is final. It returns how many bytes that took, 0 when more must
+// come first, and the length of the body behind it, -1 where only the body itself tells that, or nothing.
+func Head(data []byte) (a Answer, length, used int, err error) {
 	for {
 		head := headEnd(data[used:])
-		if head == 0 {
-			switch {
-			case len(data)-used > MaxHead:
-				return a, 0, ErrLarge
-			case ended:
-				return a, 0, ErrCutOff
-			}
-			return a, 0, nil
-		}
-		if head > MaxHead {
-			return a, 0, ErrLarge
+		switch {
+		case head == 0 && len(data)-used > MaxHead, head > MaxHead:
+			return a, 0, 0, ErrLarge
+		case head == 0:
+			return a, 0, 0, nil
 		}
 		if a, err = parseHead(data[used : used+head]); err != nil {
-			return a, 0, err
+			return a, 0, 0, err
 		}
 		used += head
+		if a.Status == 101 { // nobody asked for another protocol
+			return a, 0, 0, ErrMalformed
+		}
 		if a.Status >= 200 {
 			break
 		}
-		if a.Status == 101 { // nobody asked for another protocol
-			return a, 0, ErrMalformed
-		}
 	}
-	n, err := a.body(data[used:], limit, ended)
-	if n < 0 || err != nil {
-		return Answer{}, 0, err
+	var s Stream
+	s.Head = a
+	if err := s.frame(); err != nil {
+		return a, 0, 0, err
 	}
-	return a, used + n, nil
+	if a = s.Head; s.state != inBody || s.left < 0 {
+		return a, -1, used, nil
+	}
+	return a, int(s.left), used, nil
 }
 
 // parseHead reads the first line and the headers.
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -14,6 +14,7 @@
 	MaxLine  = 4096     // bytes of a line, without its end
 	MaxKey   = 250      // bytes of a key
 	MaxValue = 64 << 10 // bytes of a value, usually; the caller says how many it has room for
+	MaxLong  = 4 << 20  // bytes of a value that goes through in pieces
 	MaxSkip  = 4        // times that room: a larger value is not passed over
 	MaxID    = 64       // bytes of a request's id
 )
@@ -265,11 +266,12 @@
 	Receipt []byte
 	Hit     byte // '1' or '0' where the cache tells, else 0
 	Waits   bool // Z: another fetch of the key is out
+	Long    int  // bytes of a long value, which is not in Value: it follows, and a line end behind it
 }
 
-// NextAnswer parses the first answer, whose value may hold at most so many bytes. It returns how many bytes that took: 0
-// when more must come first.
-func NextAnswer(data []byte, most int) (a Answer, used int, err error) {
+// NextAnswer parses the first answer. It returns how many bytes that took: 0 when more must come first. A value of more
+// than whole bytes is not waited for: only the line is used, and Long says how many follow; there may be most.
+func NextAnswer(data []byte, whole, most int) (a Answer, used int, err error) {
 	line, used, err := cutLine(data)
 	if err != nil {
 		return a, 0, ErrAnswer
@@ -310,6 +312,10 @@
 	if (a.Status == Value || a.Status == Stored || a.Status == Absent) && len(a.ID) == 0 {
 		return a, 0, ErrAnswer // which request it answers must be told
 	}
+	if size > whole {
+		a.Long = size
+		return a, used, nil
+	}
 	if size >= 0 {
 		if len(data) < used+size+2 {
 			return Answer{}, 0, nil
@@ -351,10 +357,13 @@
 
 // AppendValue writes the answer that serves a read.
 func AppendValue(buf, id, value []byte) []byte {
-	buf = strconv.AppendInt(append(buf, "VA "...), int64(len(value)), 10)
-	buf = append(append(buf, " O"...), id...)
-	buf = append(append(buf, "\r\n"...), value...)
-	return append(buf, "\r\n"...)
+	return append(append(AppendValueHead(buf, id, len(value)), value...), "\r\n"...)
+}
+
+// AppendValueHead writes the line of such an answer, behind which the value follows and a line end.
+func AppendValueHead(buf, id []byte, size int) []byte {
+	buf = strconv.AppendInt(append(buf, "VA "...), int64(size), 10)
+	return append(append(append(buf, " O"...), id...), "\r\n"...)
 }
 
 // AppendStored writes the answer that serves a write.
--- /dev/null
+++ b/internal/node/body.go
@@ -0,0 +1,167 @@
+package node
+
+import (
+	"time"
+
+	"lapisshelf/internal/loop"
+	"lapisshelf/internal/meta"
+)
+
+const (
+	bodyStall = 3 * time.Second // how long a server may give nothing of a long value
+	bodyKept  = 64 << 10        // bytes of one that may wait for their turn
+)
+
+// body is a long value on its way from a server to a client: nothing of it is kept but what waits for its turn, and what
+// the client's connection has not handed to the system. While that is something, nothing is read from the server.
+type body struct {
+	link  *link
+	try   *try // nil once nobody waits: what comes is passed over
+	size  int
+	left  int    // bytes of the value to come
+	tail  string // what must come behind it still
+	close bool   // the connection carries nothing after it
+	kept  []byte // come before its turn
+	begun bool   // the client has been given the beginning
+	heard time.Duration
+	timer *loop.Timer
+}
+
+// receive begins a long value: the request is bound to the attempt from here on. The module is told, so that it neither tries
+// again nor counts the attempt against the server, however long the client takes.
+func (l *link) receive(t *try, a answer) {
+	n := l.pool.node
+	b := &body{link: l, try: t, size: a.long, left: a.long, tail: a.tail, close: a.close, heard: n.loop.Now()}
+	l.body = b
+	b.timer = n.loop.After(bodyStall, b.look)
+	if t == nil || t.call.answered || t.call.body != nil {
+		b.try = nil
+		return
+	}
+	c := t.call
+	t.timer.Stop()
+	c.timer.Stop()
+	c.body = b
+	n.count.bodies++
+	n.guard("begun", func() { n.policy.Begun(n.loop.Now(), c.id, t.n) })
+	c.client.flush() // its turn may have come
+}
+
+// take takes what belongs to the value off what has come.
+func (b *body) take(data []byte) (used int, ok bool) {
+	b.heard = b.link.pool.node.loop.Now()
+	if n := min(b.left, len(data)); n > 0 {
+		b.pass(data[:n])
+		b.left -= n
+		used = n
+	}
+	// Guards against passing on as whole a value that was longer or shorter than it said: its own line end comes last.
+	for b.left == 0 && b.tail != "" && used < len(data) {
+		if data[used] != b.tail[0] {
+			return used, false
+		}
+		b.tail = b.tail[1:]
+		used++
+	}
+	return used, true
+}
+
+// whole reports whether all has come.
+func (b *body) whole() bool { return b.left == 0 && b.tail == "" }
+
+// pass gives a piece to the client, or keeps it until its turn.
+func (b *body) pass(data []byte) {
+	switch {
+	case b.try == nil:
+	case b.begun:
+		b.try.call.client.conn.Write(data)
+		b.try.call.client.account()
+		b.try.call.client.watch()
+	default:
+		b.kept = append(b.kept, data...)
+	}
+	b.flow()
+}
+
+// flow reads on, or not while the client has not taken what it was given.
+func (b *body) flow() {
+	stop := false
+	if b.try != nil {
+		if c := b.try.call.client; b.begun {
+			stop = c.conn.Pending() > 0
+		} else {
+			stop = len(b.kept) >= bodyKept
+		}
+	}
+	if !stop {
+		b.heard = b.link.pool.node.loop.Now()
+	}
+	b.link.conn.Pause(stop)
+	b.link.paused = stop
+}
+
+// begin gives the client the beginning, at the answer's turn on its connection.
+func (b *body) begin(c *client) {
+	b.begun = true
+	head := meta.AppendValueHead(make([]byte, 0, len(b.kept)+64), b.try.call.command.ID, b.size)
+	c.conn.Write(append(head, b.kept...))
+	b.kept = nil
+	b.link.account()
+	b.flow()
+}
+
+// look ends a value of which nothing comes though it could.
+func (b *body) look() {
+	l := b.link
+	n := l.pool.node
+	silent := n.loop.Now() - b.heard
+	if l.paused {
+		silent = 0
+	}
+	if silent >= bodyStall {
+		l.bad("a long value that stops in its midst")
+		return
+	}
+	b.timer = n.loop.After(bodyStall-silent, b.look)
+}
+
+// nobody has what comes passed over.
+func (b *body) nobody() {
+	b.try, b.kept = nil, nil
+	b.link.account()
+	b.flow()
+}
+
+// end ends the request to which the value belongs: whole, or broken off, which its client must be able to tell.
+func (b *body) end(c *call, whole bool) {
+	n := b.link.pool.node
+	c.body = nil
+	id := c.command.ID
+	switch {
+	case whole && !b.begun:
+		n.reply(c, append(append(meta.AppendValueHead(nil, id, b.size), b.kept...), "\r\n"...), served)
+	case whole:
+		n.reply(c, []byte("\r\n"), served)
+	case !b.begun:
+		n.reply(c, []byte(failure), failed)
+	default:
+		// Guards against an answer behind that one, which would be taken for the rest of the value.
+		n.count.brokenOff++
+		n.end(c.class, failed)
+		n.inFlight--
+		c.answered = true
+		c.client.breakOff()
+	}
+}
+
+// breakOff ends a connection in the midst of an answer: with its end the client knows that it is not whole.
+func (c *client) breakOff() {
+	calls := c.calls
+	c.conn.Finish(lingerFor)
+	c.drop()
+	for _, k := range calls {
+		if k != nil && !k.answered {
+			c.node.abandon(k)
+		}
+	}
+}
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -18,8 +18,8 @@
 	return meta.AppendForward(buf, &t.call.command, max(1, wait.Milliseconds()))
 }
 
-func (cacheProtocol) answer(data []byte, t *try, most int, _ bool) (answer, int, error) {
-	m, used, err := meta.NextAnswer(data, most)
+func (cacheProtocol) answer(data []byte, t *try, _ int, _ bool) (answer, int, error) {
+	m, used, err := meta.NextAnswer(data, meta.MaxValue, meta.MaxLong)
 	if err != nil || used == 0 {
 		return answer{}, 0, err
 	}
@@ -32,7 +32,7 @@
 			return answer{}, 0, meta.ErrAnswer // an answer to another kind of request
 		}
 	}
-	a := answer{value: m.Value, receipt: m.Receipt}
+	a := answer{value: m.Value, receipt: m.Receipt, long: m.Long, tail: "\r\n"}
 	switch m.Status {
 	case meta.Value:
 		a.outcome = policy.OK
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -59,7 +59,8 @@
 	bad     int           // commands that were none
 	asked   bool          // a whole command has come
 	slow    *loop.Timer   // set while answers stand unread
-	taken   int64         // what the client had taken when slow was set
+	taken   int64         // what the client had taken when last looked at
+	moved   time.Duration // when that was seen to grow
 	owed    int           // bytes held for it, answers not taken and commands not whole, as counted by the node
 	waiting int           // of these, what waits for answers before them
 	last    bool          // nothing more is taken: it closes after the answers owed
@@ -463,6 +464,14 @@
 		c.conn.Write(k.answer)
 		k.answer, k.client = nil, nil
 	}
+	if len(c.calls) > 0 && c.calls[0].body != nil {
+		if b := c.calls[0].body; b.begun {
+			b.flow()
+		} else {
+			b.begin(c)
+		}
+		c.used = c.node.loop.Now()
+	}
 	c.account()
 	c.watch()
 	if c.parsing {
@@ -539,16 +548,24 @@
 	if c.slow != nil {
 		return
 	}
-	// Guards against taking a slow reader for a dead one: the system hands over what it holds long before it asks
-	// for more, so only what the client has acknowledged tells.
-	c.taken = c.conn.Taken()
-	c.slow = c.node.loop.After(slowFor, func() {
-		c.slow = nil
-		if c.conn.Taken() == c.taken {
+	c.taken, c.moved = c.conn.Taken(), c.node.loop.Now()
+	c.look()
+}
+
+// look gives up a client that has taken nothing for long.
+func (c *client) look() {
+	c.slow = c.node.loop.After(slowFor/5, func() {
+		// Guards against taking a slow reader for a dead one: the system hands over what it holds long before it asks
+		// for more, so only what the client has acknowledged tells.
+		now, taken := c.node.loop.Now(), c.conn.Taken()
+		if taken != c.taken {
+			c.taken, c.moved = taken, now
+		}
+		if now-c.moved >= slowFor {
 			c.giveUp()
 			return
 		}
-		c.watch()
+		c.look()
 	})
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,7 @@
 	deadline time.Duration // the client's
 	end      time.Duration // until then attempts may run
 	answer   []byte        // complete, waiting for its turn on the connection
+	body     *body         // a long value that it is bound to, while that comes
 	answered bool
 	tries    []*try
 	open     int
@@ -109,9 +110,11 @@
 	note    policy.Note
 	value   []byte
 	receipt []byte
-	stored  bool // served without a value: a receipt
-	close   bool // the connection carries nothing after it
-	kept    bool // of a reset: the connection had answered before
+	stored  bool   // served without a value: a receipt
+	long    int    // bytes of a long value, which follows
+	tail    string // what must stand behind that
+	close   bool   // the connection carries nothing after it
+	kept    bool   // of a reset: the connection had answered before
 }
 
 // New builds a node that listens and follows the list. Nothing happens until the loop runs.
@@ -208,11 +211,16 @@
 	if c.answered {
 		return
 	}
+	b := c.body
+	c.body = nil
 	n.count.abandoned++
 	n.inFlight--
 	c.answered = true
 	c.timer.Stop()
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
+	if b != nil { // what comes of it has nowhere to go
+		b.try.pool.cancel(b.try)
+	}
 	n.settle(c)
 }
 
@@ -236,7 +244,9 @@
 	c := t.call
 	c.open--
 	n.count.outcome(a.outcome)
-	if a.outcome == policy.OK && !c.answered {
+	if b := c.body; b != nil && b.try == t {
+		b.end(c, a.outcome == policy.OK)
+	} else if a.outcome == policy.OK && !c.answered && b == nil {
 		var text []byte
 		if id := c.command.ID; a.stored {
 			text = meta.AppendStored(nil, id, a.receipt)
@@ -301,6 +311,9 @@
 	if c == nil || k < 0 || k >= len(c.tries) || c.tries[k].done {
 		return
 	}
+	if b := c.body; b != nil && b.try == c.tries[k] {
+		return // its value has begun to flow
+	}
 	t := c.tries[k]
 	a.n.loop.Later(func() { t.pool.cancel(t) })
 }
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -31,8 +31,11 @@
 }
 
 func (originProtocol) answer(data []byte, t *try, most int, ended bool) (answer, int, error) {
-	h, used, err := httpc.Next(data, most, ended)
-	if err != nil || used == 0 {
+	h, length, used, err := httpc.Head(data)
+	if err == nil && used > 0 && h.Status == 200 && length > meta.MaxValue && length <= meta.MaxLong && (t == nil || t.call.command.Kind == meta.Get) {
+		return answer{outcome: policy.OK, long: length, close: h.Close}, used, nil
+	}
+	if h, used, err = httpc.Next(data, most, ended); err != nil || used == 0 {
 		return answer{}, 0, err
 	}
 	a := answer{close: h.Close}
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -17,6 +17,7 @@
 	request(buf []byte, t *try, wait time.Duration) []byte
 	// answer takes the first answer, whose value may hold so many bytes, off what has come; used is 0 when more must
 	// come first.
+	// A value of over meta.MaxValue bytes is not waited for where its length is told: it follows what was used.
 	answer(data []byte, t *try, most int, ended bool) (a answer, used int, err error)
 	// pipelines reports whether a request may be written behind another.
 	pipelines() bool
@@ -55,8 +56,10 @@
 	since  time.Duration
 	up     bool
 	gone   bool
-	served bool // an answer has come on it
-	old    bool // the server has moved or the connection is ending: nothing new goes here
+	served bool  // an answer has come on it
+	body   *body // a long value that is coming
+	paused bool  // nothing is read, as its client takes nothing
+	old    bool  // the server has moved or the connection is ending: nothing new goes here
 }
 
 // pool brings the connections to a listed server in line with its entry.
@@ -225,7 +228,7 @@
 	}
 	var best *link
 	for _, l := range p.links {
-		if !l.old && len(l.tries) < p.node.cfg.Transport.PerConn && (best == nil || len(l.tries) < len(best.tries)) {
+		if !l.old && l.body == nil && len(l.tries) < p.node.cfg.Transport.PerConn && (best == nil || len(l.tries) < len(best.tries)) {
 			best = l
 		}
 	}
@@ -279,6 +282,10 @@
 	l.unrest()
 	l.conn.Close()
 	l.input = nil
+	if l.body != nil {
+		l.body.kept = nil
+		l.body.timer.Stop()
+	}
 	l.account()
 	p := l.pool
 	p.links = slices.DeleteFunc(p.links, func(x *link) bool { return x == l })
@@ -288,8 +295,12 @@
 
 // account keeps the node's count of the bytes of answers that are not whole.
 func (l *link) account() {
-	l.pool.node.coming += cap(l.input) - l.held
-	l.held = cap(l.input)
+	held := cap(l.input)
+	if l.body != nil {
+		held += cap(l.body.kept)
+	}
+	l.pool.node.coming += held - l.held
+	l.held = held
 }
 
 // over ends the connection and all that is out on it: what was not written whole has never run, the rest may have.
@@ -347,6 +358,9 @@
 	if i := slices.Index(l.tries, t); i >= 0 {
 		l.tries[i] = nil
 	}
+	if l.body != nil && l.body.try == t {
+		l.body.nobody()
+	}
 	if !l.carries() || end.outcome != policy.Cancelled {
 		l.over()
 	}
@@ -367,7 +381,7 @@
 // End implements loop.Handler.
 func (l *link) End(error) {
 	l.old = true
-	if len(l.tries) > 0 && l.tries[0] != nil && len(l.input) > 0 { // an answer may end with its connection
+	if l.body == nil && len(l.tries) > 0 && l.tries[0] != nil && len(l.input) > 0 { // an answer may end with its connection
 		if a, used, err := l.pool.proto.answer(l.input, l.tries[0], l.pool.node.valueMost(), true); err == nil && used > 0 {
 			t := l.tries[0]
 			l.tries = l.tries[1:]
@@ -389,6 +403,20 @@
 		data = l.input
 	}
 	for len(data) > 0 && !l.gone {
+		if l.body != nil {
+			used, ok := l.body.take(data)
+			if l.gone { // its client's connection has broken under it
+				return
+			}
+			if !ok {
+				l.bad("a long value that does not end where it should")
+				return
+			}
+			if data = data[used:]; l.body.whole() {
+				l.received(len(data) == 0)
+			}
+			continue
+		}
 		if len(l.tries) == 0 {
 			// What comes behind a good answer does not spoil that one, but must never become the next request's answer.
 			l.pool.node.count.surplus++
@@ -410,6 +438,11 @@
 		}
 		data = data[used:]
 		l.served = true
+		if a.long > 0 {
+			l.input, kept = nil, false
+			l.receive(t, a)
+			continue
+		}
 		l.tries = l.tries[1:]
 		l.old = l.old || a.close
 		if len(data) == 0 {
@@ -441,17 +474,38 @@
 		l.bad("no room for more answers at once")
 		return
 	}
-	if len(l.input) > 0 {
+	if len(l.input) > 0 && l.body == nil {
 		// Guards against an answer that says it is longer than it is: its connection stays open and silent, and without
 		// this the attempt would last until its time-out.
 		l.timer = l.pool.node.loop.After(l.pool.node.stall(), func() { l.bad("an answer that stops in its midst") })
 	}
-	if len(l.tries) > 0 && !l.carries() { // guards against a descriptor held for answers that nobody waits for
+	if len(l.tries) > 0 && !l.carries() && l.body == nil { // guards against a descriptor held for answers that nobody waits for
 		l.over()
 	}
 	l.rest()
 }
 
+// received ends a long value of which all has come.
+func (l *link) received(last bool) {
+	b := l.body
+	l.body = nil
+	b.timer.Stop()
+	l.conn.Pause(false)
+	l.paused = false
+	t := l.tries[0]
+	l.tries = l.tries[1:]
+	l.old = l.old || b.close
+	if last && !b.close {
+		l.rest()
+	}
+	if t != nil {
+		l.finish(t, answer{outcome: policy.OK})
+	}
+	if b.close {
+		l.over()
+	}
+}
+
 // stall is how long an answer may stop in its midst.
 func (n *Node) stall() time.Duration { return cmp.Or(n.cfg.Transport.ConnectTimeout, usualStall) }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -467,13 +467,11 @@
 	a := r.tries[res.N]
 	a.done, a.clean = true, res.Outcome.NeverRan()
 	r.out--
-	a.srv.drop(a, b.now)
-	if !a.origin {
-		b.out--
+	if a.begun == 0 {
+		b.free(a)
 	}
 	b.learn(a, res)
 	if b.set.Mode == Through {
-		b.origin.drop(a, b.now)
 		b.learnKey(a, res)
 		defer b.admit(b.origin)
 	}
@@ -496,6 +494,33 @@
 	}
 }
 
+// Begun notes that an answer has begun to flow. The request is bound to the attempt: it gets no other, and no
+// time-out. The server has done its part: how long the client takes to read is not held against its room or the
+// reads that wait for the fetch (large values).
+func (b *Balancer) Begun(now time.Duration, id string, n int) {
+	b.now = now
+	r := b.open[id]
+	if r == nil || n < 0 || n >= len(r.tries) || r.tries[n].done || r.tries[n].begun > 0 {
+		return
+	}
+	a := r.tries[n]
+	a.begun, a.srv.heard = now, now
+	b.free(a)
+	b.release(r, true)
+	b.admit(a.srv)
+}
+
+// free gives back the room that an attempt takes.
+func (b *Balancer) free(a *attempt) {
+	a.srv.drop(a, b.now)
+	if !a.origin {
+		b.out--
+	}
+	if b.set.Mode == Through {
+		b.origin.drop(a, b.now)
+	}
+}
+
 // learn keeps a server's signs of life, its limit and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
 	s, o := a.srv, res.Outcome
@@ -506,7 +531,7 @@
 	}
 	if o != Moot && o != Cancelled && o != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
-		late := o == Full || b.now-a.at > a.req.class.Aim/2 && !a.req.Write
+		late := o == Full || a.took(b.now) > a.req.class.Aim/2 && !a.req.Write
 		if !a.judged {
 			b.steer(s, a.at, late && (o == Full || !a.alone()))
 		}
@@ -625,7 +650,7 @@
 	for _, r := range slices.Clone(b.order) {
 		b.admit(r.held)
 		for _, a := range r.tries { // news that waits for the end comes too late (launceston-platform big-2)
-			if !a.done && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
+			if !a.done && a.begun == 0 && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
 				if a.judged = true; !a.alone() {
 					b.steer(a.srv, a.at, true)
 				} else if quiet := b.now-a.srv.cutAt > b.set.FallWindow; quiet && a.origin && b.now < r.aim &&
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 // What the decisions in policy.go remember, and its plain upkeep. Nothing is decided here.
 
 import (
+	"cmp"
 	"encoding/binary"
 	"hash"
 	"hash/fnv"
@@ -48,6 +49,7 @@
 	req    *request
 	srv    *server
 	at     time.Duration
+	begun  time.Duration // when its answer began to flow, where that is told
 	done   bool
 	judged bool // known to be late before its end
 	clean  bool // proven never to have run
@@ -190,14 +192,6 @@
 	}
 }
 
-// Begun notes that an answer has started to flow.
-func (b *Balancer) Begun(now time.Duration, id string, n int) {
-	b.now = now
-	if r := b.open[id]; r != nil && n < len(r.tries) {
-		r.tries[n].srv.heard = now
-	}
-}
-
 // Known tells how many caches the list has, and how many of these are avoided now.
 func (b *Balancer) Known(now time.Duration) (listed, avoided int) {
 	b.now = now
@@ -253,19 +247,22 @@
 	return list
 }
 
+// took is how long the answer to an attempt took, or has taken by now, to its first byte where that is told.
+func (a *attempt) took(now time.Duration) time.Duration { return cmp.Or(a.begun, now) - a.at }
+
 // tally counts how an attempt ended. A miss counts as answered when the origin has answered it.
 func (b *Balancer) tally(a *attempt, o Outcome) {
 	if o == OK || o == Miss || o == Errored || o == Full {
 		a.srv.heard = b.now
 	}
-	if (o == OK || o == Miss) && b.now-a.at <= a.req.class.Aim/2 {
+	if (o == OK || o == Miss) && a.took(b.now) <= a.req.class.Aim/2 {
 		a.srv.prompt = max(a.srv.prompt, a.at)
 	}
 	if o == OK && !(a.origin && a.req.Write) {
 		b.answers.add(b.now, b.set.FallWindow)
 	}
 	if o == OK && !a.origin {
-		b.timed(float64(b.now - a.at))
+		b.timed(float64(a.took(b.now)))
 	}
 	if o == TimedOut && !a.origin {
 		b.lost.add(b.now, b.set.FallWindow)
