--- a/policy/policy.go
+++ b/policy/policy.go
@@ -81,9 +81,9 @@
 	b.Hand(now, Hand{ID: id, Banned: on, At: now, Since: h.Since, Back: h.Back})
 }
 
-// Hand takes what was said of a server by hand, to this process of the node or to another; the latest word holds.
-// Whoever lifts a ban vouches for the server: what was held against it is void. It counts as started then, unless
-// the list tells of a start since the ban: it was banned to be restarted, and the list is seconds late.
+// Hand takes what was said of a server by hand, to this process of the node or to another: the latest word
+// holds. Whoever lifts a ban vouches for the server: what was held against it is void. It counts as started
+// then, unless the list tells of a start since the ban: it was banned to be restarted, and the list is late.
 func (b *Balancer) Hand(now time.Duration, h Hand) {
 	b.now = now
 	s, was := b.servers[h.ID], b.hands[h.ID]
@@ -495,8 +495,8 @@
 }
 
 // Begun notes that an answer has begun to flow. The request is bound to the attempt: it gets no other, and no
-// time-out. The server has done its part: how long the client takes to read is not held against its room or the
-// reads that wait for the fetch (large values).
+// time-out. The server has done its part: how long the client takes to read is not held against its room or
+// the reads that wait for the fetch (large values).
 func (b *Balancer) Begun(now time.Duration, id string, n int) {
 	b.now = now
 	r := b.open[id]
