Long values come whole through drains and a process's end

(2) At an upgrade the old process is killed at the longest deadline and 0.7 s; a trace of what it held then: 1 to 3 long values with 0.1 to 0.5 MB of 3 MB not taken by the system, which had 1.6 MB in its buffers.

Change: a drain leaves a connection alone while it owes anything; at the end of a process the system is asked to take all that is left of an answer (SO_SNDBUF, bounded by the memory limit), so that it outlives the process. A long value binds its request only once 4 KiB of it have come (a short answer that says it is long was lost when its time was up: lab, garbled-cache), and a time-out behind one that flows does not end its connection. Not taken: handing descriptors of such connections to the successor, which does nothing for a planned end without one.

--- a/cmd/lapisshelf/large_test.go
+++ b/cmd/lapisshelf/large_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -238,3 +239,31 @@
 	}
 	eventually(t, "all is given back", func() bool { return open.Load() == 0 && figures(t, control)["app_in_flight"] == 0 })
 }
+
+// A process that is killed at the end of its time, as at an upgrade, leaves what a slow reader has yet to take with the
+// system: the long value comes whole.
+func TestALongValueOutlivesItsProcess(t *testing.T) {
+	const size = 4 << 20
+	if text, _ := os.ReadFile("/proc/sys/net/core/wmem_max"); len(strings.TrimSpace(string(text))) < len("4194304") {
+		t.Skipf("the system holds %s bytes of a connection at the most", text)
+	}
+	cache := startRaw(t, func(conn net.Conn, line string) bool {
+		fmt.Fprintf(conn, "VA %d %s h1\r\n%s\r\n", size, opaque(line), long("k", size))
+		return false
+	})
+	n, _ := operated(t, startDiscovery(t, serving("s-1", cache, "m2")), patientReads)
+	cl := n.dial()
+	cl.send("mg k v O1 Pc=read,d=900\r\n")
+	if line, err := cl.in.ReadString('\n'); err != nil || !strings.HasPrefix(line, "VA ") {
+		t.Fatalf("%q, %v", line, err)
+	}
+	n.signal(syscall.SIGTERM)
+	eventually(t, "it leaves", func() bool { return strings.Contains(n.log(), "event=leaving") })
+	time.Sleep(2 * time.Second)
+	n.signal(syscall.SIGKILL)
+	n.wait()
+	cl.conn.SetReadDeadline(time.Now().Add(patience))
+	if rest, err := io.ReadAll(cl.in); err != nil || string(rest) != long("k", size)+"\r\n" {
+		t.Errorf("%d bytes of %d, %v", len(rest), size+2, err)
+	}
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -108,6 +108,19 @@
 // Queued is the number of bytes written or waiting to be: where the next byte will stand.
 func (c *Conn) Queued() int64 { return c.written + int64(len(c.out)) }
 
+// Deepen asks the system for room for so many bytes more than it holds for the other end to take. It gives what its own
+// bounds allow, and never less than before.
+func (c *Conn) Deepen(bytes int) {
+	if c.closed || c.last {
+		return
+	}
+	was, err := unix.GetsockoptInt(c.source.fd, unix.SOL_SOCKET, unix.SO_SNDBUF)
+	// The system doubles what it is told, for its own bookkeeping; so does what it tells.
+	if want := int(c.written-c.Taken()) + bytes; err == nil && 2*want > was {
+		unix.SetsockoptInt(c.source.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, want)
+	}
+}
+
 // Pending is the number of bytes that wait to be handed to the system.
 func (c *Conn) Pending() int { return len(c.out) }
 
@@ -318,6 +331,21 @@
 // Steers reports whether new connections come to this one alone of those that share its address.
 func (ln *Listener) Steers() bool { return ln.steers }
 
+// Addr is the address that it listens on.
+func (ln *Listener) Addr() netip.AddrPort {
+	at, err := unix.Getsockname(ln.source.fd)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	switch at := at.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(at.Addr), uint16(at.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(at.Addr), uint16(at.Port))
+	}
+	return netip.AddrPort{}
+}
+
 // Share lets other processes of the same user listen on the same address, or no more of them. While it is not shared
 // the system refuses them: two by mistake would divide the connections between them unnoticed.
 func (ln *Listener) Share(on bool) {
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"log"
 	"time"
 
 	"lapisshelf/internal/loop"
@@ -10,6 +11,9 @@
 const (
 	bodyStall = 3 * time.Second // how long a server may give nothing of a long value
 	bodyKept  = 64 << 10        // bytes of one that may wait for their turn
+	// bodyFirst is how many bytes of a long value must have come before the request is bound to it. Guards against a short
+	// answer that says it is long and stops: bound to it, a request was lost when its time was up (lab, garbled-cache).
+	bodyFirst = 4 << 10
 )
 
 // body is a long value on its way from a server to a client: nothing of it is kept but what waits for its turn, and what
@@ -147,6 +151,7 @@
 	default:
 		// Guards against an answer behind that one, which would be taken for the rest of the value.
 		n.count.brokenOff++
+		log.Printf("event=broken_off id=%s server=%s left=%d", c.id, b.link.pool.id, b.left)
 		n.end(c.class, failed)
 		n.inFlight--
 		c.answered = true
@@ -165,3 +170,19 @@
 		}
 	}
 }
+
+// deepen has the system take all that is left of a client's answer, once, as far as the node's memory would have room for
+// that. Guards against a process that is killed at the end of its time under a slow reader: what the system has taken
+// goes on without it (launceston-platform, bulk+upgrade 4: 2 to 4 long values of 235 cut off, 0.5 MB of 3 MB not taken).
+func (c *client) deepen() {
+	n, rest := c.node, c.conn.Pending()
+	if len(c.calls) > 0 && c.calls[0].body != nil {
+		rest += c.calls[0].body.left
+	}
+	if rest == 0 || c.deep > 0 || n.deep+rest > n.memoryMB()<<20 {
+		return
+	}
+	c.deep = rest
+	n.deep += rest
+	c.conn.Deepen(rest)
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -66,6 +66,7 @@
 	last    bool          // nothing more is taken: it closes after the answers owed
 	excess  bool          // accepted into the reserve
 	parting bool          // it closes after an answer
+	deep    int           // bytes for which the system was asked to make room, at the end of the process
 	gone    bool
 	parsing bool // commands are being taken
 	again   bool // what had to wait will be looked at
@@ -241,8 +242,16 @@
 	}
 	due := n.lame && n.loop.Now() >= n.lameUntil
 	for c := range s.all {
+		if n.leaving {
+			c.deepen()
+		}
+		if len(c.calls) > 0 || c.conn.Pending() > 0 {
+			// Guards against ending the connection of a slow reader before the system has taken the end of its answer
+			// (launceston-platform, bulk+drain 3: one long value in 250 cut off in its last bytes).
+			continue
+		}
 		// Guards against a connection that a drained node still holds after the time it has for that.
-		if len(c.calls) == 0 && (c.rested() || due && !c.conn.Stale()) {
+		if c.rested() || due && !c.conn.Stale() {
 			c.finish()
 		}
 	}
@@ -572,6 +581,7 @@
 // giveUp closes a connection that does not take what it is owed.
 func (c *client) giveUp() {
 	c.node.count.clientsSlow++
+	log.Printf("event=client_slow pending=%d held=%d", c.conn.Pending(), c.owed)
 	c.conn.Close()
 	c.End(nil)
 }
@@ -645,6 +655,7 @@
 	c.gone = true
 	c.slow.Stop()
 	c.unrest()
+	c.node.deep -= c.deep
 	c.input, c.calls, c.waiting = nil, nil, 0
 	c.account()
 	delete(c.node.clients.all, c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -60,6 +60,7 @@
 	held       int                 // bytes of writes kept
 	owed       int                 // bytes of answers that clients have yet to take, and of commands not whole
 	coming     int                 // bytes of answers that are not whole
+	deep       int                 // bytes that the system was asked to make room for, so that they outlive the process
 	shedding   bool
 	count      counters
 	ready      bool
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -361,7 +361,7 @@
 	if l.body != nil && l.body.try == t {
 		l.body.nobody()
 	}
-	if !l.carries() || end.outcome != policy.Cancelled {
+	if other := l.body != nil && l.body.try != nil; !l.carries() || end.outcome != policy.Cancelled && !other {
 		l.over()
 	}
 	p.node.finished(t, end)
@@ -429,6 +429,10 @@
 			l.bad("malformed answer")
 			return
 		}
+		if a.long > 0 && t != nil && len(data)-used < bodyFirst {
+			used = 0 // not enough of it to be believed; but its server gives it, and what stops is given up soon
+			t.timer.Stop()
+		}
 		if used > 0 && t != nil && t.last > l.conn.Written() {
 			l.bad("an answer before its request") // surplus of the one before
 			return
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -49,6 +49,9 @@
 	return &bench{t, n, n.pools["s-1"], ln}
 }
 
+// listens is where the node's clients connect to.
+func (b *bench) listens() netip.AddrPort { return b.node.clients.listener.Addr() }
+
 // run lets the loop run until a condition holds.
 func (b *bench) run(what string, holds func() bool) {
 	b.t.Helper()
@@ -141,6 +144,21 @@
 	}
 }
 
+// A time-out behind a long value that flows leaves the connection alone: closing it would cut the value off.
+func TestATimeOutBehindALongValue(t *testing.T) {
+	b := newBench(t)
+	first := b.send("1")
+	b.accept(1)
+	b.node.links = b.node.linkMost()
+	second := b.send("2")
+	l := b.pool.links[0]
+	l.body = &body{link: l, try: first, left: 1}
+	b.pool.timeout(second)
+	if b.outcomes(policy.TimedOut) != 1 || l.gone || first.done {
+		t.Errorf("%v, gone %v", b.node.count.outcomes, l.gone)
+	}
+}
+
 // What a connection that is breaking did not take has never run; what it took may have.
 func TestNotWrittenIsCouldNotConnect(t *testing.T) {
 	b := newBench(t)
@@ -234,6 +252,49 @@
 	}
 }
 
+// A drain does not end the connection of a slow reader while the node holds the end of its answer, however long the
+// connection seems to have rested.
+func TestADrainWaitsForASlowReader(t *testing.T) {
+	const size = 12 << 20 // more than the system keeps
+	b := newBench(t)
+	n := b.node
+	far, err := net.Dial("tcp", b.listens().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	b.run("it is taken", func() bool { return len(n.clients.all) == 1 })
+	var c *client
+	for c = range n.clients.all {
+	}
+	c.asked = true
+	c.conn.Write(make([]byte, size))
+	c.flush()
+	n.clients.empty()
+	c.used -= time.Hour
+	n.clients.retire()
+	if c.gone || c.conn.Pending() == 0 {
+		t.Fatalf("gone %v with %d bytes to be handed over", c.gone, c.conn.Pending())
+	}
+	got := make(chan int64, 1)
+	go func() {
+		m, _ := io.Copy(io.Discard, far)
+		got <- m
+	}()
+	var all int64
+	b.run("it is closed", func() bool {
+		select {
+		case all = <-got:
+			return true
+		default:
+			return false
+		}
+	})
+	if all != size {
+		t.Errorf("%d bytes of %d", all, size)
+	}
+}
+
 func TestCountersNameEveryOutcome(t *testing.T) {
 	line := newBench(t).node.count.line(newBench(t).node)
 	for _, name := range outcomeNames {
