Long writes go to servers in pieces as they come, and never run before they are whole

A write over a sixty-fourth of the memory was turned away as too large, and smaller ones held whole.

The last byte waits for the right line end. An id belongs to a request only once that much has come: half a command with another's id cost that one its request (found by the test of clients that owe the rest). Values over 4 MiB are too large now, in place of those over a sixty-fourth of the memory.

--- /dev/null
+++ b/cmd/lapisshelf/upload_test.go
@@ -0,0 +1,170 @@
+package main
+
+// Writes of values that are far larger than what the node keeps, through the built node.
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// startReader starts an origin that is given each request before its body.
+func startReader(t *testing.T, handle http.HandlerFunc) (addr string) {
+	o := httptest.NewServer(handle)
+	t.Cleanup(o.Close)
+	return o.Listener.Addr().String()
+}
+
+// Many writes of 4 MiB at once from clients that are slow: far more than the memory holds, each whole at the origin and run
+// once, though none counts as taken before its last byte; small ones are not kept waiting.
+func TestLongWritesFromSlowClients(t *testing.T) {
+	const size, writers = 4 << 20, 24
+	var ran sync.Map
+	var wrong atomic.Int64
+	o := startReader(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		key := r.URL.Path[1:]
+		if _, twice := ran.LoadOrStore(key, true); twice || r.Method != "PUT" || key != "small" && string(body) != long(key, size) {
+			wrong.Add(1)
+		}
+		io.WriteString(w, "R"+key)
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", startCache(t, missing).Addr(), "m2"), serving("s-0", o, "origin")), func(c map[string]any) {
+		c["limits"] = map[string]any{"memory_mb": 32, "sockets": 1024}
+	})
+	var done sync.WaitGroup
+	var begun atomic.Int64
+	for i := range writers {
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			key := fmt.Sprintf("k%d", i)
+			value := long(key, size)
+			for try := 0; try < 100; try++ { // the origin takes only so many at once
+				cl := n.dial()
+				fmt.Fprintf(cl.conn, "ms %s %d O%d-%d Pc=pay,d=2500\r\n", key, size, i, try)
+				for at := 0; at < size; at += 64<<10 + 1 {
+					io.WriteString(cl.conn, value[at:min(size, at+64<<10+1)])
+					if begun.Add(1); at < 1<<20 {
+						time.Sleep(5 * time.Millisecond)
+					}
+				}
+				io.WriteString(cl.conn, "\r\n")
+				if line, _ := cl.answer(); !strings.HasPrefix(line, "SERVER_ERROR busy") {
+					if line != fmt.Sprintf("HD O%d-%d cR%s", i, try, key) {
+						t.Errorf("%s: %q", key, line)
+					}
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
+			t.Errorf("%s: refused again and again", key)
+		}()
+	}
+	eventually(t, "long values come", func() bool { return begun.Load() > 4*writers })
+	if got := figures(t, control)["app_in_flight"]; got > writers/2 {
+		t.Errorf("%v count as taken while they come", got)
+	}
+	cl := n.dial()
+	cl.send("ms small 5 Os Pc=pay,d=2500\r\nhello\r\n")
+	cl.want("HD Os cRsmall", "")
+	done.Wait()
+	if peak := n.peak(); peak >= 32 {
+		t.Errorf("%d MB of memory at the most", peak)
+	}
+	if got := figures(t, control); got[requests("pay", "served")] != writers+1 || got["app_in_flight"] != 0 || wrong.Load() != 0 {
+		t.Errorf("served %v, in flight %v, %d not as they came or twice", got[requests("pay", "served")], got["app_in_flight"], wrong.Load())
+	}
+}
+
+// A long write that breaks off on either side before its last byte has never run and is refused or forgotten; after it, it
+// may have run. One whose first bytes are still kept is made again elsewhere.
+func TestLongWritesThatBreak(t *testing.T) {
+	const size = 1 << 20
+	var tries, whole sync.Map
+	count := func(m *sync.Map, key string) int64 {
+		v, _ := m.LoadOrStore(key, new(atomic.Int64))
+		return v.(*atomic.Int64).Add(1)
+	}
+	o := startReader(t, func(w http.ResponseWriter, r *http.Request) {
+		key := r.URL.Path[1:]
+		try := count(&tries, key)
+		hang := func() { // the connection ends
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			conn.Close()
+		}
+		switch {
+		case key == "midway":
+			io.CopyN(io.Discard, r.Body, size/2)
+			hang()
+			return
+		case key == "early" && try == 1: // while only the first bytes have come
+			hang()
+			return
+		case key == "unwanted":
+			w.Header().Set("Not-Started", "1")
+			w.WriteHeader(503)
+			return
+		}
+		if n, err := io.Copy(io.Discard, r.Body); err != nil || n != size {
+			return
+		}
+		count(&whole, key)
+		if key == "after" {
+			hang()
+			return
+		}
+		io.WriteString(w, "R")
+	})
+	n, control := operated(t, startDiscovery(t, serving("s-1", startCache(t, missing).Addr(), "m2"), serving("s-0", o, "origin")), nil)
+	for i, c := range []struct {
+		key, end, want string
+		tries, whole   int64
+	}{
+		{"good", "\r\n", "HD O", 1, 1},
+		{"midway", "\r\n", "SERVER_ERROR busy", 1, 0},
+		{"unwanted", "\r\n", "SERVER_ERROR busy", 1, 0},
+		{"early", "\r\n", "HD O", 2, 1},
+		{"after", "\r\n", "SERVER_ERROR failed", 1, 1},
+		{"longer", "x\r\n", "CLIENT_ERROR bad data chunk", 1, 0},
+		{"stops", "", "", 1, 0},
+	} {
+		cl := n.dial()
+		value := long(c.key, size)
+		cl.send(fmt.Sprintf("ms %s %d Ob%d Pc=pay,d=2500\r\n", c.key, size, i))
+		cl.send(value[:64<<10])
+		eventually(t, "its attempts", func() bool {
+			v, ok := tries.Load(c.key)
+			return ok && v.(*atomic.Int64).Load() >= min(c.tries, 2)
+		})
+		if c.key == "stops" {
+			if !cl.ended() {
+				t.Error("who stops midway is waited for")
+			}
+		} else {
+			io.WriteString(cl.conn, value[64<<10:]+c.end) // what the node does not want it may turn away
+			if line, _ := cl.answer(); !strings.HasPrefix(line, c.want) {
+				t.Errorf("%s: %q", c.key, line)
+			}
+		}
+		if v, ok := tries.Load(c.key); !ok || v.(*atomic.Int64).Load() != c.tries {
+			t.Errorf("%s: not %d attempts", c.key, c.tries)
+		}
+		if v, ok := whole.Load(c.key); ok != (c.whole > 0) || ok && v.(*atomic.Int64).Load() != c.whole {
+			t.Errorf("%s: ran, or not: %v", c.key, ok)
+		}
+	}
+	eventually(t, "all is given back", func() bool { return figures(t, control)["app_in_flight"] == 0 })
+	cl := n.dial()
+	cl.send("mg k v Oz Pc=read,d=300\r\n")
+	cl.answer()
+	if strings.Contains(n.log(), "event=panic") || strings.Contains(n.log(), "event=overdue") {
+		t.Error("see the log")
+	}
+}
--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -48,14 +48,15 @@
 	Info    []byte // what P holds: names and values
 	Value   []byte // of a Set
 	InfoPos int    // where Info stands in Line
+	Long    int    // bytes of a Set's long value, which is not in Value: it follows, and a line end behind it
 	// Skip is the number of further bytes that belong to a bad command and are to be passed over.
 	Skip int
 }
 
-// Next parses the first command, whose value may hold at most so many bytes. It returns how many bytes that took: 0
-// when more must come first. With an error the bytes hold a bad command, which has been used up; where used is 0 nobody
+// Next parses the first command. It returns how many bytes that took: 0 when more must come first. A value of more than
+// whole bytes is not waited for: only the line is used, and Long says how many follow; there may be most. With an error the bytes hold a bad command, which has been used up; where used is 0 nobody
 // knows where the next one begins, or it is too far off.
-func Next(data []byte, most int) (c Command, used int, err error) {
+func Next(data []byte, whole, most int) (c Command, used int, err error) {
 	line, used, err := cutLine(data)
 	if used == 0 || err != nil {
 		return Command{}, 0, err
@@ -104,6 +105,10 @@
 		c.Skip = size + 2
 		return c, used, err
 	}
+	if size > whole {
+		c.Long = size
+		return c, used, nil
+	}
 	if len(data) < used+size+2 {
 		return Command{}, 0, nil
 	}
@@ -229,7 +234,8 @@
 	return string(info[from:to])
 }
 
-// AppendForward writes a command as it came, but for the value of the field d, which becomes wait.
+// AppendForward writes a command as it came, but for the value of the field d, which becomes wait. A long value is the
+// caller's to write, and the line end behind it.
 func AppendForward(buf []byte, c *Command, wait int64) []byte {
 	from, to := Field(c.Info, "d")
 	if from < 0 {
@@ -240,7 +246,7 @@
 		buf = append(buf, c.Line[c.InfoPos+to:]...)
 	}
 	buf = append(buf, "\r\n"...)
-	if c.Kind == Set {
+	if c.Kind == Set && c.Long == 0 {
 		buf = append(append(buf, c.Value...), "\r\n"...)
 	}
 	return buf
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -163,8 +163,7 @@
 		n.count.brokenOff++
 		log.Printf("event=broken_off id=%s server=%s left=%d", c.id, b.link.pool.id, b.left)
 		n.end(c.class, failed)
-		n.inFlight--
-		c.answered = true
+		n.unclock(c)
 		c.client.breakOff()
 	}
 }
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -18,6 +18,8 @@
 	return meta.AppendForward(buf, &t.call.command, max(1, wait.Milliseconds()))
 }
 
+func (cacheProtocol) behind() string { return "\r\n" }
+
 func (cacheProtocol) answer(data []byte, t *try, _ int, _ bool) (answer, int, error) {
 	m, used, err := meta.NextAnswer(data, meta.MaxValue, meta.MaxLong)
 	if err != nil || used == 0 {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -51,6 +51,7 @@
 	conn    *loop.Conn
 	input   []byte
 	skip    int           // bytes still to come of a bad command
+	up      *upload       // the long value that comes next
 	calls   []*call       // in the order in which they came; the first unanswered one holds up the others
 	place   *list.Element // among the idle or the owing
 	list    *list.List    // the one of them that place is in
@@ -310,8 +311,21 @@
 func (c *client) parse(data []byte) []byte {
 	c.parsing = true
 	defer func() { c.parsing = false }()
-	for len(data) > 0 && !c.gone && !c.last && len(c.calls) < mostPipelined && c.conn.Pending() < mostUnsent {
-		m, used, err := meta.Next(data, c.node.valueMost())
+	for len(data) > 0 && !c.gone && !c.last && (c.up != nil || len(c.calls) < mostPipelined && c.conn.Pending() < mostUnsent) {
+		if u := c.up; u != nil {
+			used, ok := u.take(data)
+			data = data[used:]
+			if !ok {
+				u.spoilt()
+				return nil
+			}
+			if u.left == 0 && u.end == "" {
+				c.up = nil
+				u.came()
+			}
+			continue
+		}
+		m, used, err := meta.Next(data, meta.MaxValue, meta.MaxLong)
 		switch {
 		case err != nil:
 			c.reject(err)
@@ -319,20 +333,26 @@
 				c.last = true
 				return nil
 			}
-			data = data[used:]
-			n := min(m.Skip, len(data))
-			c.skip = m.Skip - n
-			data = data[n:]
+			data = c.pass(data[used:], m.Skip)
 		case used == 0:
 			return data
 		default:
 			data = data[used:]
-			c.command(m)
+			if c.command(m); m.Long > 0 && c.up == nil { // turned away, as is its value
+				data = c.pass(data, m.Long+len("\r\n"))
+			}
 		}
 	}
 	return data
 }
 
+// pass passes over so many bytes, those too that have yet to come.
+func (c *client) pass(data []byte, bytes int) []byte {
+	n := min(bytes, len(data))
+	c.skip = bytes - n
+	return data[n:]
+}
+
 // command handles one whole command.
 func (c *client) command(m meta.Command) {
 	n := c.node
@@ -350,41 +370,55 @@
 		return
 	}
 	kind, wait, err := n.patience(m.Info)
-	// Guards against one who sends the id of another's request: an open one would be taken for that request, and a
-	// refusal would be taken for that request's. Each request has an id of its own, also a retry.
-	if err == nil && (n.calls[string(m.ID)] != nil || n.clients.seen.has(m.ID)) {
-		n.count.sameID++
-		err = errors.New("request id in use")
+	if err == nil {
+		err = n.used(m.ID)
 	}
 	if err != nil {
 		c.reject(err)
 		return
 	}
-	n.clients.seen.add(m.ID, n.loop.Now())
-	n.count.taken++
+	if m.Long == 0 {
+		n.register(m.ID)
+	}
 	// Whoever asks goes before those who may be about to.
 	if c.excess = c.excess && n.clients.full() && !n.clients.evict(0); c.excess {
 		c.refuse(kind)
 		c.parting = true // its descriptor is wanted
 		return
 	}
-	if n.full(len(m.Value)) {
+	if n.full(len(m.Value) + min(m.Long, bodyKept)) {
 		c.refuse(kind)
 		return
 	}
 	now := n.loop.Now()
-	if n.leaving { // what is unanswered at the kill is lost, however long its client would wait
-		wait = min(wait, n.lastAnswer-now)
-	} else if n.lame && n.lameUntil-now < lameYoung { // a request as young as that may not be held any more then
-		wait = max(min(wait, n.lameUntil-now), lameLeast)
+	k := &call{id: string(m.ID), class: kind, client: c, command: keep(m)}
+	if m.Long > 0 {
+		c.upload(k, m.Long, wait)
+		return
 	}
-	k := &call{id: string(m.ID), class: kind, client: c, command: keep(m), deadline: now + wait,
-		end: now + wait - min(margin, wait/2)}
 	c.calls = append(c.calls, k)
+	k.deadline = now + n.within(wait, now)
 	n.held += len(m.Value)
 	n.take(k, now)
 }
 
+// used says what is wrong with an id that another request has.
+func (n *Node) used(id []byte) error {
+	// Guards against one who sends the id of another's request: an open one would be taken for that request, and a
+	// refusal would be taken for that request's. Each request has an id of its own, also a retry.
+	if n.calls[string(id)] != nil || n.clients.seen.has(id) {
+		n.count.sameID++
+		return errors.New("request id in use")
+	}
+	return nil
+}
+
+// register notes that a request has come.
+func (n *Node) register(id []byte) {
+	n.clients.seen.add(id, n.loop.Now())
+	n.count.taken++
+}
+
 // reject answers what is no request, and ends a connection on which there is nothing else.
 func (c *client) reject(err error) {
 	c.node.count.badLines++
@@ -445,9 +479,9 @@
 		from := cap(m.Line) - cap(part) // parts of one line end where its buffer ends
 		return text[from : from+len(part)]
 	}
-	k := meta.Command{Kind: m.Kind, Line: text[:len(m.Line)], InfoPos: m.InfoPos}
+	k := meta.Command{Kind: m.Kind, Line: text[:len(m.Line)], InfoPos: m.InfoPos, Long: m.Long}
 	k.Key, k.ID, k.Info = at(m.Key), at(m.ID), at(m.Info)
-	if m.Kind == meta.Set {
+	if m.Kind == meta.Set && m.Long == 0 {
 		k.Value = text[len(m.Line):]
 	}
 	return k
@@ -487,7 +521,7 @@
 		return // the rest is done when that is over
 	}
 	closing := c.last || c.parting || c.node.clients.closing
-	owes := len(c.input) > 0 || c.skip > 0 || !c.asked // the rest of a command
+	owes := len(c.input) > 0 || c.skip > 0 || c.up != nil || !c.asked // the rest of a command
 	switch {
 	case len(c.calls) > 0 || c.conn.Pending() > 0:
 		c.unrest()
@@ -504,6 +538,10 @@
 		c.calls = nil
 	}
 	blocked := len(c.calls) >= mostPipelined || c.conn.Pending() >= mostUnsent
+	if c.up != nil {
+		c.up.flow()
+		return
+	}
 	c.conn.Pause(blocked || closing && len(c.calls) > 0)
 	if !blocked && len(c.input) > 0 && !c.again && c.waits() {
 		c.again = true
@@ -513,7 +551,7 @@
 
 // waits reports whether the input begins with a whole command, which had to wait.
 func (c *client) waits() bool {
-	_, used, err := meta.Next(c.input, c.node.valueMost())
+	_, used, err := meta.Next(c.input, meta.MaxValue, meta.MaxLong)
 	return used > 0 || err != nil
 }
 
@@ -591,6 +629,9 @@
 func (c *client) account() {
 	n := c.node
 	owed := c.waiting + c.conn.Pending() + cap(c.input)
+	if c.up != nil {
+		owed += c.up.holds()
+	}
 	if c.gone {
 		owed = 0
 	}
@@ -656,7 +697,10 @@
 	c.slow.Stop()
 	c.unrest()
 	c.node.deep -= c.deep
-	c.input, c.calls, c.waiting = nil, nil, 0
+	if c.up != nil {
+		c.up.timer.Stop()
+	}
+	c.input, c.calls, c.up, c.waiting = nil, nil, nil, 0
 	c.account()
 	delete(c.node.clients.all, c)
 	c.node.clients.thin()
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -15,7 +15,7 @@
 	attempts, written, links, linksShed, pipelined, dialsFailed int64
 	badAnswers, knownBad, panics                                int64
 	surplus, reloads, reloadsBad                                int64
-	bodies, brokenOff                                           int64
+	bodies, brokenOff, uploads                                  int64
 	clientsBad, clientsIdle, sameID                             int64
 	outcomes                                                    [policy.Moot + 1]int64
 	ended                                                       [endings]int64 // of the classes together
@@ -75,6 +75,7 @@
 	put("surplus_answers", c.surplus)
 	put("long_values", c.bodies)
 	put("broken_off", c.brokenOff)
+	put("long_writes", c.uploads)
 	put("server_conns", c.links)
 	put("server_conns_shed", c.linksShed)
 	put("pipelined", c.pipelined)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,8 @@
 	end      time.Duration // until then attempts may run
 	answer   []byte        // complete, waiting for its turn on the connection
 	body     *body         // a long value that it is bound to, while that comes
+	upload   *upload       // the long value of a write
+	counted  bool          // it counts as taken: all of it has come
 	answered bool
 	tries    []*try
 	open     int
@@ -167,15 +169,46 @@
 func (n *Node) take(c *call, now time.Duration) {
 	info := c.command.Info
 	n.calls[c.id] = c
+	if c.upload == nil {
+		n.clock(c, now, c.deadline-now)
+	} else { // until all has come its time does not count: this is how long it may wait for an attempt
+		c.end = now + c.upload.wait
+	}
+	n.guard("request", func() {
+		n.policy.Request(now, policy.Request{ID: c.id, Class: c.class.name, Tenant: meta.Text(info, "t"),
+			Key: string(c.command.Key), Left: c.end - now, Write: c.command.Kind == meta.Set,
+			Coming: c.upload != nil})
+	})
+}
+
+// clock has a request's time run, all of which has come: so long from now its client goes away.
+func (n *Node) clock(c *call, now, wait time.Duration) {
+	c.deadline, c.end = now+wait, now+wait-min(margin, wait/2)
+	c.counted = true
 	n.inFlight++
 	// Guards against taking a request with hardly any time for one left unanswered: with 6 ms or less the last call came
 	// before the end that the module is told (lab, slow-origin: a retry with 5 ms left).
 	last := min(lastCall, (c.deadline-c.end)/3)
 	c.timer = n.loop.After(c.deadline-last-now, func() { n.overdue(c) })
-	n.guard("request", func() {
-		n.policy.Request(now, policy.Request{ID: c.id, Class: c.class.name, Tenant: meta.Text(info, "t"),
-			Key: string(c.command.Key), Left: c.end - now, Write: c.command.Kind == meta.Set})
-	})
+}
+
+// unclock notes that a request is over.
+func (n *Node) unclock(c *call) {
+	c.answered = true
+	c.timer.Stop()
+	if c.counted {
+		n.inFlight--
+	}
+}
+
+// within cuts how long a client waits to what this process can wait.
+func (n *Node) within(wait, now time.Duration) time.Duration {
+	if n.leaving { // what is unanswered at the kill is lost, however long its client would wait
+		return min(wait, n.lastAnswer-now)
+	} else if n.lame && n.lameUntil-now < lameYoung { // a request as young as that may not be held any more then
+		return max(min(wait, n.lameUntil-now), lameLeast)
+	}
+	return wait
 }
 
 // overdue fails a request that the module has left unanswered. It should never be needed; it guards rule 1 against
@@ -196,9 +229,8 @@
 		return
 	}
 	n.end(c.class, how)
-	n.inFlight--
-	c.answered, c.answer = true, text
-	c.timer.Stop()
+	n.unclock(c)
+	c.answer = text
 	if c.client != nil {
 		c.client.waiting += len(text)
 		c.client.flush()
@@ -215,13 +247,14 @@
 	b := c.body
 	c.body = nil
 	n.count.abandoned++
-	n.inFlight--
-	c.answered = true
-	c.timer.Stop()
+	n.unclock(c)
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
 	if b != nil { // what comes of it has nowhere to go
 		b.try.pool.cancel(b.try)
 	}
+	if u := c.upload; u != nil && u.try != nil {
+		u.try.pool.cancel(u.try)
+	}
 	n.settle(c)
 }
 
@@ -245,6 +278,9 @@
 	c := t.call
 	c.open--
 	n.count.outcome(a.outcome)
+	if c.upload != nil {
+		c.upload.ended(t)
+	}
 	if b := c.body; b != nil && b.try == t {
 		b.end(c, a.outcome == policy.OK)
 	} else if a.outcome == policy.OK && !c.answered && b == nil {
@@ -257,7 +293,7 @@
 		n.reply(c, text, served)
 	}
 	res := policy.Result{ID: c.id, N: t.n, Server: t.pool.id, Outcome: a.outcome, Note: a.note, Final: c.answered,
-		Kept: a.kept}
+		Kept: a.kept, Spent: c.upload != nil && c.upload.spent}
 	n.guard("result", func() { n.policy.Result(n.loop.Now(), res) })
 	n.settle(c)
 }
@@ -288,7 +324,9 @@
 		n.loop.Later(func() { n.finished(t, answer{outcome: policy.Moot}) })
 		return
 	}
-	t.timer = n.loop.After(left, func() { t.pool.timeout(t) })
+	if c.upload == nil || c.upload.whole {
+		t.timer = n.loop.After(left, func() { t.pool.timeout(t) })
+	}
 	t.pool.send(t, left)
 }
 
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/url"
+	"strconv"
 	"time"
 
 	"lapisshelf/internal/httpc"
@@ -20,6 +21,10 @@
 	c := &t.call.command
 	target := "/" + url.PathEscape(string(c.Key))
 	headers := []httpc.Header{{Name: "Request-Id", Value: string(c.ID)}, {Name: "Request-Info", Value: string(c.Info)}}
+	if c.Long > 0 {
+		headers = append(headers, httpc.Header{Name: "Content-Length", Value: strconv.Itoa(c.Long)})
+		return httpc.AppendRequest(buf, "PUT", target, p.host, headers, nil)
+	}
 	if c.Kind == meta.Set {
 		body := c.Value
 		if body == nil {
@@ -30,6 +35,8 @@
 	return httpc.AppendRequest(buf, "GET", target, p.host, headers, nil)
 }
 
+func (originProtocol) behind() string { return "" }
+
 func (originProtocol) answer(data []byte, t *try, most int, ended bool) (answer, int, error) {
 	h, length, used, err := httpc.Head(data)
 	if err == nil && used > 0 && h.Status == 200 && length > meta.MaxValue && length <= meta.MaxLong && (t == nil || t.call.command.Kind == meta.Get) {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -13,8 +13,10 @@
 
 // protocol is how a server is spoken to: caches.go and origin.go have one each.
 type protocol interface {
-	// request writes an attempt that the node will wait for so long.
+	// request writes an attempt that the node will wait for so long; of one with a long value all that stands before that,
+	// and behind is what must follow it.
 	request(buf []byte, t *try, wait time.Duration) []byte
+	behind() string
 	// answer takes the first answer, whose value may hold so many bytes, off what has come; used is 0 when more must
 	// come first.
 	// A value of over meta.MaxValue bytes is not waited for where its length is told: it follows what was used.
@@ -56,10 +58,11 @@
 	since  time.Duration
 	up     bool
 	gone   bool
-	served bool  // an answer has come on it
-	body   *body // a long value that is coming
-	paused bool  // nothing is read, as its client takes nothing
-	old    bool  // the server has moved or the connection is ending: nothing new goes here
+	served bool    // an answer has come on it
+	body   *body   // a long value that is coming
+	going  *upload // a long value that is going
+	paused bool    // nothing is read, as its client takes nothing
+	old    bool    // the server has moved or the connection is ending: nothing new goes here
 }
 
 // pool brings the connections to a listed server in line with its entry.
@@ -125,7 +128,7 @@
 	case l != nil:
 	case n.links < n.linkMost() && n.open() < n.room() || n.shed():
 		l = p.dial()
-	default:
+	case t.call.upload == nil: // a long value has a connection to itself: to give it up is to close that
 		l = p.shared()
 	}
 	if l == nil {
@@ -140,6 +143,10 @@
 	t.first = l.conn.Queued()
 	t.last = t.first + int64(len(text)) // before writing: what a broken connection does not take was never written
 	l.conn.Write(text)
+	if u := t.call.upload; u != nil {
+		t.last += int64(t.call.command.Long + len(p.proto.behind()))
+		u.sent(t)
+	}
 	l.wrote()
 }
 
@@ -153,7 +160,7 @@
 		if !l.conn.TakeBack(t.first) {
 			break
 		}
-		t.link, l.tries = nil, l.tries[:i]
+		t.link, l.going, l.tries = nil, nil, l.tries[:i]
 		l.pool.node.finished(t, answer{outcome: policy.ConnectFailed})
 	}
 }
@@ -231,7 +238,7 @@
 	}
 	var best *link
 	for _, l := range p.links {
-		if !l.old && l.body == nil && len(l.tries) < p.node.cfg.Transport.PerConn && (best == nil || len(l.tries) < len(best.tries)) {
+		if !l.old && l.body == nil && l.going == nil && len(l.tries) < p.node.cfg.Transport.PerConn && (best == nil || len(l.tries) < len(best.tries)) {
 			best = l
 		}
 	}
@@ -379,7 +386,12 @@
 }
 
 // Drained implements loop.Handler.
-func (l *link) Drained() { l.wrote() }
+func (l *link) Drained() {
+	l.wrote()
+	if l.going != nil {
+		l.going.flow()
+	}
+}
 
 // End implements loop.Handler.
 func (l *link) End(error) {
@@ -436,6 +448,15 @@
 			used = 0 // not enough of it to be believed; but its server gives it, and what stops is given up soon
 			t.timer.Stop()
 		}
+		if used > 0 && l.going != nil { // the server does not want the rest: not even a part of it has run
+			if a.outcome != policy.Full {
+				a.outcome = policy.ConnectFailed
+			}
+			l.tries = l.tries[1:]
+			l.drop()
+			l.finish(t, answer{outcome: a.outcome})
+			return
+		}
 		if used > 0 && t != nil && t.last > l.conn.Written() {
 			l.bad("an answer before its request") // surplus of the one before
 			return
--- a/policy/api.go
+++ b/policy/api.go
@@ -143,6 +143,7 @@
 	Key    string        // empty when it has none
 	Left   time.Duration // until this try of the client is given up
 	Write  bool
+	Coming bool // its last byte has yet to come, which Came will tell; Left is how long it may wait to be sent
 }
 
 // Note says what a cache did for a read, where caches tell.
@@ -164,6 +165,7 @@
 	Outcome Outcome
 	Note    Note
 	Final   bool // nothing more is owed for the request
+	Spent   bool // what has been sent of the request is not kept: it cannot be sent again
 	Kept    bool // a reset of a connection that had answered before: its end, not the server's, as far as that tells
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -166,7 +166,7 @@
 
 // may holds rules 1 to 3: whether the request may be sent to s now. Every send passes through it.
 func (b *Balancer) may(r *request, s *server) bool {
-	if r.ended || b.now >= r.end || !s.open() || len(r.tries) >= b.set.MaxAttempts {
+	if r.ended || r.spent || b.now >= r.end || !s.open() || len(r.tries) >= b.set.MaxAttempts {
 		return false
 	}
 	if r.out > 0 && (r.class.Effect != Safe || !b.set.Parallel) {
@@ -312,6 +312,23 @@
 	b.route(r)
 }
 
+// Came notes that the last byte of a request has come, so long before it is given up. Its time counts from
+// here, and so does the room that its attempt takes: how long a client takes to write is no server's work.
+func (b *Balancer) Came(now time.Duration, id string, left time.Duration) {
+	b.now = now
+	r := b.open[id]
+	if r == nil || r.ended || !r.Coming {
+		return
+	}
+	r.Coming, r.aim, r.end = false, now+min(r.class.Aim, left), now+left
+	for _, a := range r.tries {
+		if !a.done {
+			a.at = now
+			b.occupy(a)
+		}
+	}
+}
+
 // route sends a request on its way, or on its way again.
 func (b *Balancer) route(r *request) {
 	if b.set.Mode == Aside && r.Write {
@@ -404,11 +421,12 @@
 	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now, origin: s == b.origin}
 	r.tries = append(r.tries, a)
 	r.out++
-	s.sent = append(s.sent, a)
+	if !r.Coming {
+		b.occupy(a)
+	}
 	s.sends.add(b.now, b.set.FallWindow)
 	wait := time.Duration(0)
 	if s != b.origin {
-		b.out++
 		b.sends.add(b.now, b.set.FallWindow)
 		if a.fetch = b.set.Mode == Through && b.leads(r); a.fetch {
 			b.origin.sent = append(b.origin.sent, a)
@@ -467,9 +485,8 @@
 	a := r.tries[res.N]
 	a.done, a.clean = true, res.Outcome.NeverRan()
 	r.out--
-	if a.begun == 0 {
-		b.free(a)
-	}
+	r.spent = r.spent || res.Spent
+	b.free(a)
 	b.learn(a, res)
 	if b.set.Mode == Through {
 		b.learnKey(a, res)
@@ -510,17 +527,6 @@
 	b.admit(a.srv)
 }
 
-// free gives back the room that an attempt takes.
-func (b *Balancer) free(a *attempt) {
-	a.srv.drop(a, b.now)
-	if !a.origin {
-		b.out--
-	}
-	if b.set.Mode == Through {
-		b.origin.drop(a, b.now)
-	}
-}
-
 // learn keeps a server's signs of life, its limit and the usual answer times.
 func (b *Balancer) learn(a *attempt, res Result) {
 	s, o := a.srv, res.Outcome
--- a/policy/state.go
+++ b/policy/state.go
@@ -50,6 +50,7 @@
 	srv    *server
 	at     time.Duration
 	begun  time.Duration // when its answer began to flow, where that is told
+	counts bool          // it takes room at its server
 	done   bool
 	judged bool // known to be late before its end
 	clean  bool // proven never to have run
@@ -65,6 +66,7 @@
 	tries    []*attempt
 	out      int
 	ended    bool
+	spent    bool    // it cannot be sent again
 	over     bool    // beyond its tenant's quota
 	held     *server // waits for room there
 }
@@ -288,6 +290,29 @@
 	return list
 }
 
+// occupy has an attempt take room at its server, and free gives it back.
+func (b *Balancer) occupy(a *attempt) {
+	a.counts = true
+	a.srv.sent = append(a.srv.sent, a)
+	if !a.origin {
+		b.out++
+	}
+}
+
+func (b *Balancer) free(a *attempt) {
+	if !a.counts {
+		return
+	}
+	a.counts = false
+	a.srv.drop(a, b.now)
+	if !a.origin {
+		b.out--
+	}
+	if b.set.Mode == Through {
+		b.origin.drop(a, b.now)
+	}
+}
+
 // drop takes an attempt that has ended off the server's.
 func (s *server) drop(a *attempt, now time.Duration) {
 	s.freed = now
