--- a/cmd/lapislab/lapislab_test.go
+++ b/cmd/lapislab/lapislab_test.go
@@ -111,7 +111,7 @@
 	}
 }
 
-const plantedClasses = `length = "3s"
+const plantedClasses = `
 [[class]]
 name = "read"
 share = 0.7
@@ -145,6 +145,8 @@
 	const calm = "[clients]\nrate = 150\n"
 	const spoilt = calm + "[origin]\nwork = \"100ms\"\ncores = 40\nfall_multiple = 0\n[[fault]]\nkind = \"origin_garble\"\nat = \"10%\"\npart = 0.4\n"
 	const drain = calm + "[[fault]]\nkind = \"drain\"\nat = \"20%\"\nservers = [\"c2\"]\n"
+	const banned = calm + "[[fault]]\nkind = \"detach\"\nat = \"20%\"\nservers = [\"c2\"]\n"
+	const lame = calm + "[[fault]]\nkind = \"lameduck\"\nat = \"10%\"\nnodes = [1]\n"
 	const cold = "[clients]\nrate = 500\nkeys = 300\n[service]\nfall_multiple = 0.6\nfall_window = \"500ms\"\nwarm_up = \"20s\"\ncold_from = 0.1\n" +
 		"[[fault]]\nkind = \"crash\"\nat = \"20%\"\nfor = \"20%\"\nservers = [\"c1\"]\n"
 	var clean sync.Map // runs of the node as it is, by what is played
@@ -172,14 +174,20 @@
 		{"two attempts at once", "internal/node/pool.go", "		l.over()\n	}\n	p.node.finished(t, end)\n",
 			"	}\n	p.node.finished(t, end)\n", calm + "[[fault]]\nkind = \"hang\"\nat = \"10%\"\nservers = [\"c1\"]\n", "no_double", "two_at_once"},
 		{"a send after the drain's grace", "internal/registry/entry.go", `"DRAINING": policy.Draining`, `"DRAINING": policy.Ready`, drain, "drains", "sent_to_drained"},
+		{"a ban that is only said", "internal/node/operate.go", "	n.guard(\"ban\", func() { n.policy.Ban(n.loop.Now(), id, on) })\n", "", banned, "drains", "sent_to_banned"},
+		{"a drain that keeps its clients", "internal/node/operate.go", "		n.clients.drain(false)\n", "", lame, "one_answer", "not_drained"},
+		{"a drain that is not told", "internal/node/clients.go", "		case n.lame:\n", "		case false:\n", lame, "one_answer", "not_drained"},
 		{"a burst at a cold cache", "policy/policy.go", "	age := b.now - s.started\n	if s.started == 0 || age >= b.set.WarmUp {",
 			"	age := b.now - s.started\n	if s.started == 0 || age >= 0 {", cold, "cold", "cold_pushed"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			dir := t.TempDir()
-			file := filepath.Join(dir, "x.toml")
-			if err := os.WriteFile(file, []byte(plantedClasses+c.with), 0o600); err != nil {
+			file, length := filepath.Join(dir, "x.toml"), "length = \"3s\"\n"
+			if c.with == lame { // a drain takes four seconds
+				length = "length = \"7s\"\n"
+			}
+			if err := os.WriteFile(file, []byte(length+plantedClasses+c.with), 0o600); err != nil {
 				t.Fatal(err)
 			}
 			once, _ := clean.LoadOrStore(c.with, sync.OnceFunc(func() {
--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -96,6 +96,9 @@
 	NodeHup     Verb = "node_hup"         // SIGHUP
 	NodeStart   Verb = "node_start"       // a new process
 	NodeFreeze  Verb = "node_freeze"      // SIGSTOP; X 0: SIGCONT
+	NodeLame    Verb = "node_lame"        // the node is drained by hand; X 0: it takes clients again
+	NodeUpgrade Verb = "node_upgrade"     // a new process comes beside it and takes its place
+	Detach      Verb = "detach"           // a server is banned at a node by hand; X 0: it may serve again
 	RegDown     Verb = "registry_down"    // an endpoint answers 503; X 0: over
 	RegMute     Verb = "registry_mute"    // an endpoint says nothing; X 0: back
 	RegGarble   Verb = "registry_garble"  // an endpoint talks nonsense; X 0: over
@@ -243,6 +246,9 @@
 		"node_term":        {on: "nodes", expand: (*expansion).nodeEnds},
 		"node_hup":         {on: "nodes", expand: (*expansion).nodeHup},
 		"node_freeze":      {on: "nodes", expand: nodes(NodeFreeze, 1, 0)},
+		"upgrade":          {on: "nodes", expand: (*expansion).upgrade},
+		"lameduck":         {on: "nodes", expand: nodes(NodeLame, 1, 0)},
+		"detach":           {on: "servers", expand: (*expansion).detach},
 		"registry_down":    {on: "registry", expand: ends(RegDown)},
 		"registry_mute":    {on: "registry", expand: ends(RegMute)},
 		"registry_garble":  {on: "registry", expand: ends(RegGarble)},
@@ -562,6 +568,17 @@
 	x.nodes(func(n int) { x.add(Action{At: x.at, Verb: NodeHup, Node: n}) })
 }
 
+func (x *expansion) upgrade() {
+	x.nodes(func(n int) { x.add(Action{At: x.at, Verb: NodeUpgrade, Node: n}) })
+}
+
+// detach bans servers by hand at nodes.
+func (x *expansion) detach() {
+	x.servers(func(s string) {
+		x.nodes(func(n int) { x.onOff(Action{Verb: Detach, Server: s, Node: n, X: 1}, 0) })
+	})
+}
+
 func (x *expansion) rude() {
 	x.onOff(Action{Verb: Rude, Node: -1, X: float64(max(1, x.Count))}, 0)
 }
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -590,6 +590,8 @@
 		s.nodes[a.Node].freeze(on)
 	case fault.NodeStart:
 		s.nodes[a.Node].start()
+	case fault.Detach:
+		s.detach(a.Node, a.Server, on)
 	default:
 		if a.Server != "" {
 			s.onServer(a)
--- a/lab/fleet/servers.go
+++ b/lab/fleet/servers.go
@@ -416,3 +416,25 @@
 		}
 	})
 }
+
+// detach bans a server at a node by hand, or lifts that.
+func (s *sim) detach(number int, name string, on bool) {
+	n, id := s.nodes[number], s.x.Server(name).ID
+	if c := s.caches[name]; c != nil {
+		id = c.id
+	}
+	if !n.up {
+		return
+	}
+	if on {
+		s.rec.Hands = append(s.rec.Hands, &seen.Hand{Node: number, Server: id, From: s.now})
+	} else {
+		for _, h := range s.rec.Hands {
+			if h.Node == number && h.Server == id && h.To == 0 {
+				h.To = s.now
+			}
+		}
+	}
+	n.policy.Ban(n.clock(), id, on)
+	n.settle()
+}
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -79,6 +79,8 @@
 	FalseRefusal = "false_refusal"   // a refusal though an attempt may have run
 	Doubled      = "doubled_effect"  // one wish took effect twice
 	ToDraining   = "sent_to_drained" // a new attempt after the grace
+	ToBanned     = "sent_to_banned"  // a new attempt after the grace at a server banned by hand
+	NotDrained   = "not_drained"     // a node that was drained by hand keeps its clients
 	PushedOver   = "cold_pushed"     // a cold server fell over
 	OriginStop   = "origin_stopped"  // by misses at cold servers
 )
@@ -140,6 +142,7 @@
 	c.strangers()
 	c.effects()
 	c.drains()
+	c.hands()
 	c.cold()
 	c.originStops()
 	c.service(arrivals)
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -195,6 +195,28 @@
 	}
 }
 
+// hands is rule 3 for servers that were banned by hand, the origin among them, and rule 1 for nodes that were drained so:
+// clients that are kept on by one that is about to go are lost with it.
+func (c *court) hands() {
+	for _, h := range c.rec.Hands {
+		limit := h.From + c.rules.DrainGrace + c.rules.Tolerance
+		for _, a := range c.rec.Attempts {
+			if t := c.tries[a.Request]; t != nil && t.Node == h.Node && a.Server == h.Server && a.First > limit && (h.To == 0 || a.First < h.To) {
+				c.breach(Drains, ToBanned, a.First, t, a.Server, "a new attempt %v after the server was banned by hand", a.First-h.From)
+			}
+		}
+	}
+	for _, l := range c.rec.Lames {
+		switch {
+		case l.Looked == 0:
+		case l.Ready:
+			c.breach(OneAnswer, NotDrained, l.Looked, nil, "", "node %d still says that it takes clients %v after it was drained", l.Node+1, l.Looked-l.From)
+		case l.Idle > 0:
+			c.breach(OneAnswer, NotDrained, l.Looked, nil, "", "node %d still holds %d idle connections %v after it was drained", l.Node+1, l.Idle, l.Looked-l.From)
+		}
+	}
+}
+
 // learned follows what a node's process was told, by server.
 func (c *court) learned(l *seen.Life) map[string][]phases {
 	out := map[string][]phases{}
--- a/lab/judge/service.go
+++ b/lab/judge/service.go
@@ -245,7 +245,7 @@
 		cpu += l.CPU
 		f["node_memory_mb"] = math.Max(f["node_memory_mb"], float64(l.Peak)/(1<<20))
 		f["node_descriptors"] = math.Max(f["node_descriptors"], float64(l.Descs))
-		if l.End > 0 && !l.Killed && (l.Term == 0 || l.Status != "exit status 0") {
+		if l.End > 0 && !l.Killed && !l.Replaced && (l.Term == 0 || l.Status != "exit status 0") {
 			f["node_crashes"]++
 		}
 	}
--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -65,6 +65,7 @@
 	idle []*conn
 	all  map[*conn]bool
 	down time.Duration // since when it refuses; 0: it does not
+	away bool          // it says that it takes no clients: no new connections are dealt to it
 }
 
 // New makes the clients.
@@ -201,9 +202,9 @@
 	for i := range l.nodes {
 		f := l.nodes[(node+i)%len(l.nodes)]
 		f.mu.Lock()
-		down := f.down
+		down, away := f.down, f.away && len(f.idle) == 0
 		f.mu.Unlock()
-		if down == 0 || now-down < noticed {
+		if !away && (down == 0 || now-down < noticed) {
 			return f.n
 		}
 	}
@@ -276,6 +277,22 @@
 	return err == nil && line == "MN\r\n"
 }
 
+// Away says that a node takes no new clients, or takes them again. Those that it has go on using their connections.
+func (l *Load) Away(node int, on bool) {
+	f := l.nodes[node]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.away = on
+}
+
+// Idle is how many connections a node holds with nothing open on them, as its clients see it.
+func (l *Load) Idle(node int) int {
+	f := l.nodes[node]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.idle)
+}
+
 // Ready reports whether the node at an address answers mn with MN.
 func Ready(addr string) bool { return ready(addr) }
 
--- a/lab/seen/seen.go
+++ b/lab/seen/seen.go
@@ -136,6 +136,7 @@
 	Term       time.Duration // SIGTERM was sent
 	End        time.Duration
 	Killed     bool               // by a fault of the plan
+	Replaced   bool               // killed, as planned, since another has taken its place
 	Frozen     [][2]time.Duration // stopped by a fault of the plan; an end of 0: to the last
 	Status     string
 	Known      []world.Member // the list that it was started with
@@ -145,6 +146,22 @@
 	Log        string // the file with its log
 }
 
+// Hand is a word said of a server to a node by hand: it gets nothing new from From until To, which is 0 while that lasts.
+type Hand struct {
+	Node     int
+	Server   string
+	From, To time.Duration
+}
+
+// Lame is a drain of a node by hand, as a front and its clients saw it a stated time after the call.
+type Lame struct {
+	Node   int
+	From   time.Duration
+	Looked time.Duration // 0: it was over before that
+	Ready  bool          // the node still said that it takes clients
+	Idle   int           // connections of clients that it still held with nothing open
+}
+
 // Effect is a write that took effect.
 type Effect struct {
 	At      time.Duration
@@ -176,6 +193,8 @@
 	Told     []Told
 	Calls    []*Call
 	Lives    []*Life
+	Hands    []*Hand
+	Lames    []*Lame
 	Effects  []Effect
 	Starts   []Start
 	Falls    []Mark // servers that fell over, by id
--- a/lab/stage/node.go
+++ b/lab/stage/node.go
@@ -45,6 +45,7 @@
 	Longest  time.Duration // deadline of any request
 	Text     string        // the whole configuration, in place of one made of the above
 	Output   *os.File      // takes its log; nil: a file in Dir
+	Operated bool          // it is told a second address, for operators, and a directory that lasts over upgrades
 }
 
 // Node is a balancer: one process after another at one address.
@@ -57,6 +58,8 @@
 	n    int           // processes so far
 	path string
 	stop chan struct{}
+
+	control string // the running process's second address; empty: none
 }
 
 // NewNode describes a node; Start begins its first process.
@@ -86,6 +89,9 @@
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": n.opt.MemoryMB, "sockets": n.opt.Sockets},
 		"known":    standin.Wire(n.opt.Log.Zero(), revision, true, members),
 		"settings": n.opt.Settings}
+	if n.control != "" {
+		config["control"] = n.control
+	}
 	text, err := json.Marshal(config)
 	if err != nil {
 		return err
@@ -122,6 +128,35 @@
 	if n.cmd != nil {
 		return errors.New("the node is running")
 	}
+	if n.opt.Operated { // a node starts with nothing
+		if err := os.RemoveAll(n.state()); err != nil {
+			return err
+		}
+		if err := os.Mkdir(n.state(), 0o700); err != nil {
+			return err
+		}
+	}
+	return n.launch(revision, members)
+}
+
+// state is the directory for temporary files of the node's processes.
+func (n *Node) state() string {
+	return filepath.Join(n.opt.Dir, fmt.Sprintf("state%d", n.opt.Number+1))
+}
+
+// launch begins a process, perhaps beside another.
+func (n *Node) launch(revision int64, members []world.Member) error {
+	env := n.opt.Env
+	if n.opt.Operated {
+		host, _, err := net.SplitHostPort(n.opt.Listen)
+		if err != nil {
+			return err
+		}
+		if n.control, err = FreeAddr(host); err != nil {
+			return err
+		}
+		env = append([]string{"TMPDIR=" + n.state()}, env...)
+	}
 	if err := n.Config(revision, members); err != nil {
 		return err
 	}
@@ -136,7 +171,7 @@
 	}
 	// As the platform does it: by the shell, with no descriptors but the standard ones; it dies with the lab.
 	cmd := exec.Command("/bin/sh", "-c", "exec "+n.opt.Command)
-	cmd.Env = append(append(os.Environ(), "EDGE_CONFIG="+n.path), n.opt.Env...)
+	cmd.Env = append(append(os.Environ(), "EDGE_CONFIG="+n.path), env...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -153,7 +188,12 @@
 	n.n++
 	n.cmd, n.life, n.done = cmd, life, make(chan struct{})
 	go n.watch(cmd, life, n.done)
-	go n.awaitReady(life, n.done)
+	if n.n == 1 || n.control == "" { // an older version may have no second address
+		go n.awaitReady(life, n.done, func() bool { return load.Ready(n.opt.Listen) })
+	} else { // the address for clients may be another process's
+		control := n.control
+		go n.awaitReady(life, n.done, func() bool { return Call(control, "GET", "/_ready") == nil })
+	}
 	return nil
 }
 
@@ -225,9 +265,9 @@
 	}
 }
 
-// awaitReady notes when a process answers mn with MN.
-func (n *Node) awaitReady(life *seen.Life, done chan struct{}) {
-	for !load.Ready(n.opt.Listen) {
+// awaitReady notes when a process takes clients.
+func (n *Node) awaitReady(life *seen.Life, done chan struct{}, ready func() bool) {
+	for !ready() {
 		select {
 		case <-done:
 			return
--- /dev/null
+++ b/lab/stage/operators.go
@@ -0,0 +1,155 @@
+package stage
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"syscall"
+	"time"
+
+	"lapisshelf/lab/load"
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/world"
+)
+
+// What operators do by hand, and how it is watched.
+
+const (
+	callWithin   = time.Second            // how long an operator waits for an answer
+	frontEvery   = 100 * time.Millisecond // how often a front asks a node whether it takes clients
+	drainedAfter = 4 * time.Second        // from the call to the moment by which no client is kept
+	killBehind   = 700 * time.Millisecond // past the longest deadline, after SIGTERM: when an old process is killed
+)
+
+// Call makes an operator's call; nil means yes.
+func Call(addr, method, path string) error {
+	req, err := http.NewRequest(method, "http://"+addr+path, nil)
+	if err != nil {
+		return err
+	}
+	client := http.Client{Timeout: callWithin, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	text, _ := io.ReadAll(io.LimitReader(answer.Body, 1<<10))
+	if answer.StatusCode/100 != 2 {
+		return fmt.Errorf("%s %s: %s: %s", method, path, answer.Status, strings.TrimSpace(string(text)))
+	}
+	return nil
+}
+
+// Control is the running process's second address.
+func (n *Node) Control() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.control
+}
+
+// detach bans a server at a node, or lifts that.
+func (s *Stage) detach(node int, name string, on bool) error {
+	id := s.X.Server(name).ID
+	if c := s.cache(name); c != nil {
+		id = c.ID()
+	}
+	began := s.Log.Now()
+	word := map[bool]string{true: "detach", false: "attach"}[on]
+	if err := Call(s.Nodes[node].Control(), "POST", "/_cache-servers/"+word+"/"+id); err != nil {
+		return err
+	}
+	now := s.Log.Now()
+	s.Log.Do(func(r *seen.Record) {
+		if on {
+			r.Hands = append(r.Hands, &seen.Hand{Node: node, Server: id, From: now})
+			return
+		}
+		for _, h := range r.Hands {
+			if h.Node == node && h.Server == id && h.To == 0 {
+				h.To = began
+			}
+		}
+	})
+	return nil
+}
+
+// lameduck drains a node or takes that back. A front follows what the node says, and looks whether it lets its clients go.
+func (s *Stage) lameduck(node int, on bool) error {
+	n := s.Nodes[node]
+	word := map[bool]string{true: "on", false: "off"}[on]
+	if err := Call(n.Control(), "POST", "/_lameduck/"+word); err != nil {
+		return err
+	}
+	now := s.Log.Now()
+	l := &seen.Lame{Node: node, From: now}
+	s.mu.Lock()
+	old := s.lames[node]
+	if s.lames[node] = nil; on {
+		s.lames[node] = l
+	}
+	s.mu.Unlock()
+	if !on || old != nil {
+		return nil
+	}
+	s.Log.Do(func(r *seen.Record) { r.Lames = append(r.Lames, l) })
+	s.hands.Go(func() {
+		for {
+			select {
+			case <-s.quit:
+				return
+			case <-time.After(frontEvery):
+			}
+			ready := load.Ready(n.Addr())
+			s.load.Away(node, !ready)
+			s.mu.Lock()
+			over := s.lames[node] != l
+			s.mu.Unlock()
+			if over && ready {
+				return
+			}
+			if at := s.Log.Now(); !over && l.Looked == 0 && at >= now+drainedAfter {
+				s.Log.Do(func(*seen.Record) { l.Looked, l.Ready, l.Idle = at, ready, s.load.Idle(node) })
+			}
+		}
+	})
+	return nil
+}
+
+// upgrade has a new process take the place of a node's running one.
+func (s *Stage) upgrade(node int) error {
+	rev, members := s.known()
+	n := s.Nodes[node]
+	return n.Upgrade(rev, members, func() { s.list.Lives(node, n.LifeNumber()) })
+}
+
+// Upgrade starts a process beside the running one; when it is ready, the old one is told to end, and killed in the end as
+// the platform does it. Once both run, and the new one counts as the node, begun is called.
+func (n *Node) Upgrade(revision int64, members []world.Member, begun func()) error {
+	n.mu.Lock()
+	old, life, done := n.cmd, n.life, n.done
+	if old == nil || !n.opt.Operated {
+		n.mu.Unlock()
+		return fmt.Errorf("node %d does not run, or has no second address", n.opt.Number+1)
+	}
+	err := n.launch(revision, members)
+	n.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	begun()
+	if err := n.Ready(); err != nil {
+		return err
+	}
+	now := n.opt.Log.Now()
+	n.opt.Log.Do(func(*seen.Record) { life.Term = now })
+	old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(n.opt.Longest + killBehind):
+		n.opt.Log.Do(func(*seen.Record) { life.Replaced = true })
+		old.Process.Kill()
+		<-done
+	}
+	return nil
+}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -57,12 +57,15 @@
 	caches map[string]*standin.Cache // by name
 	origin *standin.Origin
 	list   lister
-	keeper *keeper // of servers' leases; nil: none
+	hands  sync.WaitGroup // operators at work
+	quit   chan struct{}  // closed when the plan is over
+	keeper *keeper        // of servers' leases; nil: none
 	load   *load.Load
 	plan   []world.Arrival
 	net    string // the first three numbers of its loopback addresses
 
 	mu     sync.Mutex
+	lames  map[int]*seen.Lame                        // drains of nodes that last
 	missed [2]map[string][]func(version, size int64) // by request, the newer generation first
 	turned time.Time
 	rules  judge.Rules
@@ -90,7 +93,7 @@
 
 // Open puts a deployment up; when it returns without an error, all nodes are ready.
 func Open(x *experiment.Experiment, opt Options) (*Stage, error) {
-	s := &Stage{X: x, Log: seen.NewLog(), opt: opt, caches: map[string]*standin.Cache{}, rules: x.Rules(), plan: x.Plan()}
+	s := &Stage{X: x, Log: seen.NewLog(), opt: opt, caches: map[string]*standin.Cache{}, lames: map[int]*seen.Lame{}, quit: make(chan struct{}), rules: x.Rules(), plan: x.Plan()}
 	s.net = fmt.Sprintf("127.%d.%d.", 10+rand.IntN(200), rand.IntN(250))
 	s.Common = standin.NewCommon(s.Log, x.Seed, x.Classes)
 	s.missed = [2]map[string][]func(version, size int64){{}, {}}
@@ -258,7 +261,7 @@
 		}
 		opt := NodeOptions{Log: s.Log, Number: i, Command: s.opt.Command, Dir: s.opt.Dir, Listen: addr, List: s.list.Where(i)[0],
 			MemoryMB: x.Nodes.MemoryMB, Sockets: x.Nodes.Sockets, Seed: world.Stream(x.Seed, "node", fmt.Sprint(i)).Uint64(),
-			Settings: x.Settings(i), Longest: longest}
+			Settings: x.Settings(i), Longest: longest, Operated: true}
 		if x.Nodes.Config != "" {
 			path := x.Nodes.Config
 			if !filepath.IsAbs(path) {
@@ -357,6 +360,8 @@
 	s.load.Run(ctx, begin, s.plan)
 	close(stop)
 	others.Wait()
+	close(s.quit)
+	s.hands.Wait()
 	return s.finish(ctx, begin, stall)
 }
 
@@ -437,6 +442,12 @@
 		}
 		l.Known = members(l.Known)
 	}
+	for _, h := range rec.Hands {
+		move(&h.From, &h.To)
+	}
+	for _, l := range rec.Lames {
+		move(&l.From, &l.Looked)
+	}
 	for i := range rec.Effects {
 		move(&rec.Effects[i].At)
 	}
@@ -509,6 +520,8 @@
 // do carries out one action.
 func (s *Stage) do(a fault.Action) error {
 	switch {
+	case a.Verb == fault.Detach:
+		return s.detach(a.Node, a.Server, a.X != 0)
 	case a.Server != "":
 		return s.onServer(a)
 	case a.Node >= 0:
@@ -568,6 +581,14 @@
 		} else {
 			n.Signal(syscall.SIGCONT)
 		}
+	case fault.NodeLame:
+		return s.lameduck(a.Node, a.X != 0)
+	case fault.NodeUpgrade:
+		s.hands.Go(func() {
+			if err := s.upgrade(a.Node); err != nil {
+				s.Log.Mark(fmt.Sprintf("%s failed: %v", a, err))
+			}
+		})
 	case fault.NodeStart:
 		if _, ended := n.Wait(readyWithin); !ended {
 			return fmt.Errorf("node %d has not ended", a.Node+1)
