Read again: one walk over what ends a long value, one note of bans in the lab

The check of the line end behind a long value stood in body.go and upload.go alike (now matched); breaking a client off repeated what the end of its connection does; the lab wrote down a ban in two places (now seen.Record.Said); two comments told less than what their fields do now.

Left, seen on the way: an origin's answer has its head parsed twice (httpc.Head for long values, then httpc.Next).

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -60,14 +60,24 @@
 		used = n
 	}
 	// Guards against passing on as whole a value that was longer or shorter than it said: its own line end comes last.
-	for b.left == 0 && b.tail != "" && used < len(data) {
-		if data[used] != b.tail[0] {
-			return used, false
+	if b.left == 0 {
+		var end int
+		b.tail, end, ok = matched(b.tail, data[used:])
+		return used + end, ok
+	}
+	return used, true
+}
+
+// matched takes off data what has come of a text that must come next. It returns what of it has yet to come, how many bytes
+// it took, and whether these were right.
+func matched(text string, data []byte) (rest string, used int, ok bool) {
+	for used < len(text) && used < len(data) {
+		if data[used] != text[used] {
+			return text[used:], used, false
 		}
-		b.tail = b.tail[1:]
 		used++
 	}
-	return used, true
+	return text[used:], used, true
 }
 
 // whole reports whether all has come.
@@ -170,14 +180,8 @@
 
 // breakOff ends a connection in the midst of an answer: with its end the client knows that it is not whole.
 func (c *client) breakOff() {
-	calls := c.calls
 	c.conn.Finish(lingerFor)
-	c.drop()
-	for _, k := range calls {
-		if k != nil && !k.answered {
-			c.node.abandon(k)
-		}
-	}
+	c.End(nil)
 }
 
 // deepen has the system take all that is left of a client's answer, once, as far as the node's memory would have room for
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -67,7 +67,7 @@
 	last    bool          // nothing more is taken: it closes after the answers owed
 	excess  bool          // accepted into the reserve
 	parting bool          // it closes after an answer
-	deep    int           // bytes for which the system was asked to make room, at the end of the process
+	deep    int           // bytes for which the system was asked to make room, see deepen
 	gone    bool
 	parsing bool // commands are being taken
 	again   bool // what had to wait will be looked at
@@ -445,8 +445,9 @@
 // most is how many bytes of values the node may hold, and of answers as many again.
 func (n *Node) most() int { return n.memoryMB() << 20 / heldPart }
 
-// valueMost is how many bytes a value may hold: many must have room at once. Values over the usual size do come
-// (launceston-platform, rate+silent+leave: up to 360 KB, each taken for a spoilt answer, and the servers skipped for it).
+// valueMost is how many bytes an answer may hold that is kept whole, one of a length that is not told ahead: many must have
+// room at once. Values over the usual size do come (launceston-platform, rate+silent+leave: up to 360 KB, each taken for a
+// spoilt answer, and the servers skipped for it).
 func (n *Node) valueMost() int { return max(meta.MaxValue, n.cfg.MemoryMB<<20/valuePart) }
 
 // patience is the request's class and how long the client waits, as the request tells; no longer than its class allows.
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -55,12 +55,10 @@
 		u.give(piece)
 	}
 	// Guards against a write that runs though its value was longer or shorter than it said.
-	for u.left == 0 && u.end != "" && used < len(data) {
-		if data[used] != u.end[0] {
-			return used, false
-		}
-		u.end = u.end[1:]
-		used++
+	if u.left == 0 {
+		var end int
+		u.end, end, ok = matched(u.end, data[used:])
+		return used + end, ok
 	}
 	return used, true
 }
--- a/lab/fleet/servers.go
+++ b/lab/fleet/servers.go
@@ -426,15 +426,7 @@
 	if !n.up {
 		return
 	}
-	if on {
-		s.rec.Hands = append(s.rec.Hands, &seen.Hand{Node: number, Server: id, From: s.now})
-	} else {
-		for _, h := range s.rec.Hands {
-			if h.Node == number && h.Server == id && h.To == 0 {
-				h.To = s.now
-			}
-		}
-	}
+	s.rec.Said(number, id, on, s.now)
 	n.policy.Ban(n.clock(), id, on)
 	n.settle()
 }
--- a/lab/seen/seen.go
+++ b/lab/seen/seen.go
@@ -203,6 +203,19 @@
 	Strange  []Mark // what servers were sent that no protocol allows
 }
 
+// Said notes what was said of a server to a node by hand.
+func (r *Record) Said(node int, server string, banned bool, at time.Duration) {
+	if banned {
+		r.Hands = append(r.Hands, &Hand{Node: node, Server: server, From: at})
+		return
+	}
+	for _, h := range r.Hands {
+		if h.Node == node && h.Server == server && h.To == 0 {
+			h.To = at
+		}
+	}
+}
+
 // Log collects a Record from many goroutines.
 type Log struct {
 	mu     sync.Mutex
--- a/lab/stage/operators.go
+++ b/lab/stage/operators.go
@@ -54,23 +54,15 @@
 	if c := s.cache(name); c != nil {
 		id = c.ID()
 	}
-	began := s.Log.Now()
+	at := s.Log.Now() // a ban may end with the call, and begins with its answer
 	word := map[bool]string{true: "detach", false: "attach"}[on]
 	if err := Call(s.Nodes[node].Control(), "POST", "/_cache-servers/"+word+"/"+id); err != nil {
 		return err
 	}
-	now := s.Log.Now()
-	s.Log.Do(func(r *seen.Record) {
-		if on {
-			r.Hands = append(r.Hands, &seen.Hand{Node: node, Server: id, From: now})
-			return
-		}
-		for _, h := range r.Hands {
-			if h.Node == node && h.Server == id && h.To == 0 {
-				h.To = began
-			}
-		}
-	})
+	if on {
+		at = s.Log.Now()
+	}
+	s.Log.Do(func(r *seen.Record) { r.Said(node, id, on, at) })
 	return nil
 }
 
