--- /dev/null
+++ b/decide/plan/api.go
@@ -0,0 +1,187 @@
+// Package plan decides what a planner tells forwarders: from their digests of what they saw, and the server list, it makes a
+// view of the whole fleet: factors of the servers' weights, what may be sent to cold servers and to the origin, how hot
+// keys are, what tenants use.
+//
+// The ordinary path: all is well, every factor is 1 and nothing is limited. The departures: a server that answers worse
+// than the middle of the fleet loses weight, step by step (weigh); cold servers and a strained origin get a budget that is
+// shared out by grants that run out (grant); keys that outrun a server are named (heat).
+//
+// It does no I/O and reads no clock: the caller passes the time (since any fixed zero) with each event. It names no server
+// for a key: the shared ranking decides, with the weights that a view sets.
+package plan
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+// Bounds of what is taken from others.
+const (
+	MostServers = 4096 // in a digest or a view
+	MostHot     = 64
+	MostTenants = 256
+	MostName    = 256   // bytes of an id
+	MostCount   = 1e6   // of anything in one digest
+	LeastFactor = 0.1   // of a server's weight
+	MostRate    = 1e9   // of anything a second
+	MostValid   = 10e10 // nanoseconds for which a view may say it is valid
+)
+
+// Load is what a forwarder saw of one server in a digest's span.
+type Load struct {
+	ID     string
+	Sends  int // attempts begun
+	Timely int // answered within half of the class's aim
+	Late   int // answered after that, or not in time
+	Full   int // turned away
+	Failed int // connection or answer broken
+}
+
+// Heat is how often a key was asked for; Key is policy.Digest of it.
+type Heat struct {
+	Key   uint32
+	Asked int
+}
+
+// Use is what a tenant asked for.
+type Use struct {
+	Tenant string
+	Asked  int
+}
+
+// Digest is what a forwarder saw in a span. Lost and doubled ones are harmless.
+type Digest struct {
+	From     string        // the forwarder's name
+	Start    int64         // when it started, Unix time in ns: a later one is a restart under the name
+	Seq      uint64        // grows with each digest since then
+	Span     time.Duration // that it tells of
+	Asked    int           // requests taken
+	Answered int           // reads answered
+	Servers  []Load
+	Origin   Load
+	Hot      []Heat
+	Tenants  []Use
+}
+
+func name(id string) bool { return id != "" && len(id) <= MostName }
+
+func counts(list ...int) bool {
+	for _, n := range list {
+		if n < 0 || n > MostCount {
+			return false
+		}
+	}
+	return true
+}
+
+func (l *Load) sound() bool { return counts(l.Sends, l.Timely, l.Late, l.Full, l.Failed) }
+
+// Check says what is wrong with a digest; nil: it makes sense.
+func (d *Digest) Check() error {
+	switch {
+	case !name(d.From):
+		return errors.New("no name, or too long a one")
+	case d.Span <= 0 || d.Span > time.Minute:
+		return fmt.Errorf("a span of %v", d.Span)
+	case len(d.Servers) > MostServers || len(d.Hot) > MostHot || len(d.Tenants) > MostTenants:
+		return errors.New("too many entries")
+	case !counts(d.Asked, d.Answered) || !d.Origin.sound():
+		return errors.New("absurd counts")
+	}
+	for i := range d.Servers {
+		if l := &d.Servers[i]; !name(l.ID) || !l.sound() {
+			return fmt.Errorf("absurd counts of server %.40q", l.ID)
+		}
+	}
+	for _, h := range d.Hot {
+		if !counts(h.Asked) {
+			return errors.New("absurd counts of keys")
+		}
+	}
+	for _, u := range d.Tenants {
+		if !name(u.Tenant) || !counts(u.Asked) {
+			return errors.New("absurd counts of tenants")
+		}
+	}
+	return nil
+}
+
+// View is what a planner tells one forwarder.
+type View struct {
+	Epoch   uint64        // of the lease of who leads; 0: there is no lease
+	Planner string        // who made it
+	Made    time.Duration // by the planner's clock, Unix time; grows with each view of a planner
+	Valid   time.Duration // how long it holds from when it comes
+	policy.View
+}
+
+func rate(x float64) bool { return x >= 0 && x <= MostRate } // false for what is no number
+
+// Check says what is wrong with a view by itself; nil: it makes sense.
+func (v *View) Check() error {
+	switch {
+	case !name(v.Planner):
+		return errors.New("no planner's name, or too long a one")
+	case v.Valid <= 0 || v.Valid > MostValid:
+		return fmt.Errorf("valid for %v", v.Valid)
+	case len(v.Servers) > MostServers || len(v.Hot) > MostHot || len(v.Tenants) > MostTenants:
+		return errors.New("too many entries")
+	case !rate(v.Origin):
+		return errors.New("an absurd rate of fetches")
+	}
+	seen := map[string]bool{}
+	for _, s := range v.Servers {
+		switch {
+		case !name(s.ID) || seen[s.ID]:
+			return fmt.Errorf("server %.40q without a name, or named twice", s.ID)
+		case !(s.Factor >= LeastFactor && s.Factor <= 1):
+			return fmt.Errorf("server %.40q: a factor of %v", s.ID, s.Factor)
+		case !rate(s.Allow):
+			return fmt.Errorf("server %.40q: an absurd rate", s.ID)
+		}
+		seen[s.ID] = true
+	}
+	for _, h := range v.Hot {
+		if !rate(h.Load) {
+			return errors.New("an absurd load of a key")
+		}
+	}
+	for _, t := range v.Tenants {
+		if !name(t.Name) || !rate(t.Asked) {
+			return errors.New("an absurd use of a tenant")
+		}
+	}
+	return nil
+}
+
+// Config is what a planner is told at its start. Zero figures take the defaults told with them.
+type Config struct {
+	ID         string
+	Valid      time.Duration // of a view; 3 s
+	Silent     time.Duration // a forwarder unheard for so long is forgotten; 5 s
+	Memory     time.Duration // span in which what was seen fades; 3 s
+	Move       float64       // most of the keys that weights move a second; 0.05
+	Forwarders int           // most that are followed; 4096
+	// As the forwarders' settings tell them.
+	Mode         policy.Mode
+	OriginKind   string
+	Weighted     bool
+	ColdFrom     float64
+	WarmUp       time.Duration
+	FallMultiple float64
+	FallWindow   time.Duration
+}
+
+// Reason tells why a server has the weight it has.
+type Reason struct {
+	ID      string
+	Weight  float64 // listed
+	Factor  float64
+	Allow   float64 // sends a second that the fleet may make; 0: no limit
+	Bad     float64 // part of its answers that were late, full or failed
+	Answers float64 // that this was told from
+	Word    string
+}
--- /dev/null
+++ b/decide/plan/plan_test.go
@@ -0,0 +1,317 @@
+package plan
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lapisshelf/policy"
+)
+
+const sec = time.Second
+
+func fleet(n int) (list []policy.Server) {
+	for i := range n {
+		list = append(list, policy.Server{ID: fmt.Sprintf("c%02d", i), Weight: 1})
+	}
+	return append(list, policy.Server{ID: "o", Kind: "origin", Weight: -1})
+}
+
+func config() Config {
+	return Config{ID: "p1", Mode: policy.Aside, OriginKind: "origin", Weighted: true, ColdFrom: 0.2, WarmUp: 10 * sec, FallMultiple: 3, FallWindow: 1500 * time.Millisecond}
+}
+
+// world feeds a planner with what forwarders see, a digest a second each.
+type world struct {
+	p          *Planner
+	now        time.Duration
+	seq        uint64
+	forwarders int
+	caches     int
+	perSecond  int // sends of a forwarder to each cache
+	bad        func(forwarder, cache int) float64
+	origin     Load
+	twist      func(d *Digest)
+}
+
+func (w *world) digest(f int) Digest {
+	d := Digest{From: fmt.Sprintf("f%03d", f), Start: 1, Seq: w.seq, Span: sec, Asked: w.perSecond * w.caches, Answered: w.perSecond * w.caches, Origin: w.origin}
+	for c := range w.caches {
+		bad := 0
+		if w.bad != nil {
+			bad = int(math.Round(w.bad(f, c) * float64(w.perSecond)))
+		}
+		d.Servers = append(d.Servers, Load{ID: fmt.Sprintf("c%02d", c), Sends: w.perSecond, Timely: w.perSecond - bad, Late: bad})
+	}
+	if w.twist != nil {
+		w.twist(&d)
+	}
+	return d
+}
+
+// run plays seconds; each is one digest a forwarder and two looks.
+func (w *world) run(seconds int, each func()) {
+	for range seconds {
+		w.seq++
+		for f := range w.forwarders {
+			w.p.Digest(w.now, w.digest(f))
+		}
+		for range 2 {
+			w.now += sec / 2
+			w.p.Make(w.now)
+			if each != nil {
+				each()
+			}
+		}
+	}
+}
+
+func (w *world) factor(id string) float64 {
+	for _, r := range w.p.Explain() {
+		if r.ID == id {
+			return r.Factor
+		}
+	}
+	return -1
+}
+
+func small() *world {
+	w := &world{p: New(config()), now: 100 * sec, forwarders: 8, caches: 8, perSecond: 5}
+	w.p.Roster(w.now, fleet(8))
+	return w
+}
+
+// A cache that answers late loses its weight step by step, no more than the stated part of the keys a second, and gets it
+// back when it is well; the others keep theirs.
+func TestAJammedCacheLosesWeight(t *testing.T) {
+	w := small()
+	w.run(3, nil)
+	jammed := true
+	w.bad = func(_, c int) float64 {
+		if c == 3 && jammed {
+			return 0.8
+		}
+		return 0
+	}
+	shares := func() (list []float64) {
+		sum := 0.0
+		for _, r := range w.p.Explain() {
+			sum += r.Factor
+		}
+		for _, r := range w.p.Explain() {
+			list = append(list, r.Factor/sum)
+		}
+		return list
+	}
+	last := shares()
+	watch := func() {
+		moved := 0.0
+		for i, s := range shares() {
+			moved += math.Abs(s-last[i]) / 2
+		}
+		if last = shares(); moved > 0.05/2*1.2 { // half a second at a time
+			t.Errorf("%.3f of the keys moved in half a second", moved)
+		}
+	}
+	w.run(8, watch)
+	if f := w.factor("c03"); f > 0.3 || f < LeastFactor {
+		t.Errorf("factor %v after eight bad seconds", f)
+	}
+	if f := w.factor("c02"); f != 1 {
+		t.Errorf("a healthy one has %v", f)
+	}
+	jammed = false
+	w.run(25, watch)
+	if f := w.factor("c03"); f != 1 {
+		t.Errorf("factor %v when it is well again", f)
+	}
+}
+
+// When all answer badly nobody is worse than the middle: weights stay. Guards against a strained origin, or an overload,
+// that takes the weight of whoever is asked most.
+func TestAllBadIsNobodysFault(t *testing.T) {
+	w := small()
+	w.bad = func(int, int) float64 { return 0.8 }
+	w.run(10, nil)
+	for _, r := range w.p.Explain() {
+		if r.Factor != 1 {
+			t.Errorf("%s has %v", r.ID, r.Factor)
+		}
+	}
+}
+
+// One forwarder that lies, at any volume, takes no server's weight.
+func TestALiarDecidesNothing(t *testing.T) {
+	w := small()
+	w.twist = func(d *Digest) {
+		if d.From != "f000" {
+			return
+		}
+		for i := range d.Servers {
+			if d.Servers[i].ID == "c01" {
+				d.Servers[i] = Load{ID: "c01", Sends: MostCount, Late: MostCount}
+			}
+		}
+		d.Hot = []Heat{{Key: 8, Asked: MostCount}}
+	}
+	w.run(10, nil)
+	// It counts for two in nine at most, which is beyond the middle by 0.22: hardly worse than chance, and never more.
+	if f := w.factor("c01"); f < LeastFactor {
+		t.Errorf("factor %v by one liar", f)
+	}
+	w = &world{p: New(config()), now: 100 * sec, forwarders: 20, caches: 8, perSecond: 5, twist: w.twist}
+	w.p.Roster(w.now, fleet(8))
+	w.run(10, nil)
+	if f := w.factor("c01"); f != 1 {
+		t.Errorf("factor %v by one liar in twenty", f)
+	}
+	for _, d := range []Digest{{From: "x", Span: sec, Asked: -1}, {Span: sec}, {From: "x"}, {From: "x", Span: sec, Asked: 1e9},
+		{From: "x", Span: sec, Servers: []Load{{ID: "c01", Late: -5}}}, {From: "x", Span: sec, Servers: make([]Load, MostServers+1)}} {
+		if w.p.Digest(w.now, d) == nil {
+			t.Errorf("taken: %+.60v", d)
+		}
+	}
+}
+
+// A late, doubled or reordered digest counts once; a restart under the name begins anew.
+func TestDigestsCountOnce(t *testing.T) {
+	w := small()
+	d := w.digest(0)
+	d.Seq = 5
+	for i, c := range []struct {
+		start int64
+		seq   uint64
+		taken bool
+	}{{1, 5, true}, {1, 5, false}, {1, 4, false}, {1, 6, true}, {2, 1, true}, {1, 9, false}, {2, 2, true}} {
+		d.Start, d.Seq = c.start, c.seq
+		if err := w.p.Digest(w.now, d); (err == nil) != c.taken {
+			t.Errorf("%d: %v", i, err)
+		}
+	}
+}
+
+// A strained origin gets a budget that is shared out and widened again, and taken away once it is not needed.
+func TestTheOriginsBudget(t *testing.T) {
+	w := small()
+	w.origin = Load{Sends: 10, Timely: 10}
+	w.run(5, nil)
+	if v := w.p.View(w.now, w.now, "f000"); v.Origin != 0 {
+		t.Errorf("limited to %v though it is well", v.Origin)
+	}
+	w.origin = Load{Sends: 10, Timely: 4, Late: 6}
+	w.run(4, nil)
+	sum := 0.0
+	for f := range 8 {
+		v := w.p.View(w.now, w.now, fmt.Sprintf("f%03d", f))
+		if v.Origin <= 0 {
+			t.Error("no limit")
+		}
+		sum += v.Origin
+	}
+	if sum <= 0 || sum > originCut*85 {
+		t.Errorf("the fleet may fetch %v a second of 80", sum)
+	}
+	w.origin = Load{Sends: 4, Timely: 4}
+	w.run(40, nil)
+	if v := w.p.View(w.now, w.now, "f000"); v.Origin != 0 {
+		t.Errorf("still limited to %v", v.Origin)
+	}
+}
+
+// Keys that outrun a cache are named, with their load.
+func TestHotKeys(t *testing.T) {
+	w := small()
+	w.twist = func(d *Digest) { d.Hot = []Heat{{Key: 4, Asked: 10}, {Key: 8, Asked: 1}} } // of 40 requests, 5 a cache
+	w.run(10, nil)
+	v := w.p.View(w.now, w.now, "f001")
+	if len(v.Hot) != 1 || v.Hot[0].Key != 4 || math.Abs(v.Hot[0].Load-2) > 0.2 {
+		t.Errorf("%v", v.Hot)
+	}
+}
+
+// Under any losses, doublings, orders, joins, restarts and silences, at any moment: each view makes sense, the grants that
+// run never exceed the largest budget of a view's validity, and no two views of a planner have one stamp.
+func TestBudgetsHoldUnderAnyBreaks(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		w := &world{p: New(config()), now: 100 * sec, caches: 6, perSecond: rapid.IntRange(0, 20).Draw(r, "rate")}
+		type spell struct {
+			at     time.Duration
+			budget float64
+		}
+		var budgets, fetches []spell
+		var stamp time.Duration
+		most := func(list []spell) (most float64) {
+			for _, s := range list {
+				if w.now-s.at <= 3*sec {
+					most = max(most, s.budget)
+				}
+			}
+			return most
+		}
+		list := fleet(6)
+		for range rapid.IntRange(10, 60).Draw(r, "steps") {
+			w.now += time.Duration(rapid.IntRange(0, 1500).Draw(r, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 5).Draw(r, "what") {
+			case 0: // a server starts anew
+				list[0].Started = w.now
+				w.p.Roster(w.now, list)
+			case 1, 2:
+				w.seq += uint64(rapid.IntRange(0, 2).Draw(r, "lost"))
+				d := w.digest(rapid.IntRange(0, 30).Draw(r, "of"))
+				d.Start = int64(rapid.IntRange(1, 2).Draw(r, "start"))
+				d.Origin = Load{Sends: 20, Late: rapid.IntRange(0, 20).Draw(r, "late"), Timely: 5}
+				w.p.Digest(w.now, d)
+			case 3:
+				w.p.Make(w.now)
+			default:
+				v := w.p.View(w.now, w.now, fmt.Sprintf("f%03d", rapid.IntRange(0, 30).Draw(r, "to")))
+				if err := v.Check(); err != nil {
+					r.Fatal(err)
+				}
+				if v.Made <= stamp {
+					r.Fatalf("made at %v after %v", v.Made, stamp)
+				}
+				stamp = v.Made
+			}
+			budgets = append(budgets, spell{w.now, w.p.servers["c00"].allowed()})
+			fetches = append(fetches, spell{w.now, w.p.originAllow})
+			if got := w.p.Outstanding(w.now, "c00"); got > most(budgets)+1e-9 {
+				r.Fatalf("%v a second granted to a cold server, of at most %v", got, most(budgets))
+			}
+			if got := w.p.Outstanding(w.now, ""); got > most(fetches)+1e-9 {
+				r.Fatalf("%v fetches a second granted, of at most %v", got, most(fetches))
+			}
+		}
+	})
+}
+
+func (s *server) allowed() float64 {
+	if s == nil {
+		return 0
+	}
+	return s.allow
+}
+
+// A snapshot is taken up when it is young enough, and only as far as it makes sense.
+func TestSnapshots(t *testing.T) {
+	w := small()
+	w.bad = func(_, c int) float64 { return map[int]float64{3: 0.9}[c] }
+	w.run(8, nil)
+	s := w.p.Snapshot(1000 * sec)
+	s.Factors["c01"], s.Factors["c02"], s.Factors["gone"] = math.NaN(), 0, 0.5
+	for _, c := range []struct {
+		clock time.Duration
+		taken bool
+	}{{1005 * sec, true}, {1100 * sec, false}, {999 * sec, false}} {
+		x := small()
+		if got := x.p.Restore(c.clock, 30*sec, s); got != c.taken || got != (x.factor("c03") < 1) {
+			t.Errorf("after %v: %v, %v", c.clock-s.Clock, got, x.factor("c03"))
+		}
+		if x.factor("c01") != 1 || x.factor("c02") != 1 {
+			t.Error("factors that make no sense are taken")
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -169,6 +169,34 @@
 	Kept    bool // a reset of a connection that had answered before: its end, not the server's, as far as that tells
 }
 
+// View is what planners that see the whole fleet tell one balancer, where there are any. It can only lower weights and add
+// limits: the list, and what the balancer has seen itself, come first.
+type View struct {
+	Servers []Share
+	Origin  float64 // fetches a second that this balancer may send to the origin; 0: no limit
+	Hot     []Heat
+	Tenants []Use
+}
+
+// Share is what a view says of one server.
+type Share struct {
+	ID     string
+	Factor float64 // of its weight, above 0 to 1
+	Allow  float64 // sends a second that this balancer may make; 0: no limit
+}
+
+// Heat is how many caches' mean load a key brings to the whole fleet. Key is its Digest.
+type Heat struct {
+	Key  uint32
+	Load float64
+}
+
+// Use is how many requests a second a tenant asks of the whole fleet.
+type Use struct {
+	Name  string
+	Asked float64
+}
+
 // Actions is what a balancer may do. Each call takes effect at the time of the event being handled.
 type Actions interface {
 	Send(id, server string, wait time.Duration) // wait 0: as long as the client waits
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -215,6 +215,11 @@
 	if s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
 		return false
 	}
+	// Where planners tell what this node may send a second, it sends no more: all nodes' parts make up a budget. The
+	// bound is what the fading count comes down to between sends at that pace, however slow.
+	if a := s.allow * b.set.FallWindow.Seconds(); a > 0 && s.sends.at(b.now, b.set.FallWindow) > 1/math.Expm1(1/a) {
+		return false
+	}
 	return float64(len(s.sent)) < s.limit
 }
 
@@ -231,8 +236,9 @@
 
 // load is how many caches' mean load a key brings, told from its repeats among the last requests.
 func (b *Balancer) load(key string) float64 {
-	n, again := float64(len(b.caches)), float64(max(0, b.recent.count[noteOf(key, keyAsked)]-1))
-	return again * n / max(n, float64(len(b.recent.keys)))
+	k, n := noteOf(key, keyAsked), float64(len(b.caches))
+	again := float64(max(0, b.recent.count[k]-1))
+	return max(b.heat[k], again*n/max(n, float64(len(b.recent.keys))))
 }
 
 // show sends the last notes to one other node, with each request, where a node sees fewer requests than there
@@ -308,6 +314,9 @@
 		t.asked.add(now, b.set.FallWindow)
 		due := t.Quota * b.set.FallWindow.Seconds() / float64(max(1, b.set.Balancers))
 		r.over = t.asked.value > due+2*math.Sqrt(due) // beyond what chance explains
+		if t.fleet > 0 {                              // planners see it
+			r.over = t.fleet > t.Quota
+		}
 	}
 	b.route(r)
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,7 +23,8 @@
 	Server
 	banned    bool            // by hand
 	started   time.Duration   // as the list says, or when a ban was lifted
-	weight    float64         // listed, or the mean where none is listed
+	weight    float64         // listed, or the mean where none is listed, times the factor of the view
+	allow     float64         // sends a second that the view leaves to this node; 0: no limit
 	score     float64         // of the ranking being made
 	sent      []*attempt      // out now, oldest first
 	limit     float64         // attempts that may be out
@@ -75,6 +76,7 @@
 type tenant struct {
 	Tenant
 	asked fading
+	fleet float64 // requests a second of the whole fleet, as the view tells; 0: not told
 }
 
 // fetch is a read of a key at the origin and the reads that wait for it.
@@ -120,6 +122,9 @@
 	own      []note              // the last made here
 	byDigest map[note]*server
 	asked    fading // requests lately
+
+	view View             // of planners; empty where there are none
+	heat map[note]float64 // of its hot keys
 }
 
 // blank returns a balancer that has decided nothing yet.
@@ -194,6 +199,42 @@
 	}
 }
 
+// Digest names a key in views.
+func Digest(key string) uint32 { return uint32(noteOf(key, keyAsked)) }
+
+// View takes the latest view of planners in force; an empty one, that there is none.
+func (b *Balancer) View(now time.Duration, v View) {
+	b.now, b.view = now, v
+	b.heat = map[note]float64{}
+	for _, h := range v.Hot {
+		b.heat[note(h.Key)] = h.Load
+	}
+	for _, t := range b.tenants {
+		t.fleet = 0
+	}
+	for _, u := range v.Tenants {
+		if t := b.tenants[u.Name]; t != nil {
+			t.fleet = u.Asked
+		}
+	}
+	b.reindex()
+}
+
+// viewed brings the servers in line with the view.
+func (b *Balancer) viewed() {
+	for _, s := range b.servers {
+		s.allow = 0
+	}
+	for _, x := range b.view.Servers {
+		if s := b.servers[x.ID]; s != nil && s != b.origin {
+			s.weight, s.allow = s.weight*x.Factor, x.Allow
+		}
+	}
+	if b.origin != nil {
+		b.origin.allow = b.view.Origin
+	}
+}
+
 // Known tells how many caches the list has, and how many of these are avoided now.
 func (b *Balancer) Known(now time.Duration) (listed, avoided int) {
 	b.now = now
@@ -465,4 +506,5 @@
 			s.weight = s.Weight
 		}
 	}
+	b.viewed()
 }
