Planners and forwarders as programs: digests and views over mutual TLS, keys, view

A certificate names its holder and part; a digest in another's name counts for nothing.

Not taken: datagrams; the planner on goroutines throughout: its decisions run on one loop, only sockets wait in goroutines.

Tests start the built programs: a late cache loses weight at two forwarders, the followed planner is killed, the other frozen, no read is lost; wrong part, expired, another's name are refused.

--- a/cmd/lapisshelf/main.go
+++ b/cmd/lapisshelf/main.go
@@ -49,7 +49,7 @@
 	config := os.Getenv("LAPISSHELF_CONFIG")
 	none := func(_ *cobra.Command, args []string) error {
 		if len(args) > 0 {
-			return usageError{fmt.Errorf("unknown command %q: there are serve, check and version", args[0])}
+			return usageError{fmt.Errorf("unknown command %q: there are serve, forward, plan, keys, view, check and version", args[0])}
 		}
 		return nil
 	}
@@ -62,6 +62,19 @@
 	root.CompletionOptions.DisableDefaultCmd = true
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve, as the program does with no command", Args: none, RunE: serving},
+		&cobra.Command{Use: "forward", Short: "Serve by the views of planners: serve, but [planners] must be there", Args: none, RunE: func(*cobra.Command, []string) error {
+			op, err := operator.Read(config)
+			if err != nil {
+				return err
+			}
+			if op.Planners == nil {
+				return fmt.Errorf("%s: has no [planners] table", config)
+			}
+			return serve(config)
+		}},
+		&cobra.Command{Use: "plan", Short: "Plan for forwarders, by the [planner] table", Args: none, RunE: func(*cobra.Command, []string) error { return planning(config) }},
+		keysCommand(),
+		&cobra.Command{Use: "view ADDRESS", Short: "Print the view that a planner or forwarder acts on, by its control address", Args: exactly(1, "an address"), RunE: view},
 		&cobra.Command{Use: "check FILE...", Short: "Say what is wrong with operator's files (.toml) and configurations (.json)",
 			Args: func(_ *cobra.Command, args []string) error {
 				if len(args) == 0 {
--- /dev/null
+++ b/cmd/lapisshelf/planners_test.go
@@ -0,0 +1,176 @@
+package main
+
+// Planners and forwarders as built programs.
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lapisshelf/internal/keys"
+)
+
+// certified makes an authority and certificates in a directory of the test's.
+func certified(t *testing.T, holders map[string]keys.Role) string {
+	t.Helper()
+	dir := filepath.Join(t.TempDir(), "keys")
+	if err := keys.MakeAuthority(dir, time.Now(), 24*time.Hour); err != nil {
+		t.Fatal(err)
+	}
+	for name, role := range holders {
+		if err := keys.Make(dir, name, role, time.Now(), time.Hour, false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return dir
+}
+
+// startPlanner runs the program as a planner and gives the address for forwarders and the one for operators.
+func startPlanner(t *testing.T, d discovery, dir, id, more string) (p *process, addr, control string) {
+	t.Helper()
+	addr, control = refusing(t), refusing(t)
+	file := filepath.Join(dir, id+".toml")
+	text := fmt.Sprintf("[node]\ncontrol = %q\ndiscovery = %q\n[service]\norigin_falls = true\n[[class]]\nname = \"read\"\naim = \"600ms\"\ndeadline = \"3s\"\n"+
+		"[planner]\nid = %q\nlisten = %q\nca_file = \"ca.pem\"\ncert_file = \"%s.pem\"\nkey_file = \"%s.key\"\nevery = \"100ms\"\nvalid = \"1s\"\n%s",
+		control, d.Addr(0), id, addr, id, id, more)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p = launch(t, "{}", addr, nil, "plan", "--config", file)
+	eventually(t, "the planner has the list", func() bool { status, _ := call(t, control, "GET", "/_ready"); return status == 200 })
+	return p, addr, control
+}
+
+// startForwarder runs a node that talks to planners.
+func startForwarder(t *testing.T, d discovery, dir, name, cert string, planners ...string) (n *process, control string) {
+	t.Helper()
+	file := filepath.Join(dir, name+"-"+cert+".toml")
+	text := fmt.Sprintf("[planners]\naddresses = [\"%s\"]\nca_file = \"ca.pem\"\ncert_file = \"%s.pem\"\nkey_file = \"%s.key\"\nevery = \"200ms\"\nfade = \"1s\"\n",
+		strings.Join(planners, `", "`), cert, cert)
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	control = refusing(t)
+	t.Setenv("LAPISSHELF_CONFIG", file)
+	return start(t, d, func(c map[string]any) { c["control"], c["name"] = control, name }), control
+}
+
+// viewOf is what `lapisshelf view` prints.
+func viewOf(t *testing.T, control string) string {
+	t.Helper()
+	out, err := exec.Command(binary, "view", control).CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return string(out)
+}
+
+// Two forwarders and two planners: a cache that answers late loses weight at both forwarders; when the planner that is
+// followed is killed the other one's view takes over; when that one freezes, connections open, the view fades and the nodes
+// go on by themselves. Every read is answered all the while, each planner's end costs none.
+func TestPlannersComeAndGo(t *testing.T) {
+	slow := func(line string, _ []byte) string {
+		time.Sleep(350 * time.Millisecond)
+		return holding("late")(line, nil)
+	}
+	d := startDiscovery(t, serving("s-0", startCache(t, slow).Addr(), "m2"), serving("s-1", startCache(t, holding("a")).Addr(), "m2"),
+		serving("s-2", startCache(t, holding("b")).Addr(), "m2"), serving("s-3", startCache(t, holding("c")).Addr(), "m2"))
+	dir := certified(t, map[string]keys.Role{"p1": keys.Planner, "p2": keys.Planner, "f1": keys.Forwarder, "f2": keys.Forwarder})
+	gossip := [2]string{refusing(t), refusing(t)}
+	planners, addrs, controls := map[string]*process{}, [2]string{}, [2]string{}
+	for i, id := range []string{"p1", "p2"} {
+		planners[id], addrs[i], controls[i] = startPlanner(t, d, dir, id, fmt.Sprintf("snapshot = \"%s.db\"\ngossip = %q\njoin = [%q]\ngossip_key_file = \"gossip.key\"\n", id, gossip[i], gossip[0]))
+	}
+	eventually(t, "the planners hear of each other", func() bool { return strings.Contains(viewOf(t, controls[0]), "planners p2") })
+	nodes, nodeControls := [2]*process{}, [2]string{}
+	for i, name := range []string{"f1", "f2"} {
+		nodes[i], nodeControls[i] = startForwarder(t, d, dir, name, name, addrs[:]...)
+	}
+	var crowds []*many
+	for _, n := range nodes {
+		m := &many{t: t, addr: n.addr}
+		m.begin(20)
+		crowds = append(crowds, m)
+	}
+	for i, control := range nodeControls {
+		eventually(t, "the late cache loses weight", func() bool { return strings.Contains(viewOf(t, control), "server s-0 factor 0.") })
+		if text := viewOf(t, control); strings.Contains(text, "server s-1") || strings.Contains(text, "server s-2") {
+			t.Errorf("node %d: %s", i+1, text)
+		}
+	}
+	if text := viewOf(t, controls[0]); !strings.Contains(text, "2 forwarders heard") || !strings.Contains(text, "answers worse than the fleet") {
+		t.Errorf("the planner says %s", text)
+	}
+	// Each node follows whichever it heard first.
+	follows := func(n *process) string {
+		_, after, _ := strings.Cut(n.log()[strings.LastIndex(n.log(), "event=follows"):], `planner="`)
+		id, _, _ := strings.Cut(after, `"`)
+		return id
+	}
+	first := follows(nodes[0])
+	other := map[string]string{"p1": "p2", "p2": "p1"}[first]
+	planners[first].Kill()
+	for _, n := range nodes {
+		eventually(t, "the other planner is followed", func() bool { return follows(n) == other })
+	}
+	planners[other].signal(syscall.SIGSTOP)
+	for _, n := range nodes {
+		eventually(t, "the view fades", func() bool { return strings.Contains(n.log(), "event=view_fades trust=0.00") })
+	}
+	served := crowds[0].served.Load()
+	eventually(t, "the node goes on by itself", func() bool { return crowds[0].served.Load() > served+200 })
+	planners[other].signal(syscall.SIGCONT)
+	for _, control := range nodeControls {
+		eventually(t, "the view is in force again", func() bool { return strings.Contains(viewOf(t, control), "trusted 1.00") })
+	}
+	for i, m := range crowds {
+		m.end()
+		if m.turned.Load() > 0 || m.refused.Load() > m.served.Load()/20 {
+			t.Errorf("node %d: %d served, %d refused, %d turned away", i+1, m.served.Load(), m.refused.Load(), m.turned.Load())
+		}
+		if strings.Contains(nodes[i].log(), "event=panic") || strings.Contains(nodes[i].log(), "event=overdue") {
+			t.Error("see the log")
+		}
+	}
+	planners[other].signal(syscall.SIGTERM)
+	if code := planners[other].wait(); code != 0 {
+		t.Errorf("the planner ended with status %d", code)
+	}
+}
+
+// Who has no certificate for its part is refused, and both logs say why; a node without a planner serves.
+func TestWrongCertificates(t *testing.T) {
+	d := startDiscovery(t, serving("s-1", startCache(t, holding("a")).Addr(), "m2"))
+	dir := certified(t, map[string]keys.Role{"p1": keys.Planner, "p2": keys.Planner, "good": keys.Forwarder})
+	if err := keys.Make(dir, "old", keys.Forwarder, time.Now().Add(-2*time.Hour), time.Hour, false); err != nil {
+		t.Fatal(err)
+	}
+	p, addr, _ := startPlanner(t, d, dir, "p1", "")
+	for _, c := range []struct{ name, cert, planner, node string }{
+		{"n1", "p2", `is no forwarder`, ""},               // the part of another
+		{"n2", "old", `certificate has expired`, ""},      // its time over
+		{"n3", "good", `\"good\" says it is another`, ""}, // another's name
+	} {
+		n, _ := startForwarder(t, d, dir, c.name, c.cert, addr)
+		eventually(t, c.planner, func() bool { return strings.Contains(p.log(), c.planner) })
+		cl := n.dial()
+		cl.send("mg k v O1 Pc=read,d=1000\r\n")
+		cl.want("VA 1 O1", "a")
+		if c.cert != "good" {
+			eventually(t, "the node says why", func() bool { return strings.Contains(n.log(), "event=planner_down") })
+		}
+	}
+	// Renewed, and reread without a restart.
+	if err := keys.Make(dir, "old", keys.Forwarder, time.Now(), time.Hour, true); err != nil {
+		t.Fatal(err)
+	}
+	n, _ := startForwarder(t, d, dir, "old", "old", addr)
+	eventually(t, "it is followed", func() bool { return strings.Contains(n.log(), "event=follows") })
+	p.signal(syscall.SIGHUP)
+	eventually(t, "certificates are reread", func() bool { return strings.Contains(p.log(), "event=reload certificates=true") })
+}
--- /dev/null
+++ b/cmd/lapisshelf/planning.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lapisshelf/internal/keys"
+	"lapisshelf/internal/operator"
+	"lapisshelf/internal/planner"
+)
+
+// planning serves as a planner until it is told to end. SIGHUP rereads the certificates.
+func planning(file string) error {
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	lines := newLogWriter(os.Stderr)
+	log.SetOutput(lines)
+	defer lines.Close()
+	if file == "" {
+		return usageError{errors.New("plan needs an operator's file (--config or LAPISSHELF_CONFIG) with a [planner] table")}
+	}
+	op, err := operator.Read(file)
+	if err != nil {
+		return err
+	}
+	cfg, err := op.Plans()
+	if err != nil {
+		return err
+	}
+	cfg.Note = func(event, why string) { log.Printf("event=%s %s", event, why) }
+	hups := make(chan os.Signal, 1)
+	signal.Notify(hups, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	p, err := planner.New(cfg)
+	if err != nil {
+		return err
+	}
+	log.Printf("event=start planner=%s listen=%s list=%s", cfg.Plan.ID, p.Addr(), cfg.Registry.Endpoints)
+	go func() {
+		for range hups {
+			p.Reload()
+		}
+	}()
+	return p.Run(ctx)
+}
+
+// exactly wants so many arguments.
+func exactly(n int, what string) cobra.PositionalArgs {
+	return func(_ *cobra.Command, args []string) error {
+		if len(args) != n {
+			return usageError{fmt.Errorf("wants %s", what)}
+		}
+		return nil
+	}
+}
+
+// keysCommand makes, renews and shows certificates.
+func keysCommand() *cobra.Command {
+	lasts := func(c *cobra.Command) (time.Duration, error) {
+		days, err := c.Flags().GetInt("days")
+		if err != nil {
+			return 0, err
+		}
+		if days < 1 || days > 36500 {
+			return 0, usageError{errors.New("--days must be 1 to 36500")}
+		}
+		return time.Duration(days) * 24 * time.Hour, nil
+	}
+	holder := func(renew bool) func(*cobra.Command, []string) error {
+		return func(c *cobra.Command, args []string) error {
+			d, err := lasts(c)
+			if err != nil {
+				return err
+			}
+			return keys.Make(args[0], args[2], keys.Role(args[1]), time.Now(), d, renew)
+		}
+	}
+	root := &cobra.Command{Use: "keys", Short: "Make, renew and show the certificates of forwarders and planners", Args: exactly(0, "authority, make, renew or show")}
+	root.RunE = func(*cobra.Command, []string) error {
+		return usageError{errors.New("wants authority, make, renew or show")}
+	}
+	authority := &cobra.Command{Use: "authority DIR", Short: "Make an authority, and the secret that planners share", Args: exactly(1, "a directory"),
+		RunE: func(c *cobra.Command, args []string) error {
+			d, err := lasts(c)
+			if err != nil {
+				return err
+			}
+			return keys.MakeAuthority(args[0], time.Now(), d)
+		}}
+	authority.Flags().Int("days", 3650, "how long it stands")
+	for _, c := range []*cobra.Command{
+		{Use: "make DIR forwarder|planner NAME", Short: "Make NAME.pem and NAME.key", Args: exactly(3, "a directory, forwarder or planner, and a name"), RunE: holder(false)},
+		{Use: "renew DIR forwarder|planner NAME", Short: "Make them anew, in place of the old ones", Args: exactly(3, "a directory, forwarder or planner, and a name"), RunE: holder(true)},
+	} {
+		c.Flags().Int("days", 365, "how long it stands")
+		root.AddCommand(c)
+	}
+	root.AddCommand(authority, &cobra.Command{Use: "show DIR", Short: "Say whose certificates are there, and until when they stand", Args: exactly(1, "a directory"),
+		RunE: func(c *cobra.Command, args []string) error {
+			list, err := keys.Show(args[0])
+			if err != nil {
+				return err
+			}
+			for _, h := range list {
+				state := "until " + h.Until.UTC().Format(time.RFC3339)
+				if time.Now().After(h.Until) {
+					state = "EXPIRED " + h.Until.UTC().Format(time.RFC3339)
+				}
+				role := string(h.Role)
+				if role == "" {
+					role = "authority"
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: %s %q %s\n", h.File, role, h.Name, state)
+			}
+			return nil
+		}})
+	return root
+}
+
+// view prints what a planner or forwarder acts on.
+func view(c *cobra.Command, args []string) error {
+	if _, err := netip.ParseAddrPort(args[0]); err != nil {
+		return usageError{fmt.Errorf("%q is no address and port", args[0])}
+	}
+	client := http.Client{Timeout: 5 * time.Second}
+	answer, err := client.Get("http://" + args[0] + "/_view")
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("%s answers %s: it has no views", args[0], answer.Status)
+	}
+	_, err = io.Copy(c.OutOrStdout(), io.LimitReader(answer.Body, 16<<20))
+	return err
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lapisshelf/decide/roster"
+	"lapisshelf/internal/forwarder"
 	"lapisshelf/internal/operator"
 	"lapisshelf/internal/registry"
 	"lapisshelf/internal/settings"
@@ -22,10 +23,11 @@
 type Config struct {
 	Name      string
 	Listen    netip.AddrPort
-	Control   netip.AddrPort  // the operators' address; none if it is not valid
-	StateDir  string          // where the processes of this node know of each other; empty: they don't
-	Registry  registry.Config // where the server list is
-	Announce  *Announce       // the node's own entry there; nil: none
+	Control   netip.AddrPort    // the operators' address; none if it is not valid
+	StateDir  string            // where the processes of this node know of each other; empty: they don't
+	Registry  registry.Config   // where the server list is
+	Announce  *Announce         // the node's own entry there; nil: none
+	Planners  *forwarder.Config // nil: there are none
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
@@ -128,6 +130,13 @@
 		}
 		c.Registry = registry.Config{Kind: registry.Discovery, Endpoints: []netip.AddrPort{addr}}
 	}
+	if c.Planners, err = op.Forwards(); err != nil {
+		return Config{}, err
+	} else if c.Planners != nil {
+		if c.Planners.Name = c.Name; c.Name == "" {
+			return bad("planners", errors.New("a node that talks to planners needs a name"))
+		}
+	}
 	if c.Seed, err = seed(file.Seed); err != nil {
 		return bad("seed", err)
 	}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -37,6 +37,7 @@
 type class struct {
 	name    string
 	longest time.Duration // the deadline that no request of it exceeds
+	aim     time.Duration // answers within it earn the full worth
 	ended   [endings]int64
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lapisshelf/internal/control"
+	"lapisshelf/internal/forwarder"
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
 	"lapisshelf/internal/registry"
@@ -55,12 +56,13 @@
 	pools      map[string]*pool // by server id
 	clients    clients
 	registry   *registry.Client
-	announcer  *registry.Announcer // nil: the node keeps no entry of itself
-	links      int                 // connections to servers
-	held       int                 // bytes of writes kept
-	owed       int                 // bytes of answers that clients have yet to take, and of commands not whole
-	coming     int                 // bytes of answers that are not whole
-	deep       int                 // bytes that the system was asked to make room for, so that they outlive the process
+	announcer  *registry.Announcer  // nil: the node keeps no entry of itself
+	forwarder  *forwarder.Forwarder // nil: there are no planners
+	links      int                  // connections to servers
+	held       int                  // bytes of writes kept
+	owed       int                  // bytes of answers that clients have yet to take, and of commands not whole
+	coming     int                  // bytes of answers that are not whole
+	deep       int                  // bytes that the system was asked to make room for, so that they outlive the process
 	shedding   bool
 	count      counters
 	ready      bool
@@ -126,6 +128,11 @@
 	for name, longest := range cfg.Transport.Deadlines {
 		n.classes[name] = &class{name: name, longest: longest}
 	}
+	for _, c := range cfg.Settings.Classes {
+		if k := n.classes[c.Name]; k != nil {
+			k.aim = c.Aim
+		}
+	}
 	// Nodes have no way to reach each other on these sockets: the module is told so.
 	n.cfg.Settings.MayTell = false
 	n.clients.node = n
@@ -150,6 +157,7 @@
 	})
 	n.succession.begin()
 	n.follow()
+	n.forward()
 	return n, nil
 }
 
@@ -169,6 +177,9 @@
 func (n *Node) take(c *call, now time.Duration) {
 	info := c.command.Info
 	n.calls[c.id] = c
+	if n.forwarder != nil {
+		n.forwarder.Request(string(c.command.Key), meta.Text(info, "t"))
+	}
 	if c.upload == nil {
 		n.clock(c, now, c.deadline-now)
 	} else { // until all has come its time does not count: this is how long it may wait for an attempt
@@ -278,6 +289,7 @@
 	c := t.call
 	c.open--
 	n.count.outcome(a.outcome)
+	n.observe(t, a)
 	if c.upload != nil {
 		c.upload.ended(t)
 	}
@@ -390,6 +402,7 @@
 		n.announcer.Stop(func() {})
 	}
 	n.clients.drain(succeeded)
+	n.forwarder.Close()
 	n.succession.settle()
 }
 
@@ -408,6 +421,9 @@
 	}
 	n.cfg.MemoryMB, n.cfg.Sockets = cfg.MemoryMB, cfg.Sockets
 	n.tellMemory()
+	if cfg.Planners != nil {
+		n.forwarder.Reload(cfg.Planners.TLS)
+	}
 	if !cfg.Registry.Same(&n.cfg.Registry) {
 		n.cfg.Registry = cfg.Registry
 		n.registry.Move(n.followed())
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -29,6 +29,7 @@
 	n.control, err = control.Listen(n.loop, n.cfg.Control, []control.Route{
 		{Method: "GET", Path: "/_ready", Do: func(string) control.Reply { return n.readiness() }},
 		{Method: "GET", Path: "/_vars", Do: func(string) control.Reply { return n.vars() }},
+		{Method: "GET", Path: "/_view", Do: func(string) control.Reply { return n.view() }},
 		{Method: "POST", Path: "/_cache-servers/detach/", Do: func(id string) control.Reply { return n.ban(id, true) }},
 		{Method: "POST", Path: "/_cache-servers/attach/", Do: func(id string) control.Reply { return n.ban(id, false) }},
 		{Method: "POST", Path: "/_lameduck/on", Do: func(string) control.Reply { return n.lameduck(true) }},
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -42,6 +42,7 @@
 	proto  protocol
 	ready  bool          // as far as the list tells
 	banned bool          // by hand
+	weight float64       // as listed
 	heard  time.Duration // when bytes last came from it
 	links  []*link
 	idle   []*link // of links, those that carry nothing, longest unused first
@@ -87,7 +88,13 @@
 	} else {
 		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn}
 	}
-	p.ready = s.State == policy.Ready
+	p.ready, p.weight = s.State == policy.Ready, s.Weight
+}
+
+// origin reports whether the server is the origin.
+func (p *pool) origin() bool {
+	_, is := p.proto.(originProtocol)
+	return is
 }
 
 // open reports whether anything new may go to the server.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -24,6 +24,8 @@
 	Tenant   []Tenant
 	List     *Registry `toml:"registry"`
 	Announce *Announce
+	Planners *Planners
+	Planner  *Planner
 
 	file *tomlfile.File
 }
@@ -117,6 +119,14 @@
 		d := announceDefaults()
 		f.Announce = &d
 	}
+	if t.Has("planners") {
+		d := plannersDefaults()
+		f.Planners = &d
+	}
+	if t.Has("planner") {
+		d := plannerDefaults()
+		f.Planner = &d
+	}
 	if f.file, err = tomlfile.Read(path, f); err != nil {
 		return nil, err
 	}
@@ -163,6 +173,9 @@
 	if err := f.checkRegistry(); err != nil {
 		return err
 	}
+	if err := f.checkPlanners(); err != nil {
+		return err
+	}
 	if err := f.checkAnnounce(); err != nil || f.Service == nil {
 		return err
 	}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -120,6 +120,13 @@
 		}
 	}
 	for _, c := range []struct{ in, want string }{
+		{"[planners]\naddresses = []", "x.toml:2: planners.addresses: must name 1 to 16"},
+		{"[planners]\naddresses = [\"127.0.0.1:1\"]", "x.toml:1: planners.cert_file: ca_file, cert_file and key_file are needed"},
+		{"[planners]\naddresses = [\"here\"]\nca_file = \"a\"\ncert_file = \"b\"\nkey_file = \"c\"", "x.toml:2: planners.addresses[1]: must be an address"},
+		{"[planner]\nid = \"a b\"", "x.toml:2: planner.id: must be a name of its own"},
+		{"[planner]\nid = \"a\"\nlisten = \"x\"", "x.toml:3: planner.listen: must be an address"},
+		{"[planner]\nid = \"a\"\nlisten = \"127.0.0.1:1\"\njoin = [\"127.0.0.1:2\"]", "x.toml:4: planner.join: needs gossip"},
+		{"[planner]\nid = \"a\"\nlisten = \"127.0.0.1:1\"\nca_file = \"a\"\ncert_file = \"b\"\nkey_file = \"c\"\nvalid = \"600ms\"", "x.toml:7: planner.valid: must be twice every"},
 		{"[registry]\nkind = \"zoo\"\nendpoints = [\"127.0.0.1:1\"]", "x.toml:2: registry.kind: must be etcd or consul"},
 		{"[registry]\n", "x.toml:1: registry.endpoints: must name 1 to 16 addresses"},
 		{"[registry]\nendpoints = [\"127.0.0.1:1\",\n\"here\"]", "x.toml:2: registry.endpoints[2]: must be an address"},
--- /dev/null
+++ b/internal/planwire/planwire.go
@@ -0,0 +1,182 @@
+// Package planwire writes and reads what forwarders and planners say to each other: frames of a length and a message in
+// canonical CBOR. It does no I/O. docs/planners.md tells the form.
+package planwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lapisshelf/decide/plan"
+	"lapisshelf/policy"
+)
+
+// Version is the one that is written. A reader takes it and its neighbours: from one to the next, fields are only added.
+const Version = 1
+
+// MostFrame is how many bytes a message holds at most, without the four of its length.
+const MostFrame = 512 << 10
+
+// Message is a digest or a view.
+type Message struct {
+	Digest *plan.Digest
+	View   *plan.View
+}
+
+type (
+	message struct {
+		Version uint8   `cbor:"0,keyasint"`
+		Digest  *digest `cbor:"1,keyasint,omitempty"`
+		View    *view   `cbor:"2,keyasint,omitempty"`
+	}
+	load struct {
+		ID     string `cbor:"1,keyasint,omitempty"`
+		Sends  int    `cbor:"2,keyasint,omitempty"`
+		Timely int    `cbor:"3,keyasint,omitempty"`
+		Late   int    `cbor:"4,keyasint,omitempty"`
+		Full   int    `cbor:"5,keyasint,omitempty"`
+		Failed int    `cbor:"6,keyasint,omitempty"`
+	}
+	heat struct {
+		Key   uint32  `cbor:"1,keyasint"`
+		Asked int     `cbor:"2,keyasint,omitempty"`
+		Load  float64 `cbor:"3,keyasint,omitempty"`
+	}
+	use struct {
+		Tenant string  `cbor:"1,keyasint"`
+		Asked  int     `cbor:"2,keyasint,omitempty"`
+		Rate   float64 `cbor:"3,keyasint,omitempty"`
+	}
+	digest struct {
+		From     string `cbor:"1,keyasint"`
+		Start    int64  `cbor:"2,keyasint"`
+		Seq      uint64 `cbor:"3,keyasint"`
+		Span     int64  `cbor:"4,keyasint"`
+		Asked    int    `cbor:"5,keyasint,omitempty"`
+		Answered int    `cbor:"6,keyasint,omitempty"`
+		Servers  []load `cbor:"7,keyasint,omitempty"`
+		Origin   load   `cbor:"8,keyasint"`
+		Hot      []heat `cbor:"9,keyasint,omitempty"`
+		Tenants  []use  `cbor:"10,keyasint,omitempty"`
+	}
+	share struct {
+		ID     string  `cbor:"1,keyasint"`
+		Factor float64 `cbor:"2,keyasint"`
+		Allow  float64 `cbor:"3,keyasint,omitempty"`
+	}
+	view struct {
+		Epoch   uint64  `cbor:"1,keyasint,omitempty"`
+		Planner string  `cbor:"2,keyasint"`
+		Made    int64   `cbor:"3,keyasint"`
+		Valid   int64   `cbor:"4,keyasint"`
+		Servers []share `cbor:"5,keyasint,omitempty"`
+		Origin  float64 `cbor:"6,keyasint,omitempty"`
+		Hot     []heat  `cbor:"7,keyasint,omitempty"`
+		Tenants []use   `cbor:"8,keyasint,omitempty"`
+	}
+)
+
+var (
+	encoder = must(cbor.CanonicalEncOptions().EncMode())
+	decoder = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: 2 * plan.MostServers, MaxMapPairs: 32,
+		MaxNestedLevels: 6, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
+)
+
+func must[T any](mode T, err error) T {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return mode
+}
+
+// Append writes a message behind buf.
+func Append(buf []byte, m Message) ([]byte, error) {
+	out := message{Version: Version}
+	if d := m.Digest; d != nil {
+		x := &digest{From: d.From, Start: d.Start, Seq: d.Seq, Span: int64(d.Span), Asked: d.Asked, Answered: d.Answered, Origin: load(d.Origin)}
+		for _, l := range d.Servers {
+			x.Servers = append(x.Servers, load(l))
+		}
+		for _, h := range d.Hot {
+			x.Hot = append(x.Hot, heat{Key: h.Key, Asked: h.Asked})
+		}
+		for _, u := range d.Tenants {
+			x.Tenants = append(x.Tenants, use{Tenant: u.Tenant, Asked: u.Asked})
+		}
+		out.Digest = x
+	}
+	if v := m.View; v != nil {
+		x := &view{Epoch: v.Epoch, Planner: v.Planner, Made: int64(v.Made), Valid: int64(v.Valid), Origin: v.Origin}
+		for _, s := range v.Servers {
+			x.Servers = append(x.Servers, share(s))
+		}
+		for _, h := range v.Hot {
+			x.Hot = append(x.Hot, heat{Key: h.Key, Load: h.Load})
+		}
+		for _, u := range v.Tenants {
+			x.Tenants = append(x.Tenants, use{Tenant: u.Name, Rate: u.Asked})
+		}
+		out.View = x
+	}
+	body, err := encoder.Marshal(out)
+	if err != nil {
+		return buf, err
+	}
+	if len(body) > MostFrame {
+		return buf, fmt.Errorf("a message of %d bytes", len(body))
+	}
+	return append(binary.BigEndian.AppendUint32(buf, uint32(len(body))), body...), nil
+}
+
+// Next reads the message that data begins with, and how many bytes it took: 0, it is not whole yet. An error means that
+// nothing behind it can be read either. What the message says is not checked, see plan.Digest and plan.View.
+func Next(data []byte) (m Message, used int, err error) {
+	if len(data) < 4 {
+		return m, 0, nil
+	}
+	size := binary.BigEndian.Uint32(data)
+	if size == 0 || size > MostFrame {
+		return m, 0, fmt.Errorf("a message of %d bytes", size)
+	}
+	if used = 4 + int(size); len(data) < used {
+		return m, 0, nil
+	}
+	var in message
+	if err := decoder.Unmarshal(data[4:used], &in); err != nil {
+		return m, 0, err
+	}
+	if in.Version < Version-1 || in.Version > Version+1 || in.Version == 0 {
+		return m, 0, fmt.Errorf("version %d, not %d", in.Version, Version)
+	}
+	if (in.Digest == nil) == (in.View == nil) {
+		return m, 0, errors.New("neither a digest nor a view")
+	}
+	if x := in.Digest; x != nil {
+		d := &plan.Digest{From: x.From, Start: x.Start, Seq: x.Seq, Span: time.Duration(x.Span), Asked: x.Asked, Answered: x.Answered, Origin: plan.Load(x.Origin)}
+		for _, l := range x.Servers {
+			d.Servers = append(d.Servers, plan.Load(l))
+		}
+		for _, h := range x.Hot {
+			d.Hot = append(d.Hot, plan.Heat{Key: h.Key, Asked: h.Asked})
+		}
+		for _, u := range x.Tenants {
+			d.Tenants = append(d.Tenants, plan.Use{Tenant: u.Tenant, Asked: u.Asked})
+		}
+		return Message{Digest: d}, used, nil
+	}
+	x := in.View
+	v := &plan.View{Epoch: x.Epoch, Planner: x.Planner, Made: time.Duration(x.Made), Valid: time.Duration(x.Valid), View: policy.View{Origin: x.Origin}}
+	for _, s := range x.Servers {
+		v.Servers = append(v.Servers, policy.Share(s))
+	}
+	for _, h := range x.Hot {
+		v.Hot = append(v.Hot, policy.Heat{Key: h.Key, Load: h.Load})
+	}
+	for _, u := range x.Tenants {
+		v.Tenants = append(v.Tenants, policy.Use{Name: u.Tenant, Asked: u.Rate})
+	}
+	return Message{View: v}, used, nil
+}
