The lab plays planners: processes beside the nodes, killed and frozen mid-test

[planners] in an experiment starts so many planners with certificates of the run's own; planner_kill and planner_freeze break them. What a forwarder counts moved to plan.Gather, pure, so that the fleet model can count alike.

Not taken: planners on the nodes' list addresses, whose calls would count as the nodes'.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -10,7 +10,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"strings"
 	"time"
 
@@ -22,7 +21,6 @@
 )
 
 const (
-	mostKeys   = 4 * plan.MostHot // that are counted at once
 	fadeStep   = 500 * time.Millisecond
 	redialMin  = 500 * time.Millisecond
 	redialMost = 5 * time.Second
@@ -48,15 +46,7 @@
 	note     func(event, why string)
 	follower *follow.Follower
 	links    []*link
-	start    int64
-	seq      uint64
-	since    time.Duration // the last digest
-	asked    int
-	answered int
-	servers  map[string]*plan.Load
-	origin   plan.Load
-	hot      map[uint32]int
-	tenants  map[string]int
+	gather   *plan.Gather
 	trust    float64 // in force
 	noted    time.Duration
 	closed   bool
@@ -84,8 +74,7 @@
 func New(l *loop.Loop, cfg Config, ready func() []follow.Server, apply func(policy.View), note func(event, why string)) *Forwarder {
 	cfg.Every = cmp.Or(cfg.Every, time.Second)
 	f := &Forwarder{loop: l, cfg: cfg, ready: ready, apply: apply, note: note, follower: follow.New(follow.Config{Fade: cfg.Fade}),
-		start: int64(l.Now()), since: l.Now()}
-	f.forget()
+		gather: plan.NewGather(l.Now(), cfg.Name)}
 	for _, addr := range cfg.Planners {
 		k := &link{f: f, addr: addr, wait: redialMin}
 		f.links = append(f.links, k)
@@ -98,89 +87,18 @@
 	return f
 }
 
-func (f *Forwarder) forget() {
-	f.asked, f.answered, f.origin = 0, 0, plan.Load{}
-	f.servers, f.hot, f.tenants = map[string]*plan.Load{}, map[uint32]int{}, map[string]int{}
-}
-
 // Request counts a request that was taken.
 func (f *Forwarder) Request(key, tenant string) {
-	if f == nil {
-		return
-	}
-	f.asked++
-	if k := policy.Digest(key); key != "" {
-		if _, known := f.hot[k]; !known && len(f.hot) >= mostKeys {
-			for other, n := range f.hot { // those asked for once make room, the rest grow less by one: the frequent stay
-				if f.hot[other] = n - 1; n <= 1 {
-					delete(f.hot, other)
-				}
-			}
-		} else {
-			f.hot[k]++
-		}
-	}
-	if _, known := f.tenants[tenant]; tenant != "" && (known || len(f.tenants) < plan.MostTenants) {
-		f.tenants[tenant]++
+	if f != nil {
+		f.gather.Request(key, tenant)
 	}
 }
 
-// Attempt counts the end of an attempt. Timely: it was answered well within its aim. Own: its end tells nothing of the server.
+// Attempt counts the end of an attempt, see plan.Gather.
 func (f *Forwarder) Attempt(server string, origin bool, o policy.Outcome, timely, own bool) {
-	if f == nil {
-		return
-	}
-	l := &f.origin
-	if !origin {
-		if l = f.servers[server]; l == nil {
-			if len(f.servers) >= plan.MostServers {
-				return
-			}
-			l = &plan.Load{ID: server}
-			f.servers[server] = l
-		}
-	}
-	l.Sends++
-	switch {
-	case own || o == policy.Cancelled || o == policy.Moot:
-	case o == policy.OK || o == policy.Miss:
-		if timely {
-			l.Timely++
-		} else {
-			l.Late++
-		}
-		if o == policy.OK {
-			f.answered++
-		}
-	case o == policy.TimedOut:
-		l.Late++
-	case o == policy.Full:
-		l.Full++
-	default:
-		l.Failed++
-	}
-}
-
-// digest is what was counted since the last one.
-func (f *Forwarder) digest(now time.Duration) *plan.Digest {
-	f.seq++
-	d := &plan.Digest{From: f.cfg.Name, Start: f.start, Seq: f.seq, Span: max(time.Millisecond, min(now-f.since, time.Minute)), Asked: f.asked, Answered: f.answered, Origin: f.origin}
-	for _, l := range f.servers {
-		d.Servers = append(d.Servers, *l)
-	}
-	slices.SortFunc(d.Servers, func(x, y plan.Load) int { return strings.Compare(x.ID, y.ID) })
-	for k, n := range f.hot {
-		d.Hot = append(d.Hot, plan.Heat{Key: k, Asked: n})
-	}
-	slices.SortFunc(d.Hot, func(x, y plan.Heat) int { return cmp.Or(cmp.Compare(y.Asked, x.Asked), cmp.Compare(x.Key, y.Key)) })
-	d.Hot = d.Hot[:min(len(d.Hot), plan.MostHot)]
-	for t, n := range f.tenants {
-		d.Tenants = append(d.Tenants, plan.Use{Tenant: t, Asked: n})
+	if f != nil {
+		f.gather.Attempt(server, origin, o, timely, own)
 	}
-	slices.SortFunc(d.Tenants, func(x, y plan.Use) int { return strings.Compare(x.Tenant, y.Tenant) })
-	f.since = now
-	f.forget()
-	return d
 }
 
 // tell sends a digest to all planners that are there, and comes back.
@@ -189,7 +107,7 @@
 		return
 	}
 	now := f.loop.Now()
-	frame, err := planwire.Append(nil, planwire.Message{Digest: f.digest(now)})
+	frame, err := planwire.Append(nil, planwire.Message{Digest: f.gather.Digest(now)})
 	for _, l := range f.links {
 		switch {
 		case !l.up || err != nil:
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -22,21 +22,22 @@
 
 // File is an experiment file as it stands. Every key has a default but length, class and fleet.count.
 type File struct {
-	Name    string
-	Seed    uint64
-	Length  Span
-	Short   Short
-	Service Service
-	Class   []Class
-	Tenant  []Tenant
-	Nodes   Nodes
-	Fleet   Fleet
-	Group   []Group
-	Origin  Origin
-	List    List
-	Clients Clients
-	Fault   []fault.Spec
-	Expect  map[string]any
+	Name     string
+	Seed     uint64
+	Length   Span
+	Short    Short
+	Service  Service
+	Class    []Class
+	Tenant   []Tenant
+	Nodes    Nodes
+	Planners Planners
+	Fleet    Fleet
+	Group    []Group
+	Origin   Origin
+	List     List
+	Clients  Clients
+	Fault    []fault.Spec
+	Expect   map[string]any
 }
 
 // Short is what --short changes: for CI and for a first look.
@@ -106,6 +107,14 @@
 	Direct   bool     // no nodes: clients speak to caches, key by key; measures the lab itself
 }
 
+// Planners are what nodes talk to, where there are any.
+type Planners struct {
+	Count int
+	Every Span // between digests and views
+	Valid Span // how long a view holds
+	Fade  Span // how long it fades after that
+}
+
 // Fleet is the cache servers that have no group of their own.
 type Fleet struct {
 	Count     int
@@ -301,7 +310,8 @@
 			ConnIdle: ms(10000), ConnectTimeout: ms(250), PerConn: 8, MostHeld: 5000, AnswerSlack: ms(20), DrainGrace: ms(400),
 			AskWithin: ms(4000), WarmUp: ms(8000), ColdFrom: 0.2, FallMultiple: 3, FallWindow: ms(1500), Weights: "nominal",
 			OverWorth: 0.05, Hits: yes(), Reports: yes()},
-		Nodes: Nodes{Count: 2, MemoryMB: 192, Sockets: 1024},
+		Nodes:    Nodes{Count: 2, MemoryMB: 192, Sockets: 1024},
+		Planners: Planners{Every: ms(500), Valid: ms(3000), Fade: ms(10000)},
 		Fleet: Fleet{Group: Group{Kind: "std", Zone: "a", Weight: 1, Cores: 2, Speed: 1, Slots: 16, Room: 32, MemoryMB: 2,
 			ReportEvery: ms(100), ReportNoise: 0.05}, Tolerance: ms(50)},
 		Origin: Origin{Cores: 8, Slots: 64, Room: 64, Work: ms(10), Sigma: 0.4, WriteFactor: 1.5, FallMultiple: 2.5,
@@ -347,6 +357,11 @@
 		rule{n.Count > mostModelled, at("nodes", "count"), "must be at most 5000"},
 		rule{n.MemoryMB < 8, at("nodes", "memory_mb"), "must be at least 8"},
 		rule{n.Sockets < 64, at("nodes", "sockets"), "must be at least 64"},
+		rule{x.Planners.Count < 0 || x.Planners.Count > 8, at("planners", "count"), "must be 0 to 8"},
+		rule{x.Planners.Every.D() < 100*time.Millisecond || x.Planners.Every.D() > 10*time.Second, at("planners", "every"), "must be 100ms to 10s"},
+		rule{x.Planners.Valid.D() < 2*x.Planners.Every.D() || x.Planners.Valid.D() > 100*time.Second, at("planners", "valid"), "must be twice every to 100s"},
+		rule{x.Planners.Fade.D() < time.Second || x.Planners.Fade.D() > time.Hour, at("planners", "fade"), "must be 1s to 1h"},
+		rule{x.Planners.Count > 0 && n.Config != "", at("nodes", "config"), "the lab writes the operator's file itself where there are planners"},
 		rule{len(n.Listen) > 0 && len(n.Listen) != n.Count, at("nodes", "listen"), "wants an address for each node"},
 		rule{o.Cores < 1, at("origin", "cores"), "must be at least 1"},
 		rule{o.Slots < 1, at("origin", "slots"), "must be at least 1"},
@@ -567,7 +582,7 @@
 	for _, t := range x.Tenants {
 		tenants = append(tenants, t.Name)
 	}
-	line, err := fault.Expand(x.Fault, fault.Stage{Length: x.Length.D(), Servers: names, Nodes: x.Nodes.Count, Tenants: tenants, Ends: x.ends()}, x.Seed)
+	line, err := fault.Expand(x.Fault, fault.Stage{Length: x.Length.D(), Servers: names, Nodes: x.Nodes.Count, Tenants: tenants, Ends: x.ends(), Planners: x.Planners.Count}, x.Seed)
 	var bad *fault.Error
 	if errors.As(err, &bad) {
 		return f.Errorf(tomlfile.At("fault", bad.Spec, bad.Key), "%s", bad.Why)
--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -56,6 +56,7 @@
 	Share   float64
 	Nodes   []int // from 1; without them all nodes
 	Ends    []int `toml:"endpoints"` // of a registry, from 1; without them all
+	Plans   []int `toml:"planners"`  // from 1; without them all
 	Factor  float64
 	Part    float64
 	Every   When   // of what comes and goes: how often
@@ -109,6 +110,9 @@
 	RegRestore  Verb = "registry_restore" // and put in the store's place
 	RegTwice    Verb = "registry_twice"   // changes are told twice, progress ahead of them; X 0: over
 	RegDrip     Verb = "registry_drip"    // answers come in small pieces, X ms apart; 0: over
+	PlanKill    Verb = "planner_kill"     // SIGKILL
+	PlanStart   Verb = "planner_start"    // a new process
+	PlanFreeze  Verb = "planner_freeze"   // SIGSTOP; X 0: SIGCONT
 	Rude        Verb = "rude"             // X clients that send nonsense; 0: over
 	OriginSlow  Verb = "origin_slow"      // X times slower; 1: as ever
 	OriginStop  Verb = "origin_stop"      // refuses connections; X 0: back
@@ -123,6 +127,7 @@
 	Server string  // name
 	Node   int     // from 0; -1: none
 	End    int     // of a registry, from 1; 0: none
+	Plan   int     // a planner, from 1; 0: none
 	X      float64 // as its verb says
 	Text   string
 }
@@ -139,6 +144,9 @@
 	if a.End > 0 {
 		s += fmt.Sprintf(" endpoint=%d", a.End)
 	}
+	if a.Plan > 0 {
+		s += fmt.Sprintf(" planner=%d", a.Plan)
+	}
 	if s += fmt.Sprintf(" x=%g", a.X); a.Text != "" {
 		s += " as=" + a.Text
 	}
@@ -152,6 +160,8 @@
 	Nodes   int
 	Tenants []string
 	Ends    int // endpoints of a registry; 0: the list is no registry's
+
+	Planners int
 }
 
 // Timeline is what happens in a run.
@@ -218,34 +228,38 @@
 	}
 	shape := func(k world.ShapeKind) func(x *expansion) { return func(x *expansion) { x.shape(k) } }
 	kinds = map[string]kind{
-		"crash":            {on: "servers", expand: (*expansion).crash},
-		"silent":           {on: "servers", expand: toggle(Silence)},
-		"hang":             {on: "servers", expand: toggle(Hang)},
-		"refuse":           {on: "servers", expand: toggle(Refuse)},
-		"busy":             {on: "servers", expand: toggle(TurnAway)},
-		"reset":            {on: "servers", part: true, expand: share(Reset)},
-		"garble":           {on: "servers", part: true, expand: share(Garble)},
-		"surplus":          {on: "servers", part: true, expand: share(Surplus)},
-		"slow":             {on: "servers", factor: true, expand: (*expansion).slow},
-		"neighbour":        {on: "servers", part: true, expand: (*expansion).neighbour},
-		"pause":            {on: "servers", expand: (*expansion).pause},
-		"flush":            {on: "servers", part: true, expand: (*expansion).flush},
-		"drain":            {on: "servers", expand: (*expansion).drain},
-		"deploy":           {on: "servers", span: true, expand: (*expansion).deploy},
-		"shrink":           {on: "servers", span: true, expand: (*expansion).shrink},
-		"grow":             {on: "fleet", expand: (*expansion).grow},
-		"origin_slow":      {on: "origin", factor: true, expand: single(OriginSlow, 1)},
-		"origin_stop":      {on: "origin", expand: single(OriginStop, 0)},
-		"origin_pause":     {on: "origin", expand: single(OriginPause, 0)},
-		"origin_garble":    {on: "origin", part: true, expand: single(OriginSpoil, 0)},
-		"list_down":        {on: "list", expand: single(ListDown, 0)},
-		"list_garble":      {on: "list", expand: single(ListGarble, 0)},
-		"list_lag":         {on: "list", factor: true, expand: single(ListLag, 0)},
-		"list_cut":         {on: "nodes", expand: nodes(ListCut, 1, 0)},
-		"node_kill":        {on: "nodes", expand: (*expansion).nodeEnds},
-		"node_term":        {on: "nodes", expand: (*expansion).nodeEnds},
-		"node_hup":         {on: "nodes", expand: (*expansion).nodeHup},
-		"node_freeze":      {on: "nodes", expand: nodes(NodeFreeze, 1, 0)},
+		"crash":         {on: "servers", expand: (*expansion).crash},
+		"silent":        {on: "servers", expand: toggle(Silence)},
+		"hang":          {on: "servers", expand: toggle(Hang)},
+		"refuse":        {on: "servers", expand: toggle(Refuse)},
+		"busy":          {on: "servers", expand: toggle(TurnAway)},
+		"reset":         {on: "servers", part: true, expand: share(Reset)},
+		"garble":        {on: "servers", part: true, expand: share(Garble)},
+		"surplus":       {on: "servers", part: true, expand: share(Surplus)},
+		"slow":          {on: "servers", factor: true, expand: (*expansion).slow},
+		"neighbour":     {on: "servers", part: true, expand: (*expansion).neighbour},
+		"pause":         {on: "servers", expand: (*expansion).pause},
+		"flush":         {on: "servers", part: true, expand: (*expansion).flush},
+		"drain":         {on: "servers", expand: (*expansion).drain},
+		"deploy":        {on: "servers", span: true, expand: (*expansion).deploy},
+		"shrink":        {on: "servers", span: true, expand: (*expansion).shrink},
+		"grow":          {on: "fleet", expand: (*expansion).grow},
+		"origin_slow":   {on: "origin", factor: true, expand: single(OriginSlow, 1)},
+		"origin_stop":   {on: "origin", expand: single(OriginStop, 0)},
+		"origin_pause":  {on: "origin", expand: single(OriginPause, 0)},
+		"origin_garble": {on: "origin", part: true, expand: single(OriginSpoil, 0)},
+		"list_down":     {on: "list", expand: single(ListDown, 0)},
+		"list_garble":   {on: "list", expand: single(ListGarble, 0)},
+		"list_lag":      {on: "list", factor: true, expand: single(ListLag, 0)},
+		"list_cut":      {on: "nodes", expand: nodes(ListCut, 1, 0)},
+		"node_kill":     {on: "nodes", expand: (*expansion).nodeEnds},
+		"node_term":     {on: "nodes", expand: (*expansion).nodeEnds},
+		"node_hup":      {on: "nodes", expand: (*expansion).nodeHup},
+		"node_freeze":   {on: "nodes", expand: nodes(NodeFreeze, 1, 0)},
+		"planner_kill":  {on: "planners", expand: (*expansion).plannerKill},
+		"planner_freeze": {on: "planners", expand: func(x *expansion) {
+			x.plans(func(p int) { x.onOff(Action{Verb: PlanFreeze, Node: -1, Plan: p, X: 1}, 0) })
+		}},
 		"upgrade":          {on: "nodes", expand: (*expansion).upgrade},
 		"lameduck":         {on: "nodes", expand: nodes(NodeLame, 1, 0)},
 		"detach":           {on: "servers", expand: (*expansion).detach},
@@ -324,6 +338,14 @@
 		if k.on == "registry" && stage.Ends == 0 {
 			return nil, bad("kind", "%s needs a registry: list.kind etcd or consul", s.Kind)
 		}
+		if k.on == "planners" && stage.Planners == 0 {
+			return nil, bad("kind", "%s needs planners: planners.count", s.Kind)
+		}
+		for _, p := range s.Plans {
+			if p < 1 || p > stage.Planners {
+				return nil, bad("planners", "unknown planner %d; there are 1 to %d", p, stage.Planners)
+			}
+		}
 		for _, e := range s.Ends {
 			if e < 1 || e > stage.Ends {
 				return nil, bad("endpoints", "unknown endpoint %d; there are 1 to %d", e, stage.Ends)
@@ -408,6 +430,28 @@
 	}
 }
 
+func (x *expansion) plans(f func(p int)) {
+	if len(x.Plans) == 0 {
+		for p := range x.stage.Planners {
+			f(p + 1)
+		}
+		return
+	}
+	for _, p := range x.Plans {
+		f(p)
+	}
+}
+
+// plannerKill ends planners' processes; new ones start after the stated time.
+func (x *expansion) plannerKill() {
+	x.plans(func(p int) {
+		x.add(Action{At: x.at, Verb: PlanKill, Node: -1, Plan: p})
+		if x.For.Set {
+			x.add(Action{At: x.end, Verb: PlanStart, Node: -1, Plan: p})
+		}
+	})
+}
+
 func (x *expansion) cold() float64 {
 	if x.Warm {
 		return 0
--- a/lab/stage/list.go
+++ b/lab/stage/list.go
@@ -79,14 +79,15 @@
 func (s *Stage) openList(members []world.Member) error {
 	x := s.X
 	if !x.List.Registry() {
-		l, err := standin.NewList(s.Common, standin.ListOptions{Addr: s.net + "201:0", Nodes: x.Nodes.Count, Delay: x.List.Delay.D(),
+		// Planners have addresses of their own there, behind the nodes'.
+		l, err := standin.NewList(s.Common, standin.ListOptions{Addr: s.net + "201:0", Nodes: x.Nodes.Count + x.Planners.Count, Delay: x.List.Delay.D(),
 			Keep: x.List.Keep, Whole: x.List.Whole, Wait: x.List.Wait.D()}, members...)
 		if err == nil {
 			s.list = service{l}
 		}
 		return err
 	}
-	r, err := standin.NewRegistry(s.Common, standin.RegistryOptions{Addr: s.net + "201:0", Endpoints: x.List.Endpoints, Nodes: x.Nodes.Count,
+	r, err := standin.NewRegistry(s.Common, standin.RegistryOptions{Addr: s.net + "201:0", Endpoints: x.List.Endpoints, Nodes: x.Nodes.Count + x.Planners.Count,
 		Prefix: registryPrefix, Token: x.List.Token, Progress: x.List.Progress.D()})
 	if err != nil {
 		return err
@@ -125,6 +126,21 @@
 
 // operatorFile writes a node's operator's file.
 func (s *Stage) operatorFile(node int) (string, error) {
+	var b strings.Builder
+	if s.X.List.Registry() {
+		text, err := s.registryTable(node)
+		if err != nil {
+			return "", err
+		}
+		b.WriteString(text)
+	}
+	b.WriteString(s.plannersTable(node))
+	path := filepath.Join(s.opt.Dir, fmt.Sprintf("node%d.toml", node+1))
+	return path, os.WriteFile(path, []byte(b.String()), 0o600)
+}
+
+// registryTable is what an operator's file says of the registry to a node, or to a planner, whose numbers go on from them.
+func (s *Stage) registryTable(node int) (string, error) {
 	l := &s.X.List
 	var b strings.Builder
 	fmt.Fprintf(&b, "[registry]\nkind = %q\nprefix = %q\nhold = %q\nhold_part = %g\nrewind = %q\n", l.Kind, registryPrefix, l.Hold.D(), l.HoldPart, l.Rewind.D())
@@ -138,11 +154,10 @@
 		}
 		b.WriteString("token_file = \"token\"\n")
 	}
-	if l.Announce {
+	if l.Announce && node < s.X.Nodes.Count {
 		b.WriteString("[announce]\nttl = \"2s\"\n")
 	}
-	path := filepath.Join(s.opt.Dir, fmt.Sprintf("node%d.toml", node+1))
-	return path, os.WriteFile(path, []byte(b.String()), 0o600)
+	return b.String(), nil
 }
 
 // onRegistry breaks a registry.
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -62,6 +62,7 @@
 	keeper *keeper        // of servers' leases; nil: none
 	load   *load.Load
 	plan   []world.Arrival
+	plans  []*planner
 	net    string // the first three numbers of its loopback addresses
 
 	mu     sync.Mutex
@@ -144,6 +145,8 @@
 		for i := range x.Nodes.Count {
 			addrs = append(addrs, s.caches[x.Servers[i%len(x.Servers)].Name].Addr())
 		}
+	} else if err := s.startPlanners(); err != nil {
+		return err
 	} else if err := s.startNodes(); err != nil {
 		return err
 	}
@@ -269,12 +272,14 @@
 			}
 			opt.Env = append(opt.Env, "LAPISSHELF_CONFIG="+path)
 		}
-		if x.List.Registry() {
+		if x.List.Registry() || x.Planners.Count > 0 {
 			path, err := s.operatorFile(i)
 			if err != nil {
 				return err
 			}
-			opt.List = "" // the operator's file tells it
+			if x.List.Registry() {
+				opt.List = "" // the operator's file tells it
+			}
 			opt.Env = append(opt.Env, "LAPISSHELF_CONFIG="+path)
 		}
 		n := NewNode(opt)
@@ -528,6 +533,9 @@
 		return s.onNode(a)
 	}
 	on := a.X != 0
+	if a.Plan > 0 {
+		return s.onPlanner(a)
+	}
 	if strings.HasPrefix(string(a.Verb), "registry_") {
 		return s.onRegistry(a)
 	}
@@ -697,6 +705,9 @@
 	for _, n := range s.Nodes {
 		n.Kill()
 	}
+	for _, p := range s.plans {
+		p.kill()
+	}
 	s.mu.Lock()
 	all := map[*standin.Cache]bool{}
 	for _, c := range s.caches {
