--- a/cmd/lapisshelf/planners_test.go
+++ b/cmd/lapisshelf/planners_test.go
@@ -3,16 +3,23 @@
 // Planners and forwarders as built programs.
 
 import (
+	"crypto/tls"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"lapisshelf/decide/plan"
 	"lapisshelf/internal/keys"
+	"lapisshelf/internal/planwire"
+	"lapisshelf/lab/world"
+	"lapisshelf/policy"
 )
 
 // certified makes an authority and certificates in a directory of the test's.
@@ -174,3 +181,94 @@
 	p.signal(syscall.SIGHUP)
 	eventually(t, "certificates are reread", func() bool { return strings.Contains(p.log(), "event=reload certificates=true") })
 }
+
+// Four hundred forwarders join one planner at once, some of them dumb or nonsense: each gets views, and the figures tell.
+func TestManyForwardersJoinAtOnce(t *testing.T) {
+	const forwarders, caches = 400, 80
+	var list []world.Member
+	for i := range caches {
+		list = append(list, serving(fmt.Sprintf("s-%d", i), refusing(t), "m2"))
+	}
+	d := startDiscovery(t, list...)
+	holders := map[string]keys.Role{"p1": keys.Planner}
+	for i := range forwarders {
+		holders[fmt.Sprintf("f%d", i)] = keys.Forwarder
+	}
+	dir := certified(t, holders)
+	p, addr, control := startPlanner(t, d, dir, "p1", "")
+	var heard, bytes atomic.Int64
+	var frame atomic.Int64
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range forwarders {
+		name := fmt.Sprintf("f%d", i)
+		pair, err := keys.Load(filepath.Join(dir, "ca.pem"), filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients.Go(func() {
+			conn, err := tls.Dial("tcp", addr, pair.Client(keys.Planner))
+			if err != nil {
+				t.Errorf("%s: %v", name, err)
+				return
+			}
+			clients.Go(func() {
+				g := plan.NewGather(time.Duration(time.Now().UnixNano()), name)
+				for {
+					for j := range caches {
+						g.Request(fmt.Sprint("k", j), "acme")
+						g.Attempt(fmt.Sprintf("s-%d", j), false, policy.OK, true, false)
+					}
+					text, _ := planwire.Append(nil, planwire.Message{Digest: g.Digest(time.Duration(time.Now().UnixNano()))})
+					if frame.Store(int64(len(text))); i%100 == 99 {
+						text = []byte("nonsense")
+					}
+					conn.Write(text)
+					select {
+					case <-stop:
+						conn.Close()
+						return
+					case <-time.After(time.Second):
+					}
+				}
+			})
+			if i%100 == 98 { // one that reads nothing
+				return
+			}
+			var input []byte
+			buffer := make([]byte, 64<<10)
+			for first := true; ; {
+				n, err := conn.Read(buffer)
+				if err != nil {
+					return
+				}
+				bytes.Add(int64(n))
+				for input = append(input, buffer[:n]...); ; {
+					m, used, err := planwire.Next(input)
+					if err != nil || used > 0 && (m.View == nil || len(m.View.Servers) != caches) {
+						t.Errorf("%s: %v %+v", name, err, m)
+						return
+					}
+					if used == 0 {
+						break
+					}
+					if input = input[used:]; first {
+						first = false
+						heard.Add(1)
+					}
+				}
+			}
+		})
+	}
+	eventually(t, "each has a view", func() bool { return heard.Load() >= forwarders*98/100 })
+	eventually(t, "all are heard", func() bool { return figures(t, control)["app_planner_forwarders"] == forwarders-forwarders/100 })
+	before, start := bytes.Load(), time.Now()
+	time.Sleep(2 * time.Second)
+	perView := float64(bytes.Load()-before) / time.Since(start).Seconds() / forwarders / 10
+	t.Logf("a digest %d bytes, a view some %.0f, %d MB of memory at most", frame.Load(), perView, p.peak())
+	if perView > 8<<10 || p.peak() > 200 {
+		t.Error("that is too much")
+	}
+	close(stop)
+	clients.Wait()
+}
