Epochs by leases: the planner that has held its lease longest leads, epochs never go back

Each planner keeps an entry under a lease (the same announcer as nodes) and follows the others'; plan.Lead decides, pure. An epoch is the second of the leader's lease, so absurd ones can be told by the forwarder's clock; the bound of 1,000 epochs at once went. Not taken: a key that one planner locks: a second way of keeping leases, and views would wait for its holder.

Test with the built programs and a stand-in registry: the first leads, is killed, the epoch grows at the forwarder; with the registry down the view stays in force; after it a later lease.

--- a/cmd/lapisshelf/planners_test.go
+++ b/cmd/lapisshelf/planners_test.go
@@ -18,6 +18,7 @@
 	"lapisshelf/decide/plan"
 	"lapisshelf/internal/keys"
 	"lapisshelf/internal/planwire"
+	"lapisshelf/lab/standin"
 	"lapisshelf/lab/world"
 	"lapisshelf/policy"
 )
@@ -39,12 +40,18 @@
 
 // startPlanner runs the program as a planner and gives the address for forwarders and the one for operators.
 func startPlanner(t *testing.T, d discovery, dir, id, more string) (p *process, addr, control string) {
+	t.Helper()
+	return startPlannerAt(t, fmt.Sprintf("discovery = %q\n", d.Addr(0)), dir, id, more)
+}
+
+// startPlannerAt runs one that finds its list as the text says, or as more does.
+func startPlannerAt(t *testing.T, list, dir, id, more string) (p *process, addr, control string) {
 	t.Helper()
 	addr, control = refusing(t), refusing(t)
 	file := filepath.Join(dir, id+".toml")
-	text := fmt.Sprintf("[node]\ncontrol = %q\ndiscovery = %q\n[service]\norigin_falls = true\n[[class]]\nname = \"read\"\naim = \"600ms\"\ndeadline = \"3s\"\n"+
+	text := fmt.Sprintf("[node]\ncontrol = %q\n%s[service]\norigin_falls = true\n[[class]]\nname = \"read\"\naim = \"600ms\"\ndeadline = \"3s\"\n"+
 		"[planner]\nid = %q\nlisten = %q\nca_file = \"ca.pem\"\ncert_file = \"%s.pem\"\nkey_file = \"%s.key\"\nevery = \"100ms\"\nvalid = \"1s\"\n%s",
-		control, d.Addr(0), id, addr, id, id, more)
+		control, list, id, addr, id, id, more)
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
@@ -150,6 +157,51 @@
 	}
 }
 
+// Planners that keep leases in a registry: the one that has held its longest leads; when it dies the epoch grows and
+// forwarders take it; with the registry gone nothing changes.
+func TestPlannersLeadByLease(t *testing.T) {
+	r, err := standin.NewRegistry(common(), standin.RegistryOptions{Addr: "127.0.0.1:0", Endpoints: 1, Nodes: 1, Prefix: "lapisshelf/servers/"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	cache := serving("s-1", startCache(t, holding("a")).Addr(), "m2")
+	r.Set(cache)
+	dir := certified(t, map[string]keys.Role{"p1": keys.Planner, "p2": keys.Planner, "f": keys.Forwarder})
+	planners, addrs, controls := map[string]*process{}, []string{}, map[string]string{}
+	for _, id := range []string{"p1", "p2"} {
+		p, addr, control := startPlannerAt(t, "", dir, id, fmt.Sprintf("ttl = \"1s\"\n[registry]\nkind = \"etcd\"\nendpoints = [%q]\n", r.Addrs(0)[0]))
+		planners[id], controls[id], addrs = p, control, append(addrs, addr)
+		eventually(t, "it is known", func() bool { return strings.Contains(viewOf(t, control), "leads") })
+		time.Sleep(1100 * time.Millisecond) // epochs are seconds
+	}
+	for _, control := range controls {
+		eventually(t, "the first leads", func() bool { return strings.Contains(viewOf(t, control), "p1 leads") })
+	}
+	n, control := startForwarder(t, startDiscovery(t, cache), dir, "f", "f", addrs...)
+	epoch := func() (e uint64) {
+		_, after, _ := strings.Cut(viewOf(t, control), "epoch ")
+		fmt.Sscan(after, &e)
+		return e
+	}
+	eventually(t, "it has a view", func() bool { return epoch() > 0 })
+	first := epoch()
+	planners["p1"].Kill()
+	eventually(t, "the other leads", func() bool { return strings.Contains(viewOf(t, controls["p2"]), "p2 leads") })
+	eventually(t, "the epoch grows", func() bool { return epoch() > first })
+	r.Down(0, true)
+	second := epoch()
+	eventually(t, "the lease is lost", func() bool { return strings.Contains(planners["p2"].log(), "event=lease_lost") })
+	if text := viewOf(t, control); epoch() != second || !strings.Contains(text, "view of p2") || !strings.Contains(text, "trusted 1.00") {
+		t.Errorf("with the registry gone: %s", text)
+	}
+	r.Down(0, false)
+	eventually(t, "a later lease", func() bool { return epoch() > second })
+	cl := n.dial()
+	cl.send("mg k v O1 Pc=read,d=1000\r\n")
+	cl.want("VA 1 O1", "a")
+}
+
 // Who has no certificate for its part is refused, and both logs say why; a node without a planner serves.
 func TestWrongCertificates(t *testing.T) {
 	d := startDiscovery(t, serving("s-1", startCache(t, holding("a")).Addr(), "m2"))
--- a/decide/follow/follow.go
+++ b/decide/follow/follow.go
@@ -3,7 +3,7 @@
 //
 // The ordinary path: the newest view of the planner that is followed is in force. The departures: a view that makes no
 // sense, contradicts the list or goes back is refused (Take); one that is no longer valid counts for less and less (Now).
-// It does no I/O and reads no clock: the caller passes the time (since any fixed zero) with each event. Age counts from
+// It does no I/O and reads no clock: the caller passes the time, Unix time, with each event. Age counts from
 // when a view came, never by the planner's clock.
 package follow
 
@@ -17,10 +17,10 @@
 )
 
 const (
-	mostJump     = 1000 // epochs at once; one absurd epoch must not lock all others out
-	leastNamed   = 0.5  // part of the ready servers that a view names
-	mostCut      = 0.75 // part of the weight that a view may take away
-	mostPlanners = 64   // that are remembered
+	mostAhead    = time.Hour // that an epoch may be ahead of the own clock; one absurd epoch must not lock all others out
+	leastNamed   = 0.5       // part of the ready servers that a view names
+	mostCut      = 0.75      // part of the weight that a view may take away
+	mostPlanners = 64        // that are remembered
 )
 
 // Config is what a follower is told. A zero Fade takes 10 s.
@@ -41,7 +41,7 @@
 const (
 	Taken   Reason = "taken"
 	Absurd  Reason = "absurd"  // by itself, or for the list
-	Epoch   Reason = "epoch"   // lower than one seen, or a jump
+	Epoch   Reason = "epoch"   // lower than one seen, or to come
 	Late    Reason = "late"    // made before the last of its planner
 	Another Reason = "another" // planner, while the followed one's view is valid
 )
@@ -92,8 +92,8 @@
 	switch l, known := f.lasts[v.Planner]; {
 	case v.Epoch < f.epoch:
 		return Epoch, fmt.Errorf("epoch %d after %d", v.Epoch, f.epoch)
-	case f.epoch > 0 && v.Epoch > f.epoch+mostJump:
-		return Epoch, fmt.Errorf("epoch %d, a jump from %d", v.Epoch, f.epoch)
+	case v.Epoch > uint64((now+mostAhead)/time.Second):
+		return Epoch, fmt.Errorf("epoch %d is to come", v.Epoch)
 	case known && v.Made <= l.made && now-l.came <= v.Valid+f.cfg.Fade:
 		return Late, fmt.Errorf("made before the last of %s", v.Planner)
 	case !known && len(f.lasts) >= 2*mostPlanners:
--- a/decide/follow/follow_test.go
+++ b/decide/follow/follow_test.go
@@ -43,7 +43,7 @@
 		"another of the same epoch":        {[]plan.View{view("b", 1, 1*sec, 1, 1), view("a", 1, 9*sec, 1, 1)}, sec, []Reason{Taken, Another}},
 		"and when the first falls silent":  {[]plan.View{view("b", 1, 1*sec, 1, 1), view("a", 1, 9*sec, 1, 1)}, 4 * sec, []Reason{Taken, Taken}},
 		"a higher epoch at once":           {[]plan.View{view("b", 1, 1*sec, 1, 1), view("a", 2, 0, 1, 1), view("b", 1, 9*sec, 1, 1)}, sec, []Reason{Taken, Taken, Epoch}},
-		"a jump in epoch":                  {[]plan.View{view("b", 1, 1*sec, 1, 1), view("a", math.MaxUint64, sec, 1, 1), view("b", 1, 9*sec, 1, 1)}, sec, []Reason{Taken, Epoch, Taken}},
+		"an epoch to come":                 {[]plan.View{view("b", 1, 1*sec, 1, 1), view("a", math.MaxUint64, sec, 1, 1), view("b", 1, 9*sec, 1, 1)}, sec, []Reason{Taken, Epoch, Taken}},
 		"weights of zero":                  {[]plan.View{view("a", 1, sec, 0, 0)}, sec, []Reason{Absurd}},
 		"no numbers":                       {[]plan.View{view("a", 1, sec, math.NaN(), 1)}, sec, []Reason{Absurd}},
 		"weights above the list's":         {[]plan.View{view("a", 1, sec, 2, 1)}, sec, []Reason{Absurd}},
--- a/decide/plan/api.go
+++ b/decide/plan/api.go
@@ -112,7 +112,7 @@
 
 // View is what a planner tells one forwarder.
 type View struct {
-	Epoch   uint64        // of the lease of who leads; 0: there is no lease
+	Epoch   uint64        // Unix second in which who leads took its lease; 0: there is none
 	Planner string        // who made it
 	Made    time.Duration // by the planner's clock, Unix time; grows with each view of a planner
 	Valid   time.Duration // how long it holds from when it comes
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -63,8 +63,26 @@
 	maps.DeleteFunc(p.servers, func(id string, _ *server) bool { return !named[id] })
 }
 
-// Lead tells the epoch of the lease that this planner holds; 0: it holds none.
-func (p *Planner) Lead(epoch uint64) { p.epoch = epoch }
+// Candidate is a planner that keeps an entry of itself under a lease.
+type Candidate struct {
+	ID    string
+	Start time.Duration // when it took its lease, Unix time
+}
+
+// Lead tells which planners hold a lease. The one that has held its longest leads, the lower id of two; the epoch is the
+// second in which it took the lease, and never goes back: a leader that is lost and comes back has a later lease. All
+// planners tell the epoch that they know of, so that nobody depends on the leader alone. None at all changes nothing.
+func (p *Planner) Lead(list []Candidate) (leader string) {
+	if len(list) == 0 {
+		return p.leader
+	}
+	first := slices.MinFunc(list, func(x, y Candidate) int { return cmp.Or(cmp.Compare(x.Start, y.Start), cmp.Compare(x.ID, y.ID)) })
+	p.leader, p.epoch = first.ID, max(p.epoch, uint64(max(0, first.Start/time.Second)))
+	return p.leader
+}
+
+// Epoch is the one that views tell.
+func (p *Planner) Epoch() uint64 { return p.epoch }
 
 // Digest takes what a forwarder saw. An error says why it counts for nothing.
 func (p *Planner) Digest(now time.Duration, d Digest) error {
--- a/decide/plan/plan_test.go
+++ b/decide/plan/plan_test.go
@@ -372,3 +372,26 @@
 		}
 	}
 }
+
+// Who leads, and that epochs never go back.
+func TestWhoLeads(t *testing.T) {
+	p := New(config())
+	for i, c := range []struct {
+		list   []Candidate
+		leader string
+		epoch  uint64
+	}{
+		{nil, "", 0},
+		{[]Candidate{{"b", 20 * sec}, {"a", 30 * sec}}, "b", 20},
+		{[]Candidate{{"a", 30 * sec}}, "a", 30},
+		{[]Candidate{{"b", 40 * sec}, {"a", 30 * sec}}, "a", 30}, // it comes back later
+		{nil, "a", 30}, // the registry tells of nobody: as it was
+		{[]Candidate{{"c", 5 * sec}, {"a", 30 * sec}}, "c", 30}, // its clock is wrong
+		{[]Candidate{{"d", 50 * sec}, {"b", 50 * sec}}, "b", 50},
+		{[]Candidate{{"d", -5 * sec}}, "d", 50},
+	} {
+		if got := p.Lead(c.list); got != c.leader || p.Epoch() != c.epoch {
+			t.Errorf("%d: %s leads, epoch %d", i, got, p.Epoch())
+		}
+	}
+}
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -15,6 +15,7 @@
 type state struct {
 	cfg        Config
 	epoch      uint64
+	leader     string // by the leases; empty: nobody is known to hold one
 	servers    map[string]*server
 	origin     string // its id; empty: none is listed
 	forwarders map[string]*forwarder
--- a/internal/operator/planners.go
+++ b/internal/operator/planners.go
@@ -41,6 +41,8 @@
 	Silent      Span
 	Move        float64
 	Forwarders  int
+	Lease       string
+	TTL         Span
 	Snapshot    string
 	SnapshotAge Span `toml:"snapshot_age"`
 }
@@ -51,7 +53,7 @@
 
 func plannerDefaults() Planner {
 	return Planner{Every: tomlfile.Span(500 * time.Millisecond), Valid: tomlfile.Span(3 * time.Second), Silent: tomlfile.Span(5 * time.Second),
-		Move: 0.05, Forwarders: 4096, SnapshotAge: tomlfile.Span(30 * time.Second)}
+		Lease: "lapisshelf/planners/", TTL: tomlfile.Span(10 * time.Second), Move: 0.05, Forwarders: 4096, SnapshotAge: tomlfile.Span(30 * time.Second)}
 }
 
 const mostPlanners = 16
@@ -95,6 +97,9 @@
 		rule{p.Silent.D() < time.Second || p.Silent.D() > longest, at("silent"), "must be 1s to 1h"},
 		rule{!(p.Move > 0 && p.Move <= 1), at("move"), "must be above 0 and at most 1"},
 		rule{p.Forwarders < 1 || p.Forwarders > 100000, at("forwarders"), "must be 1 to 100000"},
+		rule{strings.ContainsAny(p.Lease, "\r\n\x00") || f.List != nil && p.Lease != "" && strings.HasPrefix(p.Lease, f.List.Prefix), at("lease"),
+			"must be what the keys of planners begin with, not within registry.prefix"},
+		rule{p.TTL.D() < time.Second || p.TTL.D() > longest, at("ttl"), "must be 1s to 1h"},
 		rule{p.SnapshotAge.D() < time.Second || p.SnapshotAge.D() > 24*time.Hour, at("snapshot_age"), "must be 1s to 24h"},
 	); err != nil {
 		return err
@@ -174,6 +179,9 @@
 		list = &registry.Config{Kind: registry.Discovery, Endpoints: []netip.AddrPort{addr}}
 	}
 	c.Registry = *list
+	if c.Registry.Kind != registry.Discovery { // which keeps no leases
+		c.Lease, c.TTL = p.Lease, p.TTL.D()
+	}
 	load := func() (*tls.Config, error) {
 		pair, err := keys.Load(f.beside(p.CAFile), f.beside(p.CertFile), f.beside(p.KeyFile))
 		if err != nil {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -52,6 +52,8 @@
 	Gossip       netip.AddrPort
 	GossipKey    []byte
 	Join         []string
+	Lease        string        // what the keys of planners begin with, in a registry; empty: there are no leases
+	TTL          time.Duration // of the lease
 	Note         func(event, why string)
 }
 
@@ -69,6 +71,7 @@
 	control  *control.Server
 	store    *bbolt.DB
 	members  *members
+	lease    *lease
 	restored bool
 	refused  map[string]int64 // digests that count for nothing, by why
 	digests  int64
@@ -140,6 +143,9 @@
 	c.MostBody = mostListBody
 	p.registry = registry.New(p.loop, c, uint64(time.Now().UnixNano()), p.told, p.note)
 	p.registry.Start(0, nil)
+	if p.cfg.Lease != "" {
+		p.lease = p.keepLease(c)
+	}
 	go p.accept()
 	p.tick()
 	p.snapshot()
@@ -153,6 +159,7 @@
 func (p *Planner) close() {
 	p.listener.Close()
 	p.registry.Close()
+	p.lease.close()
 	for c := range p.conns {
 		c.end()
 	}
@@ -382,6 +389,9 @@
 func (p *Planner) Status() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "planner %s, %d forwarders heard, %d connected\n", p.cfg.Plan.ID, p.plan.Followed(), len(p.conns))
+	if p.plan.Epoch() > 0 {
+		fmt.Fprintf(&b, "epoch %d, %s leads\n", p.plan.Epoch(), p.plan.Lead(nil))
+	}
 	for _, m := range p.members.list() {
 		fmt.Fprintf(&b, "planners %s\n", m)
 	}
