Digests carry sketches of answer times, and the view tells half and 99% for each server

Decisions don't use them. Not taken: a histogram library's form, which is larger than the rest of a digest. Tests: the parts' bounds, and eight forwarders' sketches put together within a factor of two.

--- a/cmd/lapisshelf/planners_test.go
+++ b/cmd/lapisshelf/planners_test.go
@@ -269,7 +269,7 @@
 				for {
 					for j := range caches {
 						g.Request(fmt.Sprint("k", j), "acme")
-						g.Attempt(fmt.Sprintf("s-%d", j), false, policy.OK, true, false)
+						g.Attempt(fmt.Sprintf("s-%d", j), false, policy.OK, time.Duration(j)*time.Millisecond, true, false)
 					}
 					text, _ := planwire.Append(nil, planwire.Message{Digest: g.Digest(time.Duration(time.Now().UnixNano()))})
 					if frame.Store(int64(len(text))); i%100 == 99 {
--- a/decide/plan/api.go
+++ b/decide/plan/api.go
@@ -13,6 +13,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/bits"
 	"time"
 
 	"lapisshelf/policy"
@@ -23,6 +24,7 @@
 	MostServers = 4096 // in a digest or a view
 	MostHot     = 64
 	MostTenants = 256
+	MostTimes   = 14    // parts of a sketch, up to 4 s and beyond
 	MostName    = 256   // bytes of an id
 	MostCount   = 1e6   // of anything in one digest
 	LeastFactor = 0.1   // of a server's weight
@@ -39,6 +41,9 @@
 	Late   int // answered after that, or not in time
 	Full   int // turned away
 	Failed int // connection or answer broken
+	// Times is a sketch of its answer times: how many came within 1 ms, 2 ms, 4 ms and so on, the last: all later ones. What
+	// is left out behind is 0.
+	Times []int
 }
 
 // Heat is how often a key was asked for; Key is policy.Digest of it.
@@ -78,7 +83,14 @@
 	return true
 }
 
-func (l *Load) sound() bool { return counts(l.Sends, l.Timely, l.Late, l.Full, l.Failed) }
+func (l *Load) sound() bool {
+	return counts(l.Sends, l.Timely, l.Late, l.Full, l.Failed) && len(l.Times) <= MostTimes && counts(l.Times...)
+}
+
+// timeOf is the part of a sketch that a time belongs to.
+func timeOf(took time.Duration) int {
+	return min(bits.Len64(uint64(max(0, took-1)/time.Millisecond)), MostTimes-1)
+}
 
 // Check says what is wrong with a digest; nil: it makes sense.
 func (d *Digest) Check() error {
@@ -178,11 +190,12 @@
 
 // Reason tells why a server has the weight it has.
 type Reason struct {
-	ID      string
-	Weight  float64 // listed
-	Factor  float64
-	Allow   float64 // sends a second that the fleet may make; 0: no limit
-	Bad     float64 // part of its answers that were late, full or failed
-	Answers float64 // that this was told from
-	Word    string
+	ID       string
+	Weight   float64 // listed
+	Factor   float64
+	Allow    float64       // sends a second that the fleet may make; 0: no limit
+	Bad      float64       // part of its answers that were late, full or failed
+	Answers  float64       // that this was told from
+	P50, P99 time.Duration // of its answer times, within a factor of two: the upper bounds of where they lie; 0: none are known
+	Word     string
 }
--- a/decide/plan/gather.go
+++ b/decide/plan/gather.go
@@ -58,7 +58,7 @@
 
 // Attempt counts the end of an attempt. Timely: it was answered well within its aim, or is a write, which takes as long as
 // it takes. Own: its end tells nothing of the server.
-func (g *Gather) Attempt(server string, origin bool, o policy.Outcome, timely, own bool) {
+func (g *Gather) Attempt(server string, origin bool, o policy.Outcome, took time.Duration, timely, own bool) {
 	l := &g.origin
 	if !origin {
 		if l = g.servers[server]; l == nil {
@@ -73,6 +73,11 @@
 	switch {
 	case own || o == policy.Cancelled || o == policy.Moot:
 	case o == policy.OK || o == policy.Miss:
+		at := timeOf(took)
+		for len(l.Times) <= at {
+			l.Times = append(l.Times, 0)
+		}
+		l.Times[at]++
 		if timely {
 			l.Timely++
 		} else {
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -359,7 +359,7 @@
 func (p *Planner) Explain() (list []Reason) {
 	for _, s := range p.ready() {
 		list = append(list, Reason{ID: s.ID, Weight: s.weight(), Factor: s.factor, Allow: s.allow, Bad: s.pooled.badShare(),
-			Answers: s.pooled.total, Word: s.word})
+			Answers: s.pooled.total, P50: s.pooled.within(0.5), P99: s.pooled.within(0.99), Word: s.word})
 	}
 	return list
 }
--- a/decide/plan/plan_test.go
+++ b/decide/plan/plan_test.go
@@ -395,3 +395,39 @@
 		}
 	}
 }
+
+// Sketches of answer times from many forwarders give the fleet's, within a factor of two.
+func TestSketches(t *testing.T) {
+	for took, want := range map[time.Duration]int{0: 0, time.Millisecond: 0, time.Millisecond + 1: 1, 2 * time.Millisecond: 1, 3 * time.Millisecond: 2, 4 * time.Millisecond: 2,
+		time.Second: 10, 5 * time.Second: 13, time.Hour: 13} {
+		if got := timeOf(took); got != want {
+			t.Errorf("%v is in part %d, want %d", took, got, want)
+		}
+	}
+	w := small()
+	w.forwarders = 0
+	var all []*Gather
+	for f := range 8 {
+		all = append(all, NewGather(w.now, fmt.Sprint("f", f)))
+	}
+	for range 3 {
+		for f, g := range all {
+			for i := range 100 {
+				took := 6 * time.Millisecond
+				if i < 3 {
+					took = 300 * time.Millisecond
+				}
+				g.Attempt("c01", false, policy.OK, took, true, false)
+			}
+			if err := w.p.Digest(w.now, *g.Digest(w.now + time.Duration(f+1))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		w.run(1, nil)
+	}
+	for _, r := range w.p.Explain() {
+		if r.ID == "c01" && (r.P50 != 8*time.Millisecond || r.P99 != 512*time.Millisecond) || r.ID == "c02" && r.P50 != 0 {
+			t.Errorf("%+v", r)
+		}
+	}
+}
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -128,12 +128,18 @@
 }
 
 // tally is what a forwarder saw of a server, fading.
-type tally struct{ sends, timely, bad fade }
+type tally struct {
+	sends, timely, bad fade
+	times              [MostTimes]fade
+}
 
 func (t *tally) take(now, span time.Duration, l *Load) {
 	t.sends.add(now, span, float64(l.Sends))
 	t.timely.add(now, span, float64(l.Timely))
 	t.bad.add(now, span, float64(l.Late+l.Full+l.Failed))
+	for i, n := range l.Times {
+		t.times[i].add(now, span, float64(n))
+	}
 }
 
 func (t *tally) total(now, span time.Duration) float64 {
@@ -142,7 +148,10 @@
 }
 
 // tallied is the sum over forwarders.
-type tallied struct{ sends, bad, total float64 }
+type tallied struct {
+	sends, bad, total float64
+	times             [MostTimes]float64
+}
 
 // add adds a forwarder's, of which total was asked at the same moment, cut to a bound in all its parts alike.
 func (s *tallied) add(t *tally, most float64) {
@@ -153,6 +162,27 @@
 	s.total += total * part
 	s.bad += t.bad.value * part
 	s.sends += t.sends.value * part
+	for i := range t.times {
+		s.times[i] += t.times[i].value * part
+	}
+}
+
+// within is the time by which that part of the answers had come, as far as the sketch tells.
+func (s *tallied) within(part float64) time.Duration {
+	all := 0.0
+	for _, n := range s.times {
+		all += n
+	}
+	if all < 0.5 {
+		return 0
+	}
+	sum := 0.0
+	for i, n := range s.times {
+		if sum += n; sum >= part*all {
+			return time.Millisecond << i
+		}
+	}
+	return time.Millisecond << (MostTimes - 1)
 }
 
 func (s *tallied) badShare() float64 {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -95,9 +95,9 @@
 }
 
 // Attempt counts the end of an attempt, see plan.Gather.
-func (f *Forwarder) Attempt(server string, origin bool, o policy.Outcome, timely, own bool) {
+func (f *Forwarder) Attempt(server string, origin bool, o policy.Outcome, took time.Duration, timely, own bool) {
 	if f != nil {
-		f.gather.Attempt(server, origin, o, timely, own)
+		f.gather.Attempt(server, origin, o, took, timely, own)
 	}
 }
 
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -27,7 +27,8 @@
 // observe counts the end of an attempt for planners.
 func (n *Node) observe(t *try, a answer) {
 	if n.forwarder != nil {
-		n.forwarder.Attempt(t.pool.id, t.pool.origin(), a.outcome, t.call.command.Kind == meta.Set || n.loop.Now()-t.at <= t.call.class.aim/2, a.kept)
+		took := n.loop.Now() - t.at
+		n.forwarder.Attempt(t.pool.id, t.pool.origin(), a.outcome, took, t.call.command.Kind == meta.Set || took <= t.call.class.aim/2, a.kept)
 	}
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -396,7 +396,8 @@
 		fmt.Fprintf(&b, "planners %s\n", m)
 	}
 	for _, r := range p.plan.Explain() {
-		fmt.Fprintf(&b, "server %s weight %.2f factor %.2f allow %.1f/s, %.0f%% of %.0f answers bad: %s\n", r.ID, r.Weight, r.Factor, r.Allow, 100*r.Bad, r.Answers, r.Word)
+		fmt.Fprintf(&b, "server %s weight %.2f factor %.2f allow %.1f/s, %.0f%% of %.0f answers bad, half within %v, 99%% within %v: %s\n", r.ID, r.Weight, r.Factor, r.Allow, 100*r.Bad, r.Answers,
+			r.P50, r.P99, r.Word)
 	}
 	v := p.plan.Snapshot(p.loop.Now())
 	if v.Admit < 1 {
--- a/internal/planwire/planwire.go
+++ b/internal/planwire/planwire.go
@@ -39,6 +39,7 @@
 		Late   int    `cbor:"4,keyasint,omitempty"`
 		Full   int    `cbor:"5,keyasint,omitempty"`
 		Failed int    `cbor:"6,keyasint,omitempty"`
+		Times  []int  `cbor:"7,keyasint,omitempty"`
 	}
 	heat struct {
 		Key   uint32  `cbor:"1,keyasint"`
--- a/internal/planwire/planwire_test.go
+++ b/internal/planwire/planwire_test.go
@@ -15,7 +15,7 @@
 
 func samples() []Message {
 	return []Message{
-		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 7, Span: time.Second, Asked: 3, Answered: 2, Servers: []plan.Load{{ID: "c1", Sends: 3, Timely: 1, Late: 1, Failed: 1}},
+		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 7, Span: time.Second, Asked: 3, Answered: 2, Servers: []plan.Load{{ID: "c1", Sends: 3, Timely: 1, Late: 1, Failed: 1, Times: []int{0, 1, 0, 1}}},
 			Origin: plan.Load{Sends: 1, Timely: 1}, Hot: []plan.Heat{{Key: 8, Asked: 3}}, Tenants: []plan.Use{{Tenant: "a", Asked: 3}}}},
 		{View: &plan.View{Epoch: 3, Planner: "p", Made: 9 * time.Second, Valid: time.Second, View: policy.View{Admit: 0.5, Servers: []policy.Share{{ID: "c1", Factor: 0.3, Allow: 4}},
 			Hot: []policy.Heat{{Key: 8, Load: 1.5}}, Tenants: []policy.Use{{Name: "a", Asked: 20}}}}},
--- a/lab/fleet/planners.go
+++ b/lab/fleet/planners.go
@@ -184,7 +184,7 @@
 		return
 	}
 	origin := n.members[a.rec.Server].Kind == "origin"
-	n.forwarder.gather.Attempt(a.rec.Server, origin, o, a.call.try.t.Write || n.sim.now-a.at <= a.call.try.class.Aim/2, false)
+	n.forwarder.gather.Attempt(a.rec.Server, origin, o, n.sim.now-a.at, a.call.try.t.Write || n.sim.now-a.at <= a.call.try.class.Aim/2, false)
 }
 
 // onPlanner breaks a planner, or parts a node from it.
