Read again: ready servers sorted with the list, one walk over numbered parts in the lab

The lab's walks over nodes, endpoints and planners were one loop written three times (numbered). Gone as unread: the planner's id of the origin, Forwarder.Trust, the mark that a connection was hung up on, which happens once.

Left: lists merged by entry in planner.told and lease.told keep different things; digests and views share fields on the wire but not their meaning.

--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -41,10 +41,8 @@
 // Roster takes the whole server list. What was learned of a server goes with it.
 func (p *Planner) Roster(now time.Duration, list []policy.Server) {
 	named := map[string]bool{}
-	p.origin = ""
 	for _, e := range list {
 		if p.cfg.OriginKind != "" && e.Kind == p.cfg.OriginKind {
-			p.origin = e.ID
 			continue
 		}
 		s := p.servers[e.ID]
@@ -61,6 +59,12 @@
 		s.Server, named[e.ID] = e, true
 	}
 	maps.DeleteFunc(p.servers, func(id string, _ *server) bool { return !named[id] })
+	p.serving = p.serving[:0]
+	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
+		if s := p.servers[id]; s.State == policy.Ready {
+			p.serving = append(p.serving, s)
+		}
+	}
 }
 
 // Candidate is a planner that keeps an entry of itself under a lease.
@@ -201,7 +205,7 @@
 
 // weigh settles the factors, by so many seconds since the last time.
 func (p *Planner) weigh(seconds float64) {
-	ready := p.ready()
+	ready := p.serving
 	var shares []float64
 	for _, s := range ready {
 		if s.pooled.total >= fewest {
@@ -248,7 +252,7 @@
 func (p *Planner) limit(now time.Duration, seconds float64) {
 	perSecond := 1 / p.cfg.Memory.Seconds() // a fading count over its span is what comes in the span
 	sum := 0.0
-	for _, s := range p.ready() {
+	for _, s := range p.serving {
 		sum += s.weight() * s.factor * p.warmth(now, s)
 	}
 	for _, s := range p.servers {
@@ -285,7 +289,7 @@
 			}
 		}
 	}
-	mean := p.asked / max(1, float64(len(p.ready())))
+	mean := p.asked / max(1, float64(len(p.serving)))
 	for k, list := range keys {
 		if load := capped(list) / max(mean, fewest); load >= hotLeast {
 			p.hot = append(p.hot, policy.Heat{Key: k, Load: load})
@@ -316,7 +320,7 @@
 	v := View{Epoch: p.epoch, Planner: p.cfg.ID, Made: p.stamp, Valid: p.cfg.Valid}
 	v.Hot, v.Tenants = slices.Clone(p.hot), slices.Clone(p.use)
 	f := p.forwarders[to]
-	for _, s := range p.ready() {
+	for _, s := range p.serving {
 		share := policy.Share{ID: s.ID, Factor: max(LeastFactor, min(1, s.factor))}
 		if s.allow > 0 && f != nil {
 			share.Allow = max(leastGrant, p.grant(now, s.ID, s.allow, f))
@@ -357,7 +361,7 @@
 
 // Explain tells why each ready server has the weight it has, by id.
 func (p *Planner) Explain() (list []Reason) {
-	for _, s := range p.ready() {
+	for _, s := range p.serving {
 		list = append(list, Reason{ID: s.ID, Weight: s.weight(), Factor: s.factor, Allow: s.allow, Bad: s.pooled.badShare(),
 			Answers: s.pooled.total, P50: s.pooled.within(0.5), P99: s.pooled.within(0.99), Word: s.word})
 	}
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -4,7 +4,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"lapisshelf/policy"
@@ -17,7 +16,7 @@
 	epoch      uint64
 	leader     string // by the leases; empty: nobody is known to hold one
 	servers    map[string]*server
-	origin     string // its id; empty: none is listed
+	serving    []*server // those that serve by the list, by id
 	forwarders map[string]*forwarder
 	order      []*forwarder  // by name; nil: to be made anew
 	made       time.Duration // the last Make
@@ -46,17 +45,6 @@
 	return 1
 }
 
-// ready are the servers that serve by the list, by id.
-func (st *state) ready() (list []*server) {
-	for _, s := range st.servers {
-		if s.State == policy.Ready {
-			list = append(list, s)
-		}
-	}
-	slices.SortFunc(list, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
-	return list
-}
-
 // ordered are the forwarders by name: sums of the same figures are the same to the last bit.
 func (st *state) ordered() []*forwarder {
 	if st.order == nil {
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -196,8 +196,8 @@
 		b.WriteString("no view\n")
 	}
 	for _, l := range f.links {
-		if state := "up"; l.up {
-			fmt.Fprintf(&b, "planner %s %s %s, heard %.1f s ago\n", l.addr, state, l.planner, (now - l.heard).Seconds())
+		if l.up {
+			fmt.Fprintf(&b, "planner %s up %s, heard %.1f s ago\n", l.addr, l.planner, (now - l.heard).Seconds())
 		} else {
 			fmt.Fprintf(&b, "planner %s down: %s\n", l.addr, cmp.Or(l.why, "not tried yet"))
 		}
@@ -219,14 +219,6 @@
 	return b.String()
 }
 
-// Trust is how far a view counts now, 0 to 1, and Counts what became of those that came.
-func (f *Forwarder) Trust() float64 {
-	if f == nil {
-		return 0
-	}
-	return f.trust
-}
-
 func (l *link) again(after time.Duration) {
 	l.retry = l.f.loop.After(after, func() {
 		if l.f.closed {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -84,7 +84,6 @@
 	tls  *tls.Conn
 	name string
 	out  chan []byte
-	over atomic.Bool
 }
 
 // New makes a planner that listens; Run runs it.
@@ -161,7 +160,7 @@
 	p.registry.Close()
 	p.lease.close()
 	for c := range p.conns {
-		c.end()
+		go c.tls.Close() // it may wait to say so to the other end
 	}
 	if p.store != nil {
 		p.save()
@@ -257,13 +256,6 @@
 	}
 }
 
-// end hangs up, on the loop.
-func (c *conn) end() {
-	if c.over.CompareAndSwap(false, true) {
-		go c.tls.Close()
-	}
-}
-
 // take takes a message of a forwarder.
 func (p *Planner) take(c *conn, m planwire.Message) {
 	p.digests++
--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -410,41 +410,22 @@
 	}
 }
 
-func (x *expansion) nodes(f func(n int)) {
-	if len(x.Nodes) == 0 {
-		for n := range x.stage.Nodes {
-			f(n)
+// numbered does something for each of the numbers told, from 1; for all there are where none is.
+func numbered(told []int, all int, f func(n int)) {
+	if len(told) == 0 {
+		for n := range all {
+			f(n + 1)
 		}
 		return
 	}
-	for _, n := range x.Nodes {
-		f(n - 1)
+	for _, n := range told {
+		f(n)
 	}
 }
 
-func (x *expansion) ends(f func(e int)) {
-	if len(x.Ends) == 0 {
-		for e := range x.stage.Ends {
-			f(e + 1)
-		}
-		return
-	}
-	for _, e := range x.Ends {
-		f(e)
-	}
-}
-
-func (x *expansion) plans(f func(p int)) {
-	if len(x.Plans) == 0 {
-		for p := range x.stage.Planners {
-			f(p + 1)
-		}
-		return
-	}
-	for _, p := range x.Plans {
-		f(p)
-	}
-}
+func (x *expansion) nodes(f func(n int)) { numbered(x.Nodes, x.stage.Nodes, func(n int) { f(n - 1) }) }
+func (x *expansion) ends(f func(e int))  { numbered(x.Ends, x.stage.Ends, f) }
+func (x *expansion) plans(f func(p int)) { numbered(x.Plans, x.stage.Planners, f) }
 
 // plannerKill ends planners' processes; new ones start after the stated time.
 func (x *expansion) plannerKill() {
