Through mode: no origin told by notes, no time-outs, and keys stay put while fetches clog

Time-outs: a late answer is mostly a fetch, nothing stops it, and the next cache fetches again. Clogged: late answers noted all over are over two fifths of the timely ones: neither sparing nor spilling nor a further try after full, since the key's own server alone holds it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,8 +9,8 @@
 // The departures: a starting server's weight is cut to what it is sure to bear (warmth, coldRoom); failing
 // servers are skipped (down); a crowded one's keys go to their next (crowded, pick); a hot key spreads (load,
 // pick); what a server has no room for is held, sent to an idle origin or turned away (gate, steer); reads of
-// one key share one fetch (joins, release); in through mode likely fetches are limited as if the origin were
-// a server (route, learnKey); a safe read that hangs is cut off for a further try, within a budget (send);
+// one key share one fetch (joins, release); a safe read that hangs is cut off for a further try, within a
+// budget (send);
 // what cannot be answered by its aim is given up (sweep, giveUp); nodes that see little show each other what
 // they saw (show), and servers that answer late are spared (strained).
 
@@ -39,9 +39,6 @@
 // New starts a balancer without memory.
 func New(now time.Duration, set Settings, seed uint64, act Actions) *Balancer {
 	b := blank(now, set, seed, act)
-	if set.Mode == Through {
-		b.origin = &server{limit: firstLimit} // not listed: it stands for the fetches that the caches make
-	}
 	b.within = cmp.Or(set.AskWithin, 4*skipSpell) // no limit told must not mean no pause
 	b.askWait = b.within / 16
 	b.late, b.usual = float64(b.shortest)/2, float64(b.shortest)/4 // until answers tell
@@ -65,9 +62,6 @@
 	}
 	b.merge(kind, list)
 	b.regate()
-	if b.set.Mode == Through && !b.origin.strained { // all keys are unknown at first, few of them missing
-		b.origin.limit = max(b.origin.limit, float64(len(b.caches)))
-	}
 }
 
 // Ban has a server get nothing more, whatever the list says of it, until the ban is lifted.
@@ -256,6 +250,13 @@
 	return b.rng.Float64()*(late+timely+1) < late-strainPart*timely
 }
 
+// clogged reports whether so many answers of all caches come late, in through mode, that it is fetches that take
+// the caches' room. Then keys stay with the servers that hold them, full and late ones too: any other would have
+// to fetch, and a few spilled keys jam all caches (poa-renova rough-1, poa-renova big-2).
+func (b *Balancer) clogged() bool {
+	return b.set.Mode == Through && b.slow.at(b.now, skipSpell) > 2*strainPart*b.quick.at(b.now, skipSpell)
+}
+
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
 // and not crowded, looking no further than the key's second, what it has open here, or what can carry a key
 // that outruns its server with no two requests open at any node (burnie-super, 122 nodes): others do not pay
@@ -282,6 +283,9 @@
 			start, best = i, x
 		}
 	}
+	if len(able) > 0 && b.clogged() {
+		return able[start]
+	}
 	var top *server
 	for i := range able {
 		s := able[(start+i)%len(able)]
@@ -352,18 +356,6 @@
 		b.giveUp(r)
 		return
 	}
-	if b.set.Mode == Through && !r.Write && r.Key != "" && !s.holds[r.Key] {
-		if b.joins(r) {
-			return
-		}
-		if b.down(b.origin) {
-			b.giveUp(r)
-			return
-		}
-		if !b.room(b.origin) {
-			s = b.origin
-		}
-	}
 	b.gate(r, s)
 }
 
@@ -388,7 +380,7 @@
 	}
 	// Beyond its quota a request is worth little: it is not held, so that the others find room.
 	if r.over || b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
-		if b.set.Mode == Aside && s != b.origin && b.origin != nil && b.room(b.origin) {
+		if s != b.origin && b.origin != nil && b.room(b.origin) {
 			b.fetch(r) // the caches are the scarcer: the origin may answer it
 		} else {
 			b.giveUp(r) // it would wait in vain
@@ -418,7 +410,7 @@
 		}
 		r := s.queue[best]
 		s.queue = slices.Delete(s.queue, best, best+1)
-		if r.held = nil; s == b.origin && b.set.Mode == Aside {
+		if r.held = nil; s == b.origin {
 			b.fetch(r)
 		} else {
 			b.route(r)
@@ -437,10 +429,8 @@
 	wait := time.Duration(0)
 	if s != b.origin {
 		b.sends.add(b.now, b.set.FallWindow)
-		if a.fetch = b.set.Mode == Through && b.leads(r); a.fetch {
-			b.origin.sent = append(b.origin.sent, a)
-		}
-		more := r.class.Effect == Safe && len(r.tries) < b.set.MaxAttempts
+		// In through mode what is late is likely being fetched: another cache could only fetch it again.
+		more := b.set.Mode == Aside && r.class.Effect == Safe && len(r.tries) < b.set.MaxAttempts
 		if span := b.set.FallWindow; more && b.now < r.aim &&
 			b.lost.at(b.now, span) <= strainPart*b.answers.at(b.now, span) {
 			// Guards against a server that never answers: half of what is left of the aim is for a further
@@ -497,10 +487,6 @@
 	r.spent = r.spent || res.Spent
 	b.free(a)
 	b.learn(a, res)
-	if b.set.Mode == Through {
-		b.learnKey(a, res)
-		defer b.admit(b.origin)
-	}
 	defer b.admit(a.srv)
 	switch {
 	case r.ended && r.out == 0:
@@ -515,6 +501,8 @@
 		b.giveUp(r) // the origin would not: another cache could only ask it again
 	case b.set.Mode == Aside && (a.origin || res.Outcome == Miss):
 		b.fetch(r)
+	case res.Outcome == Full && b.clogged():
+		b.giveUp(r)
 	default:
 		b.route(r)
 	}
@@ -551,7 +539,7 @@
 			b.steer(s, a.at, late && (o == Full || !a.alone()))
 		}
 		if !a.origin && o != Reset { // which is no answer
-			b.note(noteOf(s.ID, answerNote(late || o == TimedOut)))
+			b.note(noteOf(s.ID, answerNote(o, late)))
 		}
 	}
 }
@@ -576,22 +564,6 @@
 	}
 }
 
-// learnKey keeps, in through mode, which keys the caches hold, and the origin's limit by what they fetch.
-func (b *Balancer) learnKey(a *attempt, res Result) {
-	if a.req.Key == "" || res.Outcome != OK && res.Outcome != Errored && res.Outcome != TimedOut {
-		return
-	}
-	if res.Note == NoteMiss || a.fetch && res.Outcome == TimedOut {
-		b.steer(b.origin, a.at, res.Outcome == Errored)
-		b.health(b.origin, a.req.class.Aim, res.Outcome)
-	}
-	if res.Outcome == OK {
-		a.srv.holds[a.req.Key] = true
-	} else {
-		delete(a.srv.holds, a.req.Key)
-	}
-}
-
 // steer sets a server's limit: up while it is in use and answers come in time, halved, once an answer time,
 // when it is strained. This guards against servers that take in more than they can answer in time.
 func (b *Balancer) steer(s *server, sentAt time.Duration, strained bool) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -21,19 +21,18 @@
 
 type server struct {
 	Server
-	banned    bool            // by hand
-	started   time.Duration   // as the list says, or when a ban was lifted
-	weight    float64         // listed, or the mean where none is listed, times the factor of the view
-	allow     float64         // sends a second that the view leaves to this node; 0: no limit
-	score     float64         // of the ranking being made
-	sent      []*attempt      // out now, oldest first
-	limit     float64         // attempts that may be out
-	strained  bool            // the limit was reached once
-	cutAt     time.Duration   // when it was cut last
-	holds     map[string]bool // through mode: keys whose last read it answered
-	freed     time.Duration   // when an attempt last ended
-	queue     []*request      // held until there is room
-	fails     int             // straight failures
+	banned    bool          // by hand
+	started   time.Duration // as the list says, or when a ban was lifted
+	weight    float64       // listed, or the mean where none is listed, times the factor of the view
+	allow     float64       // sends a second that the view leaves to this node; 0: no limit
+	score     float64       // of the ranking being made
+	sent      []*attempt    // out now, oldest first
+	limit     float64       // attempts that may be out
+	strained  bool          // the limit was reached once
+	cutAt     time.Duration // when it was cut last
+	freed     time.Duration // when an attempt last ended
+	queue     []*request    // held until there is room
+	fails     int           // straight failures
 	skipUntil time.Duration
 	heard     time.Duration // last sign of life
 	prompt    time.Duration // when the latest attempt that was answered well within its aim was sent
@@ -57,7 +56,6 @@
 	clean  bool // proven never to have run
 	filled bool // what it missed has been stored there since
 	origin bool
-	fetch  bool // through mode: the cache will likely fetch
 }
 
 type request struct {
@@ -123,6 +121,8 @@
 	own      []note              // the last made here
 	byDigest map[note]*server
 	asked    fading // requests lately
+	slow     fading // late answers of all caches lately, as noted by this node and others
+	quick    fading // and those in time
 
 	thinned float64          // part of the reads that may not go to the origin, by the view
 	view    View             // of planners; empty where there are none
@@ -155,6 +155,7 @@
 	keyAsked note = iota
 	timelyAnswer
 	lateAnswer
+	fullAnswer
 )
 
 func (n note) kind() note   { return n & 3 }
@@ -167,8 +168,11 @@
 	return note(h.Sum32())&^3 | kind
 }
 
-func answerNote(late bool) note {
-	if late {
+func answerNote(o Outcome, late bool) note {
+	switch {
+	case o == Full:
+		return fullAnswer
+	case late || o == TimedOut:
 		return lateAnswer
 	}
 	return timelyAnswer
@@ -186,10 +190,15 @@
 	switch s := b.byDigest[n.digest()]; {
 	case n.kind() == keyAsked:
 		b.recent.add(n.digest(), heatSpan*len(b.caches))
-	case s != nil && n.kind() == lateAnswer:
-		s.late.add(b.now, skipSpell)
-	case s != nil:
+	case s == nil:
+	case n.kind() == timelyAnswer:
 		s.timely.add(b.now, skipSpell)
+		b.quick.add(b.now, skipSpell)
+	default:
+		s.late.add(b.now, skipSpell)
+		if n.kind() == lateAnswer {
+			b.slow.add(b.now, skipSpell)
+		}
 	}
 }
 
@@ -361,9 +370,6 @@
 	if !a.origin {
 		b.out--
 	}
-	if b.set.Mode == Through {
-		b.origin.drop(a, b.now)
-	}
 }
 
 // drop takes an attempt that has ended off the server's.
@@ -458,12 +464,11 @@
 	for _, e := range list {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{limit: firstLimit, holds: map[string]bool{}}
+			s = &server{limit: firstLimit}
 			b.servers[e.ID] = s
 		}
 		if e.Started != s.Started { // a restart: what was learned of the old process is void
 			s.fails, s.skipUntil = 0, 0
-			clear(s.holds)
 		}
 		s.Server = e
 	}
@@ -474,9 +479,7 @@
 // the mean of the listed ones where it is missing.
 func (b *Balancer) reindex() {
 	b.caches = b.caches[:0]
-	if b.set.Mode == Aside {
-		b.origin = nil
-	}
+	b.origin = nil
 	for id, h := range b.hands {
 		if !h.Banned && b.now-h.At > b.set.WarmUp {
 			delete(b.hands, id) // nothing is to be known of it any more
