Caches are probed before they get a request while answers come late

Reads that joined a fetch were ruled out as what is refused: 353 of 17,000. Now: settings that allow probes and tell load with them alone give the module a new action and event. While one answer in twenty or more is late, a cache is asked once an answer time at most; its requests wait for that, and it is passed over if its queue and two usual answer times are more than is left of the aim. What no cache can answer goes to the origin if that has room, as what has no room did before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -378,6 +378,9 @@
 // Subscribe implements policy.Actions. The list is followed in any case, see decide/roster.
 func (a actions) Subscribe() {}
 
+// Probe implements policy.Actions; the protocol has no probes, and a configuration that calls for them is refused.
+func (a actions) Probe(string) {}
+
 // Tell implements policy.Actions; there is no way between nodes here.
 func (a actions) Tell(int, []byte) {}
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"lapisshelf/policy"
@@ -27,6 +28,10 @@
 		Name      string
 		QuotaPerS float64
 	}
+	Feedback struct {
+		How    string
+		Fields []string
+	}
 	FamilyInfo struct {
 		Mode               string
 		OriginKind         *int
@@ -37,9 +42,9 @@
 		ColdFrom, FallMultiple         float64
 	}
 	Limits struct {
-		Cancel, ParallelTries, RetryAfter, MayTell bool
-		MaxRetryAfter, ConnIdle, ConnectTimeout    int64
-		SendCap, StreamsPerConn, MostHeld          int
+		Cancel, ParallelTries, RetryAfter, MayTell, Probes bool
+		MaxRetryAfter, ConnIdle, ConnectTimeout            int64
+		SendCap, StreamsPerConn, MostHeld                  int
 	}
 }
 
@@ -91,6 +96,9 @@
 		OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
 	}
 	s.MayTell = s.MayTell && s.Position >= 0 && s.Position < s.Balancers // else it is unclear who the others are
+	// Reports that come with answers cost nothing: probes are for where nothing else tells.
+	s.MayProbe = l.Probes && w.Feedback.How == "on_probe" && slices.Contains(w.Feedback.Fields, "depth") &&
+		slices.Contains(w.Feedback.Fields, "tps")
 	if !l.RetryAfter {
 		s.MaxAdvice = 0
 	}
--- a/internal/simhost/simhost.go
+++ b/internal/simhost/simhost.go
@@ -21,6 +21,7 @@
 	Abandoned(now time.Duration, id string)
 	Timer(now time.Duration, token string)
 	Peer(now time.Duration, data []byte)
+	Probed(now time.Duration, server string, ok bool, rep policy.Report)
 }
 
 // newBalancer starts an instance's balancer; tests put a broken one in its place.
@@ -83,6 +84,8 @@
 		b.Abandoned(now, e.ID)
 	case simwire.Peer:
 		b.Peer(now, e.Data)
+	case simwire.Probed:
+		b.Probed(now, e.Server, e.Passed, e.Report)
 	case simwire.Timer:
 		b.Timer(now, e.Token)
 	}
--- a/internal/simhost/simhost_test.go
+++ b/internal/simhost/simhost_test.go
@@ -76,6 +76,40 @@
 	}
 }
 
+// A probe goes out where the settings allow it and reports come with probes alone; what comes back is read.
+func TestProbes(t *testing.T) {
+	for _, c := range []struct {
+		name, settings string
+		probes         bool
+	}{
+		{"allowed", `"Limits":{"Probes":true,`, true},
+		{"not allowed", `"Limits":{`, false},
+	} {
+		in := strings.Replace(setUp, `"Limits":{`, `"Feedback":{"How":"on_probe","Fields":["depth","tps"]},`+c.settings, 1)
+		in = strings.Replace(in, `"Scale":1}]`, `"Scale":1},{"Server":"10.0.0.2:80","Lifecycle":"in_service"}]`, 1)
+		in = strings.Replace(in, `"Tick"`, `"Guarantees":{"OverloadFor":2000000000},"Tick"`, 1) + order +
+			`{"kind":"Batch","SimTime":300002000,"frame":3}
+{"kind":"ClosedAttempt","I":"node_0","Handle":"c:1","Server":"10.0.0.1:80","Ending":100,"Settled":true,"Took":300000000}
+{"kind":"Order","I":"node_0","Handle":"c:2","Grade":"read","Resource":12,"Grace":800000000}
+{"kind":"Eob"}
+{"kind":"Batch","SimTime":301002000,"frame":4}
+{"kind":"ProbeResult","I":"node_0","Server":"10.0.0.1:80","Ending":100,"Pressure":{"depth":0,"tps":12.5}}
+{"kind":"ProbeResult","I":"node_0","Server":"10.0.0.2:80","Ending":100,"Pressure":{"depth":0,"tps":12.5}}
+{"kind":"Eob"}
+`
+		var out bytes.Buffer
+		if err := Run(strings.NewReader(in), &out); err != nil {
+			t.Fatalf("%s: %v", c.name, err)
+		}
+		if n := strings.Count(out.String(), `{"kind":"Ping","I":"node_0","Server":"10.0.0.`); n > 0 != c.probes {
+			t.Errorf("%s: %d probes:\n%s", c.name, n, out.String())
+		}
+		if n := strings.Count(out.String(), `"Handle":"c:2","Server"`); n != 1 {
+			t.Errorf("%s: c:2 sent %d times, want once", c.name, n)
+		}
+	}
+}
+
 var malformed = []struct{ name, input, want string }{
 	{"not JSON", "{\"kind\":\"Batch\",\"SimTime\":2,\"frame\":5}\nhello\n", "batch 5, line 2: not a message"},
 	{"no batch", `{"kind":"Eob"}` + "\n", `"Eob" where a batch should open`},
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -58,6 +58,9 @@
 	Result   policy.Result   // Result
 	Token    string          // Timer
 	Data     []byte          // Peer
+	Server   string          // Probed
+	Passed   bool            // Probed
+	Report   policy.Report   // Probed
 }
 
 // Batch is what happened at one moment.
@@ -91,6 +94,7 @@
 	Settled  bool
 	Ref      string
 	Bytes    string
+	Pressure map[string]float64
 }
 
 type entry struct {
@@ -194,6 +198,9 @@
 		e.Request.Tenant, _ = l.Org.(string)
 	case Result:
 		e.Result, err = result(l)
+	case Probed:
+		e.Server, e.Passed = l.Server, l.Ending == 100
+		e.Report = policy.Report{Queue: l.Pressure["depth"], Rate: l.Pressure["tps"]}
 	case Peer:
 		e.Data, _ = base64.StdEncoding.DecodeString(l.Bytes) // what a peer garbled is no message
 	}
@@ -347,6 +354,9 @@
 	a.W.end()
 }
 
+// Probe implements policy.Actions.
+func (a Actor) Probe(server string) { a.one("Ping", "Server", server) }
+
 // Log implements policy.Actions.
 func (a Actor) Log(text string) { a.one("Debug", "NoteText", text) }
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -81,6 +81,7 @@
 	Balancers    int    // balancers in the fleet, this one included
 	Position     int    // this one's number among them, from 0
 	MayTell      bool   // balancers may send each other short messages
+	MayProbe     bool   // servers may be probed, and tell then how many wait and how many they serve
 	MustAsk      bool
 	AskWithin    time.Duration // with MustAsk: longest spell without asking
 	Tick         time.Duration // events come at most this often
@@ -197,6 +198,12 @@
 	Asked float64
 }
 
+// Report is what a server says of its load when probed.
+type Report struct {
+	Queue float64 // requests that wait there
+	Rate  float64 // requests that it serves a second
+}
+
 // Actions is what a balancer may do. Each call takes effect at the time of the event being handled.
 type Actions interface {
 	Send(id, server string, wait time.Duration) // wait 0: as long as the client waits
@@ -206,5 +213,6 @@
 	Timer(after time.Duration, token string)
 	Subscribe()
 	Tell(to int, data []byte) // to another balancer, by its position; it may come late or not at all
+	Probe(server string)      // Probed will tell; only where MayProbe says so
 	Log(text string)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -8,11 +8,12 @@
 //
 // The departures: a starting server's weight is cut to what it is sure to bear (warmth, coldRoom); failing
 // servers are skipped (down); a crowded one's keys go to their next (crowded, pick); a hot key spreads (load,
-// pick); what a server has no room for is held, sent to an idle origin or turned away (gate, steer); reads of
-// one key share one fetch (joins, release); a safe read that hangs is cut off for a further try, within a
-// budget (send);
-// what cannot be answered by its aim is given up (sweep, giveUp); nodes that see little show each other what
-// they saw (show), and servers that answer late are spared (strained).
+// pick); what a server has no room for is held, sent to an idle origin or turned away (gate, pass, steer);
+// reads of one key share one fetch (joins, release); a safe read that hangs is cut off for a further try,
+// within a budget (send); what cannot be answered by its aim is given up (sweep, giveUp); nodes that see
+// little show each other what they saw (show), and servers that answer late are spared (strained); while late
+// answers come, caches that tell their load when probed are asked first (probe); keys stay put while fetches
+// clog the caches (clogged).
 
 import (
 	"cmp"
@@ -211,12 +212,40 @@
 // room reports whether one more attempt may be out at s. A limit under one is that part of the time: one each
 // of many nodes would still crowd a server (hobart-prices i2f1cd8).
 func (b *Balancer) room(s *server) bool {
-	if s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
+	if b.awaits(s) || s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
 		return false
 	}
 	return float64(len(s.sent)) < s.limit
 }
 
+// probe asks a cache for its load before it gets a request, once an answer time at most, while one answer in
+// twenty or more comes late: a node that sends each of many caches a request in seconds learns too late by
+// itself which ones are jammed (docs-commons-bc big-1). With answers in time nothing is probed.
+func (b *Balancer) probe(s *server) {
+	if b.set.MayProbe && s != b.origin && (!s.probing || b.now-s.probedAt > skipSpell) &&
+		b.now-max(s.probedAt, s.toldAt) > time.Duration(b.usual) &&
+		b.slow.at(b.now, skipSpell) > strainPart/4*b.quick.at(b.now, skipSpell) {
+		s.probedAt, s.probing = b.now, true
+		b.act.Probe(s.ID)
+	}
+}
+
+// awaits reports whether requests wait for what a server will tell; an answer that stays out holds none long.
+func (b *Balancer) awaits(s *server) bool { return s.probing && b.now-s.probedAt < b.shortest/4 }
+
+// Probed takes a server's answer to a probe. One that fails says nothing: servers answer only so many.
+func (b *Balancer) Probed(now time.Duration, id string, ok bool, rep Report) {
+	b.now = now
+	s := b.servers[id]
+	if s == nil || !s.probing {
+		return
+	}
+	if s.probing = false; ok {
+		s.toldAt, s.wait = now, time.Duration(rep.Queue/max(rep.Rate, 1)*float64(time.Second))
+	}
+	b.admit(s)
+}
+
 // down reports whether a server's straight failures keep it from all but one trial a spell.
 func (b *Balancer) down(s *server) bool {
 	return s.fails >= failsToSkip && (b.now < s.skipUntil || len(s.sent) > 0)
@@ -244,15 +273,19 @@
 	}
 }
 
-// strained reports, by chance, whether to spare a server that answers late, the more the more of it is late.
-func (b *Balancer) strained(s *server) bool {
+// strained reports whether to spare a server: by what it has just told, where it tells, if that and two usual
+// answer times are more than is left; else by chance, the more the more of its answers is late.
+func (b *Balancer) strained(r *request, s *server) bool {
+	if usual := time.Duration(b.usual); s.toldAt > 0 && b.now-s.toldAt <= usual {
+		return b.now+s.wait+2*usual > r.aim
+	}
 	late, timely := s.late.at(b.now, skipSpell), s.timely.at(b.now, skipSpell)
 	return b.rng.Float64()*(late+timely+1) < late-strainPart*timely
 }
 
-// clogged reports whether so many answers of all caches come late, in through mode, that it is fetches that take
-// the caches' room. Then keys stay with the servers that hold them, full and late ones too: any other would have
-// to fetch, and a few spilled keys jam all caches (poa-renova rough-1, poa-renova big-2).
+// clogged reports whether so many answers of all caches come late, in through mode, that it is fetches that
+// take the caches' room. Then keys stay with the servers that hold them, full and late ones too: any other
+// would have to fetch, and a few spilled keys jam all caches (poa-renova rough-1, poa-renova big-2).
 func (b *Balancer) clogged() bool {
 	return b.set.Mode == Through && b.slow.at(b.now, skipSpell) > 2*strainPart*b.quick.at(b.now, skipSpell)
 }
@@ -289,7 +322,7 @@
 	var top *server
 	for i := range able {
 		s := able[(start+i)%len(able)]
-		if b.strained(s) {
+		if b.strained(r, s) {
 			continue
 		}
 		if !b.crowded(s) && (i == 0 || b.warmth(s) == 1 || !b.set.OriginFalls) {
@@ -352,7 +385,11 @@
 		return
 	}
 	s := b.pick(r)
-	if s == nil {
+	switch {
+	case s == nil && len(b.ranked) > 0 && !b.set.OriginFalls:
+		b.pass(r)
+		return
+	case s == nil:
 		b.giveUp(r)
 		return
 	}
@@ -374,23 +411,30 @@
 
 // gate sends a request to s, or holds it for s while s has no room, if it can still be answered after that.
 func (b *Balancer) gate(r *request, s *server) {
+	b.probe(s)
 	if b.room(s) {
 		b.send(r, s)
 		return
 	}
 	// Beyond its quota a request is worth little: it is not held, so that the others find room.
-	if r.over || b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim {
-		if s != b.origin && b.origin != nil && b.room(b.origin) {
-			b.fetch(r) // the caches are the scarcer: the origin may answer it
-		} else {
-			b.giveUp(r) // it would wait in vain
-		}
+	if !b.awaits(s) &&
+		(r.over || b.now+time.Duration(b.usual*(1+float64(len(s.queue)+1)/s.limit)) > r.aim) {
+		b.pass(r) // it would wait in vain
 		return
 	}
 	r.held = s
 	s.queue = append(s.queue, r)
 }
 
+// pass has the origin answer what no cache can in time, if it has room: the caches are the scarcer then.
+func (b *Balancer) pass(r *request) {
+	if b.origin != nil && b.room(b.origin) {
+		b.fetch(r)
+	} else {
+		b.giveUp(r)
+	}
+}
+
 // before reports whether r is due before o: within its tenant's quota, a write, of more worth, else by age.
 func (r *request) before(o *request) bool {
 	if r.over != o.over {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -19,6 +19,7 @@
 	ended  map[string]string // request to "refused" or "failed"
 	logs   []string
 	asked  int
+	probed []string
 	told   []told
 	cold   bool // no key counts as hot
 	timers map[string]int
@@ -58,6 +59,7 @@
 func (w *world) Timer(after time.Duration, token string) { w.timers[token]++ }
 func (w *world) Tell(to int, data []byte)                { w.told = append(w.told, told{to, data}) }
 func (w *world) Subscribe()                              { w.asked++ }
+func (w *world) Probe(server string)                     { w.probed = append(w.probed, server) }
 func (w *world) Log(text string)                         { w.logs = append(w.logs, text) }
 
 func settings() Settings {
@@ -983,6 +985,54 @@
 	}
 }
 
+// Many nodes that each send a cache a request in seconds jammed some while others had room (docs-commons-bc big-1):
+// while answers come late, a cache is asked for its load first, and passed over if what it tells leaves no time.
+func TestJammedCachesAreProbedFirst(t *testing.T) {
+	set := settings()
+	set.Mode, set.MayProbe = Aside, true
+	w := start(t, set, 4)
+	w.b.usual = float64(40 * ms)
+	tell := func(ok bool, queue float64) { w.b.Probed(w.now, w.probed[len(w.probed)-1], ok, Report{queue, 10}) }
+	w.request("calm", "read", "k")
+	if len(w.probed) != 0 || w.tries["calm"] != 1 {
+		t.Fatal("probed with no answer late")
+	}
+	for _, s := range w.b.caches {
+		w.b.note(noteOf(s.ID, timelyAnswer))
+	}
+	w.b.note(noteOf("c00", lateAnswer))
+	rank := ranking(w, "j")
+	w.request("jam", "read", "j")
+	if len(w.probed) != 1 || w.probed[0] != rank[0] || w.tries["jam"] != 0 {
+		t.Fatalf("probed %v and sent %d times, want the top of %v asked first", w.probed, w.tries["jam"], rank)
+	}
+	tell(true, 50) // five seconds' worth of work
+	if len(w.probed) != 2 || w.probed[1] != rank[1] {
+		t.Fatalf("probed %v, want the second of %v next", w.probed, rank)
+	}
+	tell(true, 1)
+	if s := w.last(); s.id != "jam" || s.server != rank[1] {
+		t.Errorf("sent %v, want jam at %s", s, rank[1])
+	}
+	w.request("again", "read", "j")
+	if len(w.probed) != 2 || w.last().id != "again" {
+		t.Errorf("probed %v for a fresh report", w.probed)
+	}
+	w.now += 41 * ms // the reports have aged: a probe that fails says nothing, and is not repeated at once
+	w.request("mute", "read", "j")
+	tell(false, 0)
+	if len(w.probed) != 3 || w.tries["mute"] != 1 {
+		t.Errorf("probed %v, sent %d times after a failed probe", w.probed, w.tries["mute"])
+	}
+	w.now += 41 * ms
+	w.request("lost", "read", "j")
+	w.now += set.Classes[0].Aim / 4 // nothing comes: the request does not wait for good
+	w.sweep()
+	if w.tries["lost"] != 1 {
+		t.Error("held for a probe that was never answered")
+	}
+}
+
 // Under scarcity what a tenant asks beyond its quota took the place of what counts in full (burnie-super if4e68c).
 func TestBeyondTheQuotaIsNotHeld(t *testing.T) {
 	set := settings()
@@ -1152,7 +1202,7 @@
 	spared := func() (n int) {
 		w.b.now = w.now
 		for range 1000 {
-			if w.b.strained(s) {
+			if w.b.strained(&request{}, s) {
 				n++
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -39,6 +39,10 @@
 	sends     fading        // own sends lately
 	late      fading        // late answers lately, as noted by this node and others
 	timely    fading        // and those in time
+	probedAt  time.Duration // when it was last probed
+	probing   bool          // and has not answered
+	toldAt    time.Duration // when it last answered that
+	wait      time.Duration // what it said: how long a request waits there
 }
 
 // open reports whether the server may get anything new.
