lapisshelf migrate: configurations for a node beside each client process; service.probes

Need: operators have files of the old shape. The node has no probes on its protocol: told to probe, it says so in one line at its start and serves without.

--- a/cmd/lapisshelf/main.go
+++ b/cmd/lapisshelf/main.go
@@ -49,7 +49,7 @@
 	config := os.Getenv("LAPISSHELF_CONFIG")
 	none := func(_ *cobra.Command, args []string) error {
 		if len(args) > 0 {
-			return usageError{fmt.Errorf("unknown command %q: there are serve, forward, plan, keys, view, check and version", args[0])}
+			return usageError{fmt.Errorf("unknown command %q: there are serve, forward, plan, keys, view, check, migrate and version", args[0])}
 		}
 		return nil
 	}
@@ -82,6 +82,7 @@
 				}
 				return nil
 			}, RunE: check},
+		migrateCommand(),
 		&cobra.Command{Use: "version", Short: "Print which build this is", Args: none, RunE: version})
 	root.SetArgs(args)
 	return root
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -151,6 +151,10 @@
 		n.count.knownBad++
 		log.Printf("event=bad_known why=%q", cfg.BadKnown)
 	}
+	if n.cfg.Settings.MayProbe { // reads are sent unasked, as where probes are not allowed
+		n.cfg.Settings.MayProbe = false
+		log.Printf("event=no_probes why=%q", "settings call for probes, which the cache protocol does not have; serving without")
+	}
 	n.guard("start", func() {
 		n.policy = policy.New(l.Now(), n.cfg.Settings, cfg.Seed, actions{n})
 		n.members(policy.ListSaved, cfg.Known.Entries)
@@ -378,7 +382,7 @@
 // Subscribe implements policy.Actions. The list is followed in any case, see decide/roster.
 func (a actions) Subscribe() {}
 
-// Probe implements policy.Actions; the protocol has no probes, and a configuration that calls for them is refused.
+// Probe implements policy.Actions; the protocol has no probes, and New says so where settings call for them.
 func (a actions) Probe(string) {}
 
 // Tell implements policy.Actions; there is no way between nodes here.
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -53,6 +53,7 @@
 	Parallel       bool
 	Cancel         bool
 	Weighted       bool
+	Probes         bool
 	MaxRetryAfter  Span    `toml:"max_retry_after"`
 	AskWithin      Span    `toml:"ask_within"`
 	WarmUp         Span    `toml:"warm_up"`
@@ -100,10 +101,19 @@
 
 // Read reads a file.
 func Read(path string) (*File, error) {
+	text, err := tomlfile.Text(path)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(path, text)
+}
+
+// Decode reads text, which stands in the file of that path.
+func Decode(path string, text []byte) (*File, error) {
 	f := &File{}
 	// The table is looked for first: its defaults are in force only where it stands.
 	var probe File
-	t, err := tomlfile.Read(path, &probe)
+	t, err := tomlfile.Decode(path, text, &probe)
 	if err != nil {
 		return nil, err
 	}
@@ -127,7 +137,7 @@
 		d := plannerDefaults()
 		f.Planner = &d
 	}
-	if f.file, err = tomlfile.Read(path, f); err != nil {
+	if f.file, err = tomlfile.Decode(path, text, f); err != nil {
 		return nil, err
 	}
 	return f, f.check()
@@ -242,7 +252,7 @@
 	set := policy.Settings{OriginKind: s.OriginKind, OriginFalls: s.OriginFalls, Balancers: s.Balancers, Position: s.Position,
 		MustAsk: true, AskWithin: s.AskWithin.D(), Tick: s.Tick.D(), MaxAttempts: s.Attempts, Parallel: s.Parallel, MayCancel: s.Cancel,
 		MaxAdvice: s.MaxRetryAfter.D(), ColdFrom: s.ColdFrom, WarmUp: s.WarmUp.D(), FallMultiple: s.FallMultiple,
-		FallWindow: s.FallWindow.D(), Weighted: s.Weighted}
+		FallWindow: s.FallWindow.D(), Weighted: s.Weighted, MayProbe: s.Probes}
 	if s.Mode == "aside" {
 		set.Mode = policy.Aside
 	}
--- a/internal/operator/planners.go
+++ b/internal/operator/planners.go
@@ -193,3 +193,25 @@
 	_, err = load()
 	return c, err
 }
+
+// Files shows each key that names a file: beside the operator's file unless the path is whole.
+func (f *File) Files(show func(key string, file *string)) {
+	if r := f.List; r != nil {
+		show("registry.token_file", &r.TokenFile)
+		show("registry.ca_file", &r.CAFile)
+		show("registry.cert_file", &r.CertFile)
+		show("registry.key_file", &r.KeyFile)
+	}
+	if p := f.Planners; p != nil {
+		show("planners.ca_file", &p.CAFile)
+		show("planners.cert_file", &p.CertFile)
+		show("planners.key_file", &p.KeyFile)
+	}
+	if p := f.Planner; p != nil {
+		show("planner.ca_file", &p.CAFile)
+		show("planner.cert_file", &p.CertFile)
+		show("planner.key_file", &p.KeyFile)
+		show("planner.gossip_key_file", &p.GossipKey)
+		show("planner.snapshot", &p.Snapshot)
+	}
+}
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -46,15 +46,24 @@
 
 // Read reads a file into v, a pointer to a struct; a key that v does not have is an error.
 func Read(path string, v any) (*File, error) {
+	text, err := Text(path)
+	if err != nil {
+		return nil, err
+	}
+	return Decode(path, text, v)
+}
+
+// Text gives what stands in a file.
+func Text(path string) ([]byte, error) {
 	text, err := os.ReadFile(path)
+	var why *os.PathError
+	if errors.As(err, &why) {
+		err = why.Err
+	}
 	if err != nil {
-		var why *os.PathError
-		if errors.As(err, &why) {
-			return nil, &Error{Path: path, Why: why.Err.Error()}
-		}
 		return nil, &Error{Path: path, Why: err.Error()}
 	}
-	return Decode(path, text, v)
+	return text, nil
 }
 
 // Decode reads text, which stands in the file of that path, into v.
