Reads that waited for the origin ask their caches again; no second sending to a busy origin

One origin read in eight was a second sending after a cancel, which stops nothing there. Now a read that waited for room at the origin asks its cache once more where its attempts allow it, and what hangs alone at the origin is sent again only if nobody waits for room there. Each condition taken out makes a test fail.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -212,15 +212,12 @@
 // room reports whether one more attempt may be out at s. A limit under one is that part of the time: one each
 // of many nodes would still crowd a server (hobart-prices i2f1cd8).
 func (b *Balancer) room(s *server) bool {
-	if b.awaits(s) || s.limit < 1 && float64(b.now-s.freed) < (1/s.limit-1)*b.usual {
-		return false
-	}
-	return float64(len(s.sent)) < s.limit
+	rested := s.limit >= 1 || float64(b.now-s.freed) >= (1/s.limit-1)*b.usual
+	return rested && !b.awaits(s) && float64(len(s.sent)) < s.limit
 }
 
 // probe asks a cache for its load before it gets a request, once an answer time at most, while one answer in
-// twenty or more comes late: a node that sends each of many caches a request in seconds learns too late by
-// itself which ones are jammed (docs-commons-bc big-1). With answers in time nothing is probed.
+// twenty comes late: a node that sends a cache a request in seconds learns too late (docs-commons-bc big-1).
 func (b *Balancer) probe(s *server) {
 	if b.set.MayProbe && s != b.origin && (!s.probing || b.now-s.probedAt > skipSpell) &&
 		b.now-max(s.probedAt, s.toldAt) > time.Duration(b.usual) &&
@@ -283,9 +280,8 @@
 	return b.rng.Float64()*(late+timely+1) < late-strainPart*timely
 }
 
-// clogged reports whether so many answers of all caches come late, in through mode, that it is fetches that
-// take the caches' room. Then keys stay with the servers that hold them, full and late ones too: any other
-// would have to fetch, and a few spilled keys jam all caches (poa-renova rough-1, poa-renova big-2).
+// clogged reports whether so many answers come late, in through mode, that fetches must be taking the caches'
+// room. Keys stay with their servers then, full or late: others had to fetch, and jammed (poa-renova).
 func (b *Balancer) clogged() bool {
 	return b.set.Mode == Through && b.slow.at(b.now, skipSpell) > 2*strainPart*b.quick.at(b.now, skipSpell)
 }
@@ -316,12 +312,12 @@
 			start, best = i, x
 		}
 	}
-	if len(able) > 0 && b.clogged() {
-		return able[start]
-	}
 	var top *server
 	for i := range able {
 		s := able[(start+i)%len(able)]
+		if b.clogged() {
+			return s
+		}
 		if b.strained(r, s) {
 			continue
 		}
@@ -385,13 +381,9 @@
 		return
 	}
 	s := b.pick(r)
-	switch {
-	case s == nil && len(b.ranked) > 0 && !b.set.OriginFalls:
+	if s == nil {
 		b.pass(r)
 		return
-	case s == nil:
-		b.giveUp(r)
-		return
 	}
 	b.gate(r, s)
 }
@@ -426,9 +418,9 @@
 	s.queue = append(s.queue, r)
 }
 
-// pass has the origin answer what no cache can in time, if it has room: the caches are the scarcer then.
+// pass has the origin answer what no cache can in time, if it has room and no number of misses stops it.
 func (b *Balancer) pass(r *request) {
-	if b.origin != nil && b.room(b.origin) {
+	if len(b.ranked) > 0 && !b.set.OriginFalls && b.origin != nil && b.room(b.origin) {
 		b.fetch(r)
 	} else {
 		b.giveUp(r)
@@ -454,7 +446,7 @@
 		}
 		r := s.queue[best]
 		s.queue = slices.Delete(s.queue, best, best+1)
-		if r.held = nil; s == b.origin {
+		if r.held = nil; s == b.origin && !b.again(r) {
 			b.fetch(r)
 		} else {
 			b.route(r)
@@ -462,6 +454,18 @@
 	}
 }
 
+// again has a read that waited for the origin ask its caches once more, if it has the attempts: another node
+// may have filled them since (docs-commons-bc i3286d2, 44 misses in 100).
+func (b *Balancer) again(r *request) bool {
+	if r.Write || len(r.tries)+2 > b.set.MaxAttempts {
+		return false
+	}
+	for _, a := range r.tries {
+		a.filled = true
+	}
+	return len(r.tries) > 0
+}
+
 func (b *Balancer) send(r *request, s *server) {
 	a := &attempt{n: len(r.tries), req: r, srv: s, at: b.now, origin: s == b.origin}
 	r.tries = append(r.tries, a)
@@ -539,14 +543,11 @@
 	case res.Final:
 		b.end(r, res.Outcome == OK)
 	case r.out > 0: // its other copy may yet answer
-	case res.Outcome == Moot:
+	case res.Outcome == Moot, res.Outcome == Full && (a.origin || b.clogged()),
+		res.Outcome == Errored && res.Note == NoteMiss: // a cache could only ask the origin again
 		b.giveUp(r)
-	case a.origin && res.Outcome == Full, res.Outcome == Errored && res.Note == NoteMiss:
-		b.giveUp(r) // the origin would not: another cache could only ask it again
 	case b.set.Mode == Aside && (a.origin || res.Outcome == Miss):
 		b.fetch(r)
-	case res.Outcome == Full && b.clogged():
-		b.giveUp(r)
 	default:
 		b.route(r)
 	}
@@ -685,8 +686,9 @@
 			if !a.done && a.begun == 0 && !a.judged && !r.Write && b.now-a.at > r.class.Aim/2 {
 				if a.judged = true; !a.alone() {
 					b.steer(a.srv, a.at, true)
-				} else if quiet := b.now-a.srv.cutAt > b.set.FallWindow; quiet && a.origin && b.now < r.aim &&
-					r.class.Effect == Safe && b.set.MayCancel { // its connection fell silent: sent again
+				} else if quiet := b.now-a.srv.cutAt > b.set.FallWindow && len(a.srv.queue) == 0; quiet &&
+					a.origin && b.now < r.aim && r.class.Effect == Safe && b.set.MayCancel {
+					// Its connection fell silent: sent again.
 					b.act.Cancel(r.ID, a.n)
 				}
 			}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -985,6 +985,66 @@
 	}
 }
 
+// Each of many nodes fetched the same hot keys from an origin that had no room (docs-commons-bc i3286d2): a read that
+// waited for it asks its cache again first, while it has the attempts for both.
+func TestAReadThatWaitedForTheOriginAsksItsCacheAgain(t *testing.T) {
+	set := settings()
+	set.Mode, set.MaxAttempts = Aside, 3
+	w := start(t, set, 4)
+	w.b.origin.limit = 1
+	w.request("first", "read", "a")
+	w.answer(w.last(), Miss, NoteMiss, ms)
+	out := w.last()
+	w.request("held", "read", "b")
+	cache := w.last()
+	w.answer(cache, Miss, NoteMiss, ms)
+	if w.tries["held"] != 1 || w.ended["held"] != "" {
+		t.Fatalf("%d tries, end %q with no room at the origin", w.tries["held"], w.ended["held"])
+	}
+	w.answer(out, OK, NoNote, ms)
+	if s := w.last(); s.id != "held" || s.server != cache.server {
+		t.Fatalf("sent %v once the origin had room, want held at %s", s, cache.server)
+	}
+	w.answer(w.last(), Miss, NoteMiss, ms)
+	if s := w.last(); s.id != "held" || s.server != "o" {
+		t.Errorf("sent %v after a second miss, want held at the origin", s)
+	}
+}
+
+// An origin that nothing stops did one in eight reads twice (docs-commons-bc overload): what is late alone there is
+// not sent again while others wait for room.
+func TestNothingIsSentAgainToAnOriginThatOthersWaitFor(t *testing.T) {
+	for _, waiting := range []bool{false, true} {
+		set := settings()
+		set.Mode = Aside
+		w := start(t, set, 4)
+		w.b.origin.limit = 2
+		w.request("slow", "read", "a")
+		w.answer(w.last(), Miss, NoteMiss, ms)
+		w.request("quick", "read", "b")
+		w.answer(w.last(), Miss, NoteMiss, ms)
+		quick := w.last()
+		if waiting {
+			w.request("held", "read", "c")
+			w.answer(w.last(), Miss, NoteMiss, ms)
+			w.request("more", "read", "d")
+			w.answer(w.last(), Miss, NoteMiss, ms)
+		}
+		w.answer(quick, OK, NoNote, ms)
+		w.b.origin.limit = 2
+		for _, s := range w.sends[len(w.sends)-2:] { // those that waited ask their caches again
+			if waiting {
+				w.answer(s, Miss, NoteMiss, ms)
+			}
+		}
+		w.now += 201 * ms
+		w.sweep()
+		if off := w.off["slow"] == 1; off == waiting {
+			t.Errorf("waiting %v: called off %v", waiting, off)
+		}
+	}
+}
+
 // Many nodes that each send a cache a request in seconds jammed some while others had room (docs-commons-bc big-1):
 // while answers come late, a cache is asked for its load first, and passed over if what it tells leaves no time.
 func TestJammedCachesAreProbedFirst(t *testing.T) {
