Clearing up: what only told the origin's failures apart in through mode

An error with a miss was the origin's there: no further try, no failure of the cache. Its test and the origin's name in the log go with it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -543,8 +543,7 @@
 	case res.Final:
 		b.end(r, res.Outcome == OK)
 	case r.out > 0: // its other copy may yet answer
-	case res.Outcome == Moot, res.Outcome == Full && (a.origin || b.clogged()),
-		res.Outcome == Errored && res.Note == NoteMiss: // a cache could only ask the origin again
+	case res.Outcome == Moot, res.Outcome == Full && (a.origin || b.clogged()):
 		b.giveUp(r)
 	case b.set.Mode == Aside && (a.origin || res.Outcome == Miss):
 		b.fetch(r)
@@ -573,9 +572,9 @@
 func (b *Balancer) learn(a *attempt, res Result) {
 	s, o := a.srv, res.Outcome
 	b.tally(a, o)
-	// Guards against skipping one that answers others, for a connection's end, or as the origin let it down.
-	if o == OK || (o != TimedOut && o != Reset || s.heard <= a.at && !res.Kept) && res.Note != NoteMiss {
-		b.health(s, skipSpell, res.Outcome)
+	// Guards against skipping one that answers others, or for a connection's end.
+	if o == OK || o != TimedOut && o != Reset || s.heard <= a.at && !res.Kept {
+		b.health(s, o)
 	}
 	if o != Moot && o != Cancelled && o != ConnectFailed {
 		// Over half the aim leaves too little for a further try. Writes take as long as they take.
@@ -594,18 +593,18 @@
 func (a *attempt) alone() bool { return a.srv.limit > 1 && a.srv.prompt > a.at }
 
 // health counts straight failures; from the third on the server is skipped for a spell.
-func (b *Balancer) health(s *server, spell time.Duration, o Outcome) {
+func (b *Balancer) health(s *server, o Outcome) {
 	switch o {
 	case OK, Miss:
 		if s.fails >= failsToSkip {
-			b.act.Log("back: " + s.name())
+			b.act.Log("back: " + s.ID)
 		}
 		s.fails = 0
 	case Errored, TimedOut, ConnectFailed, Reset:
 		if s.fails++; s.fails == failsToSkip {
-			b.act.Log("skip: " + s.name() + ", failed three times in a row")
+			b.act.Log("skip: " + s.ID + ", failed three times in a row")
 		}
-		s.skipUntil = b.now + spell
+		s.skipUntil = b.now + skipSpell
 	}
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -414,23 +414,6 @@
 	}
 }
 
-// The origin's failures, told by caches in through mode, must neither skip the cache nor be repeated at the
-// next one, which could only ask the origin again (hobart-prices i329a09).
-func TestFailedFetchIsTheOriginsFault(t *testing.T) {
-	w := start(t, settings(), 4)
-	for i := range failsToSkip {
-		id := fmt.Sprint("r", i)
-		w.request(id, "read", "k")
-		w.answer(w.last(), Errored, NoteMiss, ms)
-		if w.tries[id] != 1 || w.ended[id] != "refused" {
-			t.Fatalf("%s: %d tries, end %q; want one and a refusal", id, w.tries[id], w.ended[id])
-		}
-	}
-	if s := w.b.servers[ranking(w, "k")[0]]; s.fails != 0 {
-		t.Errorf("%d failures counted against the cache", s.fails)
-	}
-}
-
 // Misses for one key do not share a fetch by themselves.
 func TestOneFetchAKey(t *testing.T) {
 	set := settings()
--- a/policy/state.go
+++ b/policy/state.go
@@ -382,14 +382,6 @@
 	s.sent = slices.DeleteFunc(s.sent, func(x *attempt) bool { return x == a })
 }
 
-// name is what the log calls the server.
-func (s *server) name() string {
-	if s.ID == "" {
-		return "the origin"
-	}
-	return s.ID
-}
-
 // count counts the servers for which is holds.
 func count(list []*server, is func(*server) bool) (n int) {
 	for _, s := range list {
