--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,8 +133,6 @@
 			k.aim = c.Aim
 		}
 	}
-	// Nodes have no way to reach each other on these sockets: the module is told so.
-	n.cfg.Settings.MayTell = false
 	n.clients.node = n
 	n.listed = newListed(cfg.MemoryMB)
 	n.clients.init()
@@ -385,9 +383,6 @@
 // Probe implements policy.Actions; the protocol has no probes, and New says so where settings call for them.
 func (a actions) Probe(string) {}
 
-// Tell implements policy.Actions; there is no way between nodes here.
-func (a actions) Tell(int, []byte) {}
-
 // Log implements policy.Actions.
 func (a actions) Log(text string) { log.Printf("event=policy text=%q", text) }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,9 +42,9 @@
 		ColdFrom, FallMultiple         float64
 	}
 	Limits struct {
-		Cancel, ParallelTries, RetryAfter, MayTell, Probes bool
-		MaxRetryAfter, ConnIdle, ConnectTimeout            int64
-		SendCap, StreamsPerConn, MostHeld                  int
+		Cancel, ParallelTries, RetryAfter, Probes bool
+		MaxRetryAfter, ConnIdle, ConnectTimeout   int64
+		SendCap, StreamsPerConn, MostHeld         int
 	}
 }
 
@@ -87,7 +87,7 @@
 func (w *object) decisions() (policy.Settings, error) {
 	g, l := w.Guarantees, w.Limits
 	s := policy.Settings{
-		Balancers: w.Balancers, Position: w.Position, MayTell: l.MayTell, MustAsk: w.MembershipMode == "subscribe",
+		Balancers: w.Balancers, Position: w.Position, MustAsk: w.MembershipMode == "subscribe",
 		AskWithin: time.Duration(g.AskWithin), Tick: time.Duration(w.Tick),
 		MaxAttempts: l.SendCap, Parallel: l.ParallelTries, MayCancel: l.Cancel,
 		MaxAdvice: time.Duration(l.MaxRetryAfter),
@@ -95,7 +95,6 @@
 		FallMultiple: g.FallMultiple, FallWindow: time.Duration(g.OverloadFor),
 		OriginFalls: w.FamilyInfo.OriginFallMultiple > 0, Weighted: w.Weights != "off",
 	}
-	s.MayTell = s.MayTell && s.Position >= 0 && s.Position < s.Balancers // else it is unclear who the others are
 	// Reports that come with answers cost nothing: probes are for where nothing else tells.
 	s.MayProbe = l.Probes && w.Feedback.How == "on_probe" && slices.Contains(w.Feedback.Fields, "depth") &&
 		slices.Contains(w.Feedback.Fields, "tps")
--- a/internal/simhost/simhost.go
+++ b/internal/simhost/simhost.go
@@ -20,7 +20,6 @@
 	Result(now time.Duration, res policy.Result)
 	Abandoned(now time.Duration, id string)
 	Timer(now time.Duration, token string)
-	Peer(now time.Duration, data []byte)
 	Probed(now time.Duration, server string, ok bool, rep policy.Report)
 }
 
@@ -82,8 +81,6 @@
 		b.Result(now, e.Result)
 	case simwire.Abandoned:
 		b.Abandoned(now, e.ID)
-	case simwire.Peer:
-		b.Peer(now, e.Data)
 	case simwire.Probed:
 		b.Probed(now, e.Server, e.Passed, e.Report)
 	case simwire.Timer:
--- a/internal/simhost/simhost_test.go
+++ b/internal/simhost/simhost_test.go
@@ -42,40 +42,6 @@
 	}
 }
 
-// What sparse nodes tell each other goes out and comes in; garbled bytes and an impossible place among the nodes
-// do no harm.
-func TestPeerMessages(t *testing.T) {
-	for _, c := range []struct {
-		name, fleet string
-		told        int
-	}{
-		{"two nodes", `"Balancers":2,"Position":1`, 1},
-		{"alone", `"Balancers":1,"Position":0`, 0},
-		{"none stated", `"Position":0`, 0},
-		{"a negative number", `"Balancers":-5,"Position":0`, 0},
-		{"no such place", `"Balancers":2,"Position":7`, 0},
-		{"far too many", `"Balancers":1000000000,"Position":3`, 1},
-	} {
-		in := strings.Replace(setUp, `"Balancers":1`, c.fleet, 1)
-		in = strings.Replace(in, `"SendCap":3`, `"SendCap":3,"MayTell":true`, 1)
-		in = strings.Replace(in, `"Scale":1}]`, `"Scale":1},{"Server":"10.0.0.2:80","Lifecycle":"in_service"}]`, 1)
-		in = strings.Replace(in, `"Limits"`, `"Guarantees":{"OverloadFor":2000000000},"Limits"`, 1)
-		said := `{"kind":"NeighbourSays","I":"node_0","SrcPeer":0,"Bytes":"%"}` + "\n"
-		in += strings.Replace(order, `{"kind":"Order"`, strings.ReplaceAll(said, "%", "!!")+
-			strings.ReplaceAll(said, "%", "AAAA")+strings.ReplaceAll(said, "%", "AAAAAAAA")+`{"kind":"Order"`, 1)
-		var out bytes.Buffer
-		if err := Run(strings.NewReader(in), &out); err != nil {
-			t.Fatalf("%s: %v", c.name, err)
-		}
-		if n := strings.Count(out.String(), `{"kind":"Post","I":"node_0","Target":`); n != c.told {
-			t.Errorf("%s: told %d times, want %d:\n%s", c.name, n, c.told, out.String())
-		}
-		if c.told > 0 && strings.Contains(out.String(), `"Target":1,`) && c.name == "two nodes" {
-			t.Errorf("%s: told itself", c.name)
-		}
-	}
-}
-
 // A probe goes out where the settings allow it and reports come with probes alone; what comes back is read.
 func TestProbes(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"bytes"
-	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -57,7 +56,6 @@
 	N        int             // FirstByte
 	Result   policy.Result   // Result
 	Token    string          // Timer
-	Data     []byte          // Peer
 	Server   string          // Probed
 	Passed   bool            // Probed
 	Report   policy.Report   // Probed
@@ -93,7 +91,6 @@
 	Remark   int
 	Settled  bool
 	Ref      string
-	Bytes    string
 	Pressure map[string]float64
 }
 
@@ -201,8 +198,6 @@
 	case Probed:
 		e.Server, e.Passed = l.Server, l.Ending == 100
 		e.Report = policy.Report{Queue: l.Pressure["depth"], Rate: l.Pressure["tps"]}
-	case Peer:
-		e.Data, _ = base64.StdEncoding.DecodeString(l.Bytes) // what a peer garbled is no message
 	}
 	return e, err
 }
@@ -346,14 +341,6 @@
 	a.W.end()
 }
 
-// Tell implements policy.Actions.
-func (a Actor) Tell(to int, data []byte) {
-	a.W.open("Post", a.Instance)
-	a.W.number("Target", int64(to))
-	a.W.text("Bytes", base64.StdEncoding.EncodeToString(data))
-	a.W.end()
-}
-
 // Probe implements policy.Actions.
 func (a Actor) Probe(server string) { a.one("Ping", "Server", server) }
 
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -523,9 +523,8 @@
 	})
 }
 
-func (a actions) Subscribe()       {}
-func (a actions) Probe(string)     {}
-func (a actions) Tell(int, []byte) {}
+func (a actions) Subscribe()   {}
+func (a actions) Probe(string) {}
 func (a actions) Log(text string) {
 	a.n.sim.logs = append(a.n.sim.logs, fmt.Sprintf("%v node %d: %s", a.n.sim.now, a.n.number+1, text))
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -80,7 +80,6 @@
 	OriginFalls  bool   // the origin stops when too many misses reach it
 	Balancers    int    // balancers in the fleet, this one included
 	Position     int    // this one's number among them, from 0
-	MayTell      bool   // balancers may send each other short messages
 	MayProbe     bool   // servers may be probed, and tell then how many wait and how many they serve
 	MustAsk      bool
 	AskWithin    time.Duration // with MustAsk: longest spell without asking
@@ -212,7 +211,6 @@
 	Cancel(id string, n int)
 	Timer(after time.Duration, token string)
 	Subscribe()
-	Tell(to int, data []byte) // to another balancer, by its position; it may come late or not at all
-	Probe(server string)      // Probed will tell; only where MayProbe says so
+	Probe(server string) // Probed will tell; only where MayProbe says so
 	Log(text string)
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -10,10 +10,9 @@
 // servers are skipped (down); a crowded one's keys go to their next (crowded, pick); a hot key spreads (load,
 // pick); what a server has no room for is held, sent to an idle origin or turned away (gate, pass, steer);
 // reads of one key share one fetch (joins, release); a safe read that hangs is cut off for a further try,
-// within a budget (send); what cannot be answered by its aim is given up (sweep, giveUp); nodes that see
-// little show each other what they saw (show), and servers that answer late are spared (strained); while late
-// answers come, caches that tell their load when probed are asked first (probe); keys stay put while fetches
-// clog the caches (clogged).
+// within a budget (send); what cannot be answered by its aim is given up (sweep, giveUp); servers that answer
+// late are spared (strained); while late answers come, caches that tell their load when probed are asked
+// first (probe); keys stay put while fetches clog the caches (clogged).
 
 import (
 	"cmp"
@@ -33,7 +32,6 @@
 	lateQuant   = 0.95            // the quantile of answer times that counts as late
 	strainPart  = 0.2             // late ones for each answer that may be chance; beyond it, strain
 	heatSpan    = 4               // requests remembered for each cache: a mean load goes unseen once in e^4
-	shown       = 32              // notes shown in a message: half of the most that one may hold
 	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
@@ -261,15 +259,6 @@
 	return max(b.heat[k], again*n/max(n, float64(len(b.recent.keys))))
 }
 
-// show sends the last notes to one other node, with each request, where a node sees fewer requests than there
-// are caches in the time in which one may fall: too few to know hot keys and jammed servers (burnie-super).
-func (b *Balancer) show() {
-	b.asked.add(b.now, b.set.FallWindow)
-	if n := b.set.Balancers; b.set.MayTell && n > 1 && b.asked.value < float64(len(b.caches)) {
-		b.act.Tell((b.set.Position+1+b.rng.Intn(n-1))%n, encode(b.own))
-	}
-}
-
 // strained reports whether to spare a server: by what it has just told, where it tells, if that and two usual
 // answer times are more than is left; else by chance, the more the more of its answers is late.
 func (b *Balancer) strained(r *request, s *server) bool {
@@ -342,7 +331,6 @@
 		b.act.Timer(b.period, "sweep")
 	}
 	b.note(noteOf(r.Key, keyAsked))
-	b.show()
 	if t := b.tenants[q.Tenant]; t != nil { // judged as if all nodes saw as much of the tenant
 		t.asked.add(now, b.set.FallWindow)
 		due := t.Quota * b.set.FallWindow.Seconds() / float64(max(1, b.set.Balancers))
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -20,7 +20,6 @@
 	logs   []string
 	asked  int
 	probed []string
-	told   []told
 	cold   bool // no key counts as hot
 	timers map[string]int
 	tries  map[string]int
@@ -29,11 +28,6 @@
 	onEnd  func(id, how string)
 }
 
-type told struct {
-	to   int
-	data []byte
-}
-
 type sent struct {
 	id, server string
 	n          int
@@ -57,7 +51,6 @@
 func (w *world) Fail(id string)                          { w.end(id, "failed") }
 func (w *world) Cancel(id string, _ int)                 { w.off[id]++ }
 func (w *world) Timer(after time.Duration, token string) { w.timers[token]++ }
-func (w *world) Tell(to int, data []byte)                { w.told = append(w.told, told{to, data}) }
 func (w *world) Subscribe()                              { w.asked++ }
 func (w *world) Probe(server string)                     { w.probed = append(w.probed, server) }
 func (w *world) Log(text string)                         { w.logs = append(w.logs, text) }
@@ -1191,53 +1184,6 @@
 	}
 }
 
-// Nodes that see little learn of hot keys and jammed servers from each other (burnie-super, 492 nodes).
-func TestSparseNodesShowTheirNotes(t *testing.T) {
-	set := settings()
-	set.Balancers, set.MayTell = 100, true
-	w, v := start(t, set, 10), start(t, set, 10)
-	for i := range 8 {
-		w.request(fmt.Sprint(i), "read", "hot")
-		w.answer(w.last(), TimedOut, NoNote, 300*ms)
-		w.now += 3 * time.Second
-	}
-	if len(w.told) == 0 {
-		t.Fatal("a sparse node told nothing")
-	}
-	for _, m := range w.told {
-		if m.to == set.Position || m.to < 0 || m.to >= set.Balancers || len(m.data) > mostTold {
-			t.Fatalf("told %d, %d bytes", m.to, len(m.data))
-		}
-	}
-	if v.b.load("hot") != 0 {
-		t.Error("a key is hot before anything was heard")
-	}
-	v.b.Peer(v.now, w.told[len(w.told)-1].data)
-	if v.b.load("hot") < 2 {
-		t.Errorf("%v mean loads after news of a hot key", v.b.load("hot"))
-	}
-	for _, bad := range [][]byte{nil, {1}, {1, 2, 3, 4, 5}, make([]byte, mostTold+4)} {
-		before := len(v.b.recent.keys)
-		if v.b.Peer(v.now, bad); len(v.b.recent.keys) != before {
-			t.Errorf("%d bytes that do not parse were taken", len(bad))
-		}
-	}
-	busy := start(t, set, 3)
-	for i := range 10 {
-		busy.request(fmt.Sprint(i), "read", fmt.Sprint(i))
-	}
-	if len(busy.told) > 3 {
-		t.Errorf("a node that sees enough told %d times", len(busy.told))
-	}
-	alone := set
-	alone.Balancers = 1
-	one := start(t, alone, 3)
-	one.request("x", "read", "x")
-	if len(one.told) > 0 {
-		t.Error("told nobody")
-	}
-}
-
 // A jammed server's work is all late; sparing it by chance, more the more is late, lets it drain.
 func TestLateServersAreSpared(t *testing.T) {
 	w := start(t, settings(), 4)
--- a/policy/state.go
+++ b/policy/state.go
@@ -4,7 +4,6 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"hash"
 	"hash/fnv"
 	"maps"
@@ -17,8 +16,6 @@
 	"golang.org/x/crypto/blake2b"
 )
 
-const mostTold = 256 // bytes in a message, at most
-
 type server struct {
 	Server
 	banned    bool          // by hand
@@ -37,7 +34,7 @@
 	heard     time.Duration // last sign of life
 	prompt    time.Duration // when the latest attempt that was answered well within its aim was sent
 	sends     fading        // own sends lately
-	late      fading        // late answers lately, as noted by this node and others
+	late      fading        // late answers lately
 	timely    fading        // and those in time
 	probedAt  time.Duration // when it was last probed
 	probing   bool          // and has not answered
@@ -122,10 +119,8 @@
 	period   time.Duration       // between looks at what is open
 	memo     map[string][]uint64 // scores of some keys, while the list stays
 	awake    bool                // a look is due
-	own      []note              // the last made here
 	byDigest map[note]*server
-	asked    fading // requests lately
-	slow     fading // late answers of all caches lately, as noted by this node and others
+	slow     fading // late answers of all caches lately
 	quick    fading // and those in time
 
 	thinned float64          // part of the reads that may not go to the origin, by the view
@@ -182,15 +177,8 @@
 	return timelyAnswer
 }
 
-// note remembers that a key was asked for here, or how a server answered, to be shown to others.
+// note remembers that a key was asked for, or how a server answered.
 func (b *Balancer) note(n note) {
-	b.take(n)
-	b.own = append(b.own, n)
-	b.own = b.own[max(0, len(b.own)-shown):]
-}
-
-// take counts a note, this node's own or another's.
-func (b *Balancer) take(n note) {
 	switch s := b.byDigest[n.digest()]; {
 	case n.kind() == keyAsked:
 		b.recent.add(n.digest(), heatSpan*len(b.caches))
@@ -206,14 +194,6 @@
 	}
 }
 
-// Peer takes what another node has shown.
-func (b *Balancer) Peer(now time.Duration, data []byte) {
-	b.now = now
-	for _, n := range decode(data) {
-		b.take(n)
-	}
-}
-
 // Digest names a key in views.
 func Digest(key string) uint32 { return uint32(noteOf(key, keyAsked)) }
 
@@ -337,25 +317,6 @@
 	}
 }
 
-// encode writes notes as a message, decode reads them; what does not parse is dropped.
-func encode(list []note) []byte {
-	var data []byte
-	for _, n := range list {
-		data = binary.BigEndian.AppendUint32(data, uint32(n))
-	}
-	return data
-}
-
-func decode(data []byte) (list []note) {
-	if len(data)%4 != 0 || len(data) > mostTold {
-		return nil
-	}
-	for ; len(data) > 0; data = data[4:] {
-		list = append(list, note(binary.BigEndian.Uint32(data)))
-	}
-	return list
-}
-
 // occupy has an attempt take room at its server, and free gives it back.
 func (b *Balancer) occupy(a *attempt) {
 	a.counts = true
