Read again: answers are counted at their server; no digests, kinds and table between

Digests of answers, their kinds and the table that led back to servers served the messages between nodes, which are gone; each answer was still hashed and looked up, and two ids of one digest would have been mixed. Keys' digests stay as planners tell them.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,7 +14,6 @@
 // object is the settings object; what nobody here uses is left out.
 type object struct {
 	Balancers      int
-	Position       int
 	Models         []string
 	MembershipMode string
 	Tick           int64
@@ -87,7 +86,7 @@
 func (w *object) decisions() (policy.Settings, error) {
 	g, l := w.Guarantees, w.Limits
 	s := policy.Settings{
-		Balancers: w.Balancers, Position: w.Position, MustAsk: w.MembershipMode == "subscribe",
+		Balancers: w.Balancers, MustAsk: w.MembershipMode == "subscribe",
 		AskWithin: time.Duration(g.AskWithin), Tick: time.Duration(w.Tick),
 		MaxAttempts: l.SendCap, Parallel: l.ParallelTries, MayCancel: l.Cancel,
 		MaxAdvice: time.Duration(l.MaxRetryAfter),
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -198,7 +198,7 @@
 	if part := budget * share; part >= 1 {
 		return s.sends.at(b.now, b.set.FallWindow)+1 <= part
 	}
-	return len(r.tries) == 0 && b.recent.count[noteOf(r.Key, keyAsked)] <= 1 &&
+	return len(r.tries) == 0 && b.recent.count[noteOf(r.Key)] <= 1 &&
 		b.rng.Float64()*b.sends.at(b.now, b.set.FallWindow) <= budget
 }
 
@@ -254,7 +254,7 @@
 
 // load is how many caches' mean load a key brings, told from its repeats among the last requests.
 func (b *Balancer) load(key string) float64 {
-	k, n := noteOf(key, keyAsked), float64(len(b.caches))
+	k, n := noteOf(key), float64(len(b.caches))
 	again := float64(max(0, b.recent.count[k]-1))
 	return max(b.heat[k], again*n/max(n, float64(len(b.recent.keys))))
 }
@@ -330,7 +330,7 @@
 		b.awake = true
 		b.act.Timer(b.period, "sweep")
 	}
-	b.note(noteOf(r.Key, keyAsked))
+	b.recent.add(noteOf(r.Key), heatSpan*len(b.caches))
 	if t := b.tenants[q.Tenant]; t != nil { // judged as if all nodes saw as much of the tenant
 		t.asked.add(now, b.set.FallWindow)
 		due := t.Quota * b.set.FallWindow.Seconds() / float64(max(1, b.set.Balancers))
@@ -571,7 +571,7 @@
 			b.steer(s, a.at, late && (o == Full || !a.alone()))
 		}
 		if !a.origin && o != Reset { // which is no answer
-			b.note(noteOf(s.ID, answerNote(o, late)))
+			b.answered(s, o, late)
 		}
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -391,7 +391,7 @@
 	}
 	for _, s := range w.b.caches { // all are known to be quick: none is spared
 		for range 50 {
-			w.b.note(noteOf(s.ID, timelyAnswer))
+			w.b.answered(s, OK, false)
 		}
 	}
 	for i := range failsToSkip + 1 {
@@ -929,14 +929,14 @@
 		top := ranking(w, "k")[0]
 		for _, s := range w.b.caches {
 			for range 40 {
-				w.b.note(noteOf(s.ID, timelyAnswer))
+				w.b.answered(s, OK, false)
 			}
 			for range 20 {
 				if clogged {
-					w.b.note(noteOf(s.ID, lateAnswer))
+					w.b.answered(s, OK, true)
 				}
 			}
-			w.b.note(noteOf(s.ID, fullAnswer)) // which alone is no reason
+			w.b.answered(s, Full, true) // which alone is no reason
 		}
 		w.cool()
 		for i := range 20 {
@@ -1034,9 +1034,9 @@
 		t.Fatal("probed with no answer late")
 	}
 	for _, s := range w.b.caches {
-		w.b.note(noteOf(s.ID, timelyAnswer))
+		w.b.answered(s, OK, false)
 	}
-	w.b.note(noteOf("c00", lateAnswer))
+	w.b.answered(w.b.servers["c00"], OK, true)
 	rank := ranking(w, "j")
 	w.request("jam", "read", "j")
 	if len(w.probed) != 1 || w.probed[0] != rank[0] || w.tries["jam"] != 0 {
@@ -1198,14 +1198,14 @@
 		return n
 	}
 	for range 10 {
-		w.b.note(noteOf(s.ID, timelyAnswer))
+		w.b.answered(s, OK, false)
 	}
-	w.b.note(noteOf(s.ID, lateAnswer))
+	w.b.answered(s, OK, true)
 	if n := spared(); n > 0 {
 		t.Errorf("spared %d of 1000 times with one late answer in eleven", n)
 	}
 	for range 30 {
-		w.b.note(noteOf(s.ID, lateAnswer))
+		w.b.answered(s, OK, true)
 	}
 	if n := spared(); n < 500 || n == 1000 {
 		t.Errorf("spared %d of 1000 times with 31 of 41 answers late", n)
@@ -1343,7 +1343,7 @@
 	for _, s := range w.b.caches {
 		s.limit = 1000 // there is room: only lateness speaks against them
 		for range 200 {
-			w.b.note(noteOf(s.ID, lateAnswer))
+			w.b.answered(s, OK, true)
 		}
 	}
 	refused := 0
--- a/policy/state.go
+++ b/policy/state.go
@@ -119,9 +119,8 @@
 	period   time.Duration       // between looks at what is open
 	memo     map[string][]uint64 // scores of some keys, while the list stays
 	awake    bool                // a look is due
-	byDigest map[note]*server
-	slow     fading // late answers of all caches lately
-	quick    fading // and those in time
+	slow     fading              // late answers of all caches lately
+	quick    fading              // and those in time
 
 	thinned float64          // part of the reads that may not go to the origin, by the view
 	view    View             // of planners; empty where there are none
@@ -147,55 +146,33 @@
 	return b
 }
 
-// note is a digest of a key or a server's id, whose last two bits say what is noted of it.
+// note is a digest of a key. Its last two bits are zero: planners and forwarders have told keys so from the first.
 type note uint32
 
-const (
-	keyAsked note = iota
-	timelyAnswer
-	lateAnswer
-	fullAnswer
-)
-
-func (n note) kind() note   { return n & 3 }
-func (n note) digest() note { return n &^ 3 }
-
-// noteOf shortens a name for counting and for messages.
-func noteOf(name string, kind note) note {
+// noteOf shortens a key for counting and for views.
+func noteOf(key string) note {
 	h := fnv.New32a()
-	h.Write([]byte(name))
-	return note(h.Sum32())&^3 | kind
+	h.Write([]byte(key))
+	return note(h.Sum32()) &^ 3
 }
 
-func answerNote(o Outcome, late bool) note {
+// answered counts how a cache that may get requests has answered. A full one was late, but not slow.
+func (b *Balancer) answered(s *server, o Outcome, late bool) {
 	switch {
-	case o == Full:
-		return fullAnswer
-	case late || o == TimedOut:
-		return lateAnswer
-	}
-	return timelyAnswer
-}
-
-// note remembers that a key was asked for, or how a server answered.
-func (b *Balancer) note(n note) {
-	switch s := b.byDigest[n.digest()]; {
-	case n.kind() == keyAsked:
-		b.recent.add(n.digest(), heatSpan*len(b.caches))
-	case s == nil:
-	case n.kind() == timelyAnswer:
+	case !s.open():
+	case o != Full && o != TimedOut && !late:
 		s.timely.add(b.now, skipSpell)
 		b.quick.add(b.now, skipSpell)
 	default:
 		s.late.add(b.now, skipSpell)
-		if n.kind() == lateAnswer {
+		if o != Full {
 			b.slow.add(b.now, skipSpell)
 		}
 	}
 }
 
 // Digest names a key in views.
-func Digest(key string) uint32 { return uint32(noteOf(key, keyAsked)) }
+func Digest(key string) uint32 { return uint32(noteOf(key)) }
 
 // View takes the latest view of planners in force; an empty one, that there is none.
 func (b *Balancer) View(now time.Duration, v View) {
@@ -461,9 +438,8 @@
 		}
 	}
 	slices.SortFunc(b.caches, func(x, y *server) int { return strings.Compare(x.ID, y.ID) })
-	b.byDigest, b.memo = map[note]*server{}, map[string][]uint64{}
+	b.memo = map[string][]uint64{}
 	for _, s := range b.caches {
-		b.byDigest[noteOf(s.ID, 0)] = s
 		if s.Weight >= 0 && b.set.Weighted {
 			sum += s.Weight
 			listed++
