--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -90,14 +90,16 @@
 
 // port is a listening address that can refuse, fall silent and come back.
 type port struct {
-	addr string
-	mu   sync.Mutex
-	ln   *net.TCPListener // nil while refused
-	mute bool
-	fill []net.Conn // what fills the system's queue while mute
-	wake chan struct{}
-	shut bool
-	take func(net.Conn)
+	addr  string
+	mu    sync.Mutex
+	ln    *net.TCPListener // nil while refused
+	mute  bool
+	fill  []net.Conn // what came up while mute
+	plugs []int      // descriptors of what fills the system's queue while mute
+	wake  chan struct{}
+	rest  chan struct{} // closed once nobody accepts any more, after a silence began
+	shut  bool
+	take  func(net.Conn)
 }
 
 // openPort listens; take is called for each connection, on a goroutine of its own.
@@ -138,6 +140,10 @@
 		}
 		p.mu.Lock()
 		mute, wake, mine := p.mute, p.wake, p.ln == ln
+		if p.rest != nil {
+			close(p.rest)
+			p.rest = nil
+		}
 		p.mu.Unlock()
 		switch {
 		case !mine:
@@ -188,28 +194,52 @@
 		return
 	}
 	if !on {
-		fill := p.fill
-		p.fill = nil
+		fill, plugs := p.fill, p.plugs
+		p.fill, p.plugs = nil, nil
 		raw.Control(func(fd uintptr) { unix.Listen(int(fd), 1024) })
 		close(p.wake)
 		p.wake = make(chan struct{})
 		p.mu.Unlock()
+		for _, fd := range plugs {
+			unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+			unix.Close(fd)
+		}
 		for _, c := range fill {
 			reset(c)
 		}
 		return
 	}
 	raw.Control(func(fd uintptr) { unix.Listen(int(fd), 0) })
+	rest := make(chan struct{})
+	p.rest = rest
 	p.mu.Unlock()
 	ln.SetDeadline(time.Unix(1, 0)) // the accepting goroutine waits for the wake
-	for range 8 {
-		c, err := net.DialTimeout("tcp", p.addr, 20*time.Millisecond)
+	<-rest                          // one still about to accept would make room in the queue once it is full
+	p.plug(ln.Addr().(*net.TCPAddr))
+}
+
+// plug fills the system's queue with connections that nobody will accept. It waits for what the system says of them, never for
+// a time: a dial that is given up on a busy machine says nothing of the queue.
+func (p *port) plug(addr *net.TCPAddr) {
+	to := unix.SockaddrInet4{Port: addr.Port, Addr: [4]byte(addr.IP.To4())}
+	var polled []unix.PollFd
+	for range 8 { // the queue takes one or two; the rest wait outside
+		fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 		if err != nil {
+			break
+		}
+		unix.Connect(fd, &to) // in progress
+		polled = append(polled, unix.PollFd{Fd: int32(fd), Events: unix.POLLOUT})
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, f := range polled {
+		p.plugs = append(p.plugs, int(f.Fd))
+	}
+	for end := time.Now().Add(time.Second); time.Now().Before(end); {
+		if n, err := unix.Poll(polled, 100); n > 0 && err == nil {
 			return
 		}
-		p.mu.Lock()
-		p.fill = append(p.fill, c)
-		p.mu.Unlock()
 	}
 }
 
