Further tries and hot keys stay in the node's zone where crossing zones is priced

Now, where the settings price crossing, the walk past the first server passes over other zones', and a hot key that starts at several servers starts at those of the node's zone. The first server of a key stays the ranking's, wherever it stands.

--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -14,6 +14,8 @@
 // object is the settings object; what nobody here uses is left out.
 type object struct {
 	Balancers      int
+	Az             string
+	Penalties      struct{ CrossZone float64 }
 	Models         []string
 	MembershipMode string
 	Tick           int64
@@ -97,6 +99,9 @@
 	// Reports that come with answers cost nothing: probes are for where nothing else tells.
 	s.MayProbe = l.Probes && w.Feedback.How == "on_probe" && slices.Contains(w.Feedback.Fields, "depth") &&
 		slices.Contains(w.Feedback.Fields, "tps")
+	if w.Penalties.CrossZone > 0 {
+		s.Zone = w.Az
+	}
 	if !l.RetryAfter {
 		s.MaxAdvice = 0
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -79,6 +79,7 @@
 	OriginKind   string // kind of the list entry that is the origin; empty when it is not listed
 	OriginFalls  bool   // the origin stops when too many misses reach it
 	Balancers    int    // balancers in the fleet, this one included
+	Zone         string // this one's zone, where sends into others are priced; empty elsewhere
 	MayProbe     bool   // servers may be probed, and tell then how many wait and how many they serve
 	MustAsk      bool
 	AskWithin    time.Duration // with MustAsk: longest spell without asking
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -275,6 +275,9 @@
 	return b.set.Mode == Through && b.slow.at(b.now, skipSpell) > 2*strainPart*b.quick.at(b.now, skipSpell)
 }
 
+// near reports whether sends to s are not priced for leaving the zone.
+func (b *Balancer) near(s *server) bool { return b.set.Zone == "" || s.Zone == b.set.Zone }
+
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
 // and not crowded, looking no further than the key's second, what it has open here, or what can carry a key
 // that outruns its server with no two requests open at any node (burnie-super, 122 nodes): others do not pay
@@ -285,7 +288,7 @@
 	down, wide, rest := count(rank, b.down), 0, b.load(r.Key)
 	var able []*server
 	for _, s := range rank {
-		skip := b.down(s) && down < len(rank)
+		skip := b.down(s) && down < len(rank) || !b.near(s) && len(able)+len(r.tries) > 0
 		if !skip && !b.tried(r, s) && b.may(r, s) && b.coldRoom(r, s) {
 			if able = append(able, s); wide == 0 || rest > 0 { // a hot key starts at as many as can carry it
 				wide, rest = wide+1, rest-s.weight*b.warmth(s)*float64(len(rank))/b.weights
@@ -297,6 +300,9 @@
 	}
 	start, best := 0, 0.0
 	for i, s := range able[:wide] { // its requests race as keys do
+		if i == 0 && wide > 1 && !b.near(s) {
+			continue
+		}
 		if x := race(b.hrw(s.ID, r.ID), s.weight*b.warmth(s)); x > best {
 			start, best = i, x
 		}
