service.zone in the operator's file; a lost zone leaves further tries to the others

While reading: with the node's zone lost no further try was left; now any cache serves. Tests fail without each of the three conditions.

--- a/cmd/lapisshelf/migrate.go
+++ b/cmd/lapisshelf/migrate.go
@@ -25,6 +25,7 @@
 	f.IntVar(&shape.Nodes, "nodes", 0, "nodes in the new fleet, one for each client process, 1 to 100000; wanted")
 	f.IntVar(&shape.Position, "position", 0, "this node's number among them, from 0")
 	f.StringVar(&shape.Name, "name", "", "this node's name; none is carried over")
+	f.StringVar(&shape.Zone, "zone", "", "this node's zone, as the list names it; none is carried over")
 	f.StringVar(&shape.Listen, "listen", "", "address and port for its client; default: the old port on 127.0.0.1")
 	f.BoolVar(&dry, "dry-run", false, "write nothing: print what would be written and what would be lost")
 	f.BoolVar(&force, "force", false, "put the result in the place of a target that stands there")
--- a/cmd/lapisshelf/migrate_test.go
+++ b/cmd/lapisshelf/migrate_test.go
@@ -51,6 +51,7 @@
 [service]
 balancers = 6
 position = 5
+zone = "east"
 probes = true
 [[class]]
 name = "read"
@@ -68,7 +69,7 @@
 	d := startDiscovery(t, serving("s-1", cache.Addr(), "m2"), serving("s-0", origin.Addr(), "origin"))
 	dir, addr := t.TempDir(), refusing(t)
 	source, target := put(t, dir, "pool.toml", fmt.Sprintf(poolOfNodes, d.Addr(0))), filepath.Join(dir, "own.toml")
-	args := []string{source, target, "--nodes", "176", "--position", "9", "--listen", addr}
+	args := []string{source, target, "--nodes", "176", "--position", "9", "--listen", addr, "--zone", "west"}
 
 	out, status := migrated(t, append(args, "--dry-run")...)
 	if status != 0 || !strings.Contains(out, "balancers = 176\n") || !strings.Contains(out, "own.toml: not written") {
@@ -82,7 +83,7 @@
 		t.Fatalf("status %d: %s", status, out)
 	}
 	for _, want := range []string{"changed: node.listen: " + addr + ", was 10.0.0.4:11211", "changed: service.balancers: 176, was 6",
-		"changed: service.position: 9, was 5", "not carried over: node.name: ", "not carried over: node.seed: ",
+		"changed: service.position: 9, was 5", "changed: service.zone: west, was east", "not carried over: node.name: ", "not carried over: node.seed: ",
 		"not carried over: node.control: ", "not carried over: comments: "} {
 		if !strings.Contains(out, want) {
 			t.Errorf("%q is not told in\n%s", want, out)
@@ -119,6 +120,7 @@
 	d := startDiscovery(t, serving("s-1", cache.Addr(), "m2"), serving("s-0", origin.Addr(), "origin"))
 	dir, addr := t.TempDir(), refusing(t)
 	set := settings()
+	set["Az"] = "east"
 	set["Goal"] = map[string]any{"Whole": 0.5}
 	text, err := json.MarshalIndent(map[string]any{"name": "pool-1", "listen": addr, "discovery": d.Addr(0), "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"memory_mb": 64, "sockets": 256}, "settings": set,
@@ -132,7 +134,7 @@
 		t.Fatalf("status %d: %s", status, out)
 	}
 	for _, want := range []string{"changed: settings.Balancers: 900, was 1", "changed: name: beside-7, was pool-1", "not carried over: seed: ",
-		"not carried over: known: "} {
+		"not carried over: known: ", "not carried over: settings.Az: "} {
 		if !strings.Contains(out, want) {
 			t.Errorf("%q is not told in\n%s", want, out)
 		}
@@ -182,6 +184,7 @@
 		{"m.json", "[1]", "m.json:1: must be an object", 1, nil},
 		{"n.yaml", config, "must both end in .toml", 1, nil},
 		{"o.toml", good, "0 nodes: must be 1 to 100000", 1, []string{"--nodes", "0"}},
+		{"z.toml", good, "zone \"a b\": must be a zone's name", 1, []string{"--nodes", "4", "--zone", "a b"}},
 		{"p.toml", good, "position 4: must be 0 to one less", 1, []string{"--nodes", "4", "--position", "4"}},
 		{"q.toml", good, "listen \"here\" must be an address", 1, []string{"--nodes", "4", "--listen", "here"}},
 		{"r.toml", good, "migrate wants --nodes", 2, []string{"--dry-run"}},
--- a/floors_test.go
+++ b/floors_test.go
@@ -18,7 +18,7 @@
 	"internal/node": 3, "internal/control": 3, "internal/handover": 3, "internal/simhost": 3, "internal/operator": 3, "internal/registry": 3,
 	"internal/settings": 3, "internal/simwire": 3, "internal/planwire": 3, "internal/forwarder": 3, "internal/planner": 3, "internal/keys": 3,
 	"internal/migrate": 3,
-	"policy": 2, "decide/": 2,
+	"policy":           2, "decide/": 2,
 	"internal/loop": 1, "internal/meta": 1, "internal/httpc": 1, "internal/tomlfile": 1,
 }
 
--- a/internal/migrate/migrate.go
+++ b/internal/migrate/migrate.go
@@ -28,6 +28,7 @@
 	Nodes    int    // in the fleet, one for each client process; 1 to 100000
 	Position int    // this one's number among them, from 0
 	Name     string // this one's name; empty: it is told none
+	Zone     string // this one's zone; empty: it is told none
 	Listen   string // address and port for its client; empty: the old port on 127.0.0.1
 }
 
@@ -55,6 +56,7 @@
 	whyName    = "a name is one node's own; give --name"
 	whyState   = "a directory of one node's own; set one where upgrades in place are wanted"
 	whyNodes   = "each client process has a node of its own"
+	whyZone    = "a node stands in its client's zone; give --zone"
 	whyListen  = "a node listens beside its client"
 	whyPlanner = "each node needs a certificate in its own name: make them with lapisshelf keys, then put the table back"
 )
@@ -80,6 +82,9 @@
 	if s.Nodes < 1 || s.Nodes > 100000 {
 		return fmt.Errorf("%d nodes: must be 1 to 100000", s.Nodes)
 	}
+	if !operator.ZoneName(s.Zone) {
+		return fmt.Errorf("zone %q: must be a zone's name of 64 bytes at most, without blanks", s.Zone)
+	}
 	if s.Position < 0 || s.Position >= s.Nodes {
 		return fmt.Errorf("position %d: must be 0 to one less than the number of nodes, %d", s.Position, s.Nodes)
 	}
@@ -139,6 +144,12 @@
 		r.changed("service.balancers", v.Balancers, s.Nodes, whyNodes)
 		r.changed("service.position", v.Position, s.Position, whyNodes)
 		v.Balancers, v.Position = s.Nodes, s.Position
+		if s.Zone != "" {
+			r.changed("service.zone", v.Zone, s.Zone, "as asked")
+			v.Zone = s.Zone
+		} else {
+			leave("service.zone", v.Zone != "", func() { v.Zone = "" }, whyZone)
+		}
 	}
 	if from, to := filepath.Dir(path), filepath.Dir(target); from != to {
 		f.Files(func(key string, file *string) {
@@ -319,6 +330,16 @@
 		all[key] = json.RawMessage(strconv.Itoa(to))
 		r.changed("settings."+key, old, to, whyNodes)
 	}
+	var zone string
+	_ = json.Unmarshal(all["Az"], &zone)
+	switch {
+	case s.Zone != "":
+		all["Az"], _ = json.Marshal(s.Zone) // a string
+		r.changed("settings.Az", zone, s.Zone, "as asked")
+	case zone != "":
+		delete(all, "Az")
+		r.lost("settings.Az", whyZone)
+	}
 	slices.SortFunc(r.Changed, func(x, y Note) int { return strings.Compare(x.Key, y.Key) })
 	return json.Marshal(all)
 }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -5,6 +5,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"time"
 
 	"lapisshelf/internal/settings"
@@ -49,6 +50,7 @@
 	OriginFalls    bool   `toml:"origin_falls"`
 	Balancers      int
 	Position       int
+	Zone           string
 	Attempts       int
 	Parallel       bool
 	Cancel         bool
@@ -88,6 +90,7 @@
 const (
 	fewestMB      = 8
 	fewestSockets = 64
+	longestZone   = 64 // bytes
 	longest       = time.Hour
 )
 
@@ -197,6 +200,7 @@
 		rule{s.Mode != "aside" && s.Mode != "through", at("service", "mode"), "must be aside or through"},
 		rule{s.Balancers < 1 || s.Balancers > 100000, at("service", "balancers"), "must be 1 to 100000"},
 		rule{s.Position < 0 || s.Position >= s.Balancers, at("service", "position"), "must be 0 to one less than balancers"},
+		rule{!ZoneName(s.Zone), at("service", "zone"), "must be a zone's name of 64 bytes at most, without blanks"},
 		rule{s.Attempts < 1 || s.Attempts > 100, at("service", "attempts"), "must be 1 to 100"},
 		rule{!(s.ColdFrom > 0 && s.ColdFrom <= 1), at("service", "cold_from"), "must be above 0 and at most 1"},
 		rule{!(s.FallMultiple > 0 && s.FallMultiple <= 1000), at("service", "fall_multiple"), "must be above 0 and at most 1000"},
@@ -238,6 +242,11 @@
 	return nil
 }
 
+// ZoneName reports whether a text may stand for a zone; the empty one stands for none.
+func ZoneName(s string) bool {
+	return len(s) <= longestZone && !strings.ContainsFunc(s, func(r rune) bool { return r <= ' ' || r == 0x7f })
+}
+
 var (
 	effects = map[string]policy.Effect{"": policy.Safe, "safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
 	scopes  = map[string]policy.Scope{"": policy.ScopeAll, "all": policy.ScopeAll, "zone": policy.ScopeZone, "cell": policy.ScopeCell}
@@ -252,7 +261,7 @@
 	set := policy.Settings{OriginKind: s.OriginKind, OriginFalls: s.OriginFalls, Balancers: s.Balancers,
 		MustAsk: true, AskWithin: s.AskWithin.D(), Tick: s.Tick.D(), MaxAttempts: s.Attempts, Parallel: s.Parallel, MayCancel: s.Cancel,
 		MaxAdvice: s.MaxRetryAfter.D(), ColdFrom: s.ColdFrom, WarmUp: s.WarmUp.D(), FallMultiple: s.FallMultiple,
-		FallWindow: s.FallWindow.D(), Weighted: s.Weighted, MayProbe: s.Probes}
+		FallWindow: s.FallWindow.D(), Weighted: s.Weighted, MayProbe: s.Probes, Zone: s.Zone}
 	if s.Mode == "aside" {
 		set.Mode = policy.Aside
 	}
--- a/lab/stage/node.go
+++ b/lab/stage/node.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -152,7 +153,7 @@
 		if err != nil {
 			return err
 		}
-		if n.control, err = FreeAddr(host); err != nil {
+		if n.control, err = FreeAddr(host, n.opt.Listen); err != nil {
 			return err
 		}
 		env = append([]string{"TMPDIR=" + n.state()}, env...)
@@ -383,14 +384,20 @@
 	}
 }
 
-// FreeAddr finds an address on which nothing listens, on an address of the loopback network of its own.
-func FreeAddr(ip string) (string, error) {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", err
+// FreeAddr finds an address on which nothing listens, on an address of the loopback network of its own. Those that are
+// promised already, though nobody listens there yet, are passed over: the system may offer one again.
+func FreeAddr(ip string, promised ...string) (string, error) {
+	for {
+		ln, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return "", err
+		}
+		addr := ln.Addr().String()
+		if !slices.Contains(promised, addr) {
+			return addr, ln.Close()
+		}
+		defer ln.Close() // held until another is found
 	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
 }
 
 // counters are the figures of a log's last line of counters.
--- a/lab/stage/planners.go
+++ b/lab/stage/planners.go
@@ -51,7 +51,7 @@
 		var talk string
 		for _, to := range []*string{&p.addr, &p.control, &talk} {
 			var err error
-			if *to, err = FreeAddr(fmt.Sprintf("%s%d", s.net, 202+i)); err != nil {
+			if *to, err = FreeAddr(fmt.Sprintf("%s%d", s.net, 202+i), p.addr, p.control); err != nil {
 				return err
 			}
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -275,20 +275,20 @@
 	return b.set.Mode == Through && b.slow.at(b.now, skipSpell) > 2*strainPart*b.quick.at(b.now, skipSpell)
 }
 
-// near reports whether sends to s are not priced for leaving the zone.
-func (b *Balancer) near(s *server) bool { return b.set.Zone == "" || s.Zone == b.set.Zone }
-
 // pick walks down the ranking to the server that should get the request: the first that may, is not skipped
 // and not crowded, looking no further than the key's second, what it has open here, or what can carry a key
 // that outruns its server with no two requests open at any node (burnie-super, 122 nodes): others do not pay
-// with misses. With all crowded the first that is not strained stands: what many nodes send would jam all
-// servers with work that comes late (burnie-super, 501 nodes).
+// with misses. Past the first it keeps to the node's zone where crossing is priced, while caches are left
+// there. With all crowded the first that is not strained stands: what many nodes send would jam all servers
+// with work that comes late (burnie-super, 501 nodes).
 func (b *Balancer) pick(r *request) *server {
 	rank := b.rank(r.place())
 	down, wide, rest := count(rank, b.down), 0, b.load(r.Key)
+	near := func(s *server) bool { return s.Zone == b.set.Zone && !b.down(s) && !b.tried(r, s) }
+	zoned := b.set.Zone != "" && slices.ContainsFunc(rank, near) // past the key's first, only this zone's
 	var able []*server
 	for _, s := range rank {
-		skip := b.down(s) && down < len(rank) || !b.near(s) && len(able)+len(r.tries) > 0
+		skip := b.down(s) && down < len(rank) || zoned && !near(s) && len(able)+len(r.tries) > 0
 		if !skip && !b.tried(r, s) && b.may(r, s) && b.coldRoom(r, s) {
 			if able = append(able, s); wide == 0 || rest > 0 { // a hot key starts at as many as can carry it
 				wide, rest = wide+1, rest-s.weight*b.warmth(s)*float64(len(rank))/b.weights
@@ -300,10 +300,8 @@
 	}
 	start, best := 0, 0.0
 	for i, s := range able[:wide] { // its requests race as keys do
-		if i == 0 && wide > 1 && !b.near(s) {
-			continue
-		}
-		if x := race(b.hrw(s.ID, r.ID), s.weight*b.warmth(s)); x > best {
+		x := race(b.hrw(s.ID, r.ID), s.weight*b.warmth(s))
+		if x > best && !(zoned && wide > 1 && !near(s)) {
 			start, best = i, x
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -961,6 +961,65 @@
 	}
 }
 
+// Where crossing zones is priced, a key's first send goes to its top server wherever that stands, and further tries keep
+// to the node's zone (poa-renova big-2: 0.13 of the figure went for crossing); with nothing left there, to any.
+func TestFurtherTriesKeepToTheZone(t *testing.T) {
+	for _, c := range []struct {
+		name, zone string
+		gone       bool // the zone's caches are
+	}{{"crossing not priced", "", false}, {"priced", "z1", false}, {"priced, and the zone is lost", "z1", true}} {
+		set, crossed := settings(), 0
+		set.Zone = c.zone
+		w := start(t, set, 8)
+		if c.gone {
+			var list []Server
+			for _, s := range fleet(set, 8) {
+				if s.Zone == c.zone {
+					s.State = Gone
+					list = append(list, s)
+				}
+			}
+			w.b.Members(w.now, ListChanges, list)
+		}
+		for i := range 20 {
+			id, key := fmt.Sprint("r", i), fmt.Sprint("k", i)
+			top := ranking(w, key)[0]
+			w.request(id, "read", key)
+			if w.last().server != top {
+				t.Fatalf("%s: %s began at %s, want its top server %s", c.name, key, w.last().server, top)
+			}
+			w.answer(w.last(), ConnectFailed, NoNote, ms)
+			if s := w.last(); s.id != id || s.n != 1 {
+				t.Fatalf("%s: %s got no further try", c.name, key)
+			} else if w.b.servers[s.server].Zone != "z1" {
+				crossed++
+			}
+			w.answer(w.last(), OK, NoNote, ms)
+			w.b.servers[top].fails = 0 // or it is skipped, and others come first
+		}
+		if want := c.zone == "" || c.gone; (crossed > 0) != want {
+			t.Errorf("%s: %d of 20 further tries left z1", c.name, crossed)
+		}
+	}
+}
+
+// A hot key that several servers carry starts at those of the node's zone where crossing is priced.
+func TestHotKeysStartInTheZone(t *testing.T) {
+	set := settings()
+	set.Zone = "z1"
+	w := start(t, set, 8)
+	for range 20 {
+		w.b.recent.add(noteOf("hot"), 32)
+	}
+	for i := range 10 {
+		w.request(fmt.Sprint("r", i), "read", "hot")
+		if s := w.last(); w.b.servers[s.server].Zone != "z1" {
+			t.Errorf("r%d of a hot key left the zone for %s", i, s.server)
+		}
+		w.answer(w.last(), OK, NoNote, ms)
+	}
+}
+
 // Each of many nodes fetched the same hot keys from an origin that had no room (docs-commons-bc i3286d2): a read that
 // waited for it asks its cache again first, while it has the attempts for both.
 func TestAReadThatWaitedForTheOriginAsksItsCacheAgain(t *testing.T) {
