--- a/policy/policy.go
+++ b/policy/policy.go
@@ -199,8 +199,8 @@
 	if part := budget * share; part >= 1 {
 		return s.sends.at(b.now, b.set.FallWindow)+1 <= part
 	}
-	// A key new here may be hot at all nodes (launceston-platform-later he67fa9): the multiple is left for it,
-	// where passing a cold server by costs a lookup and no cache's room.
+	// A key new here may be hot at all nodes (launceston-platform-later he67fa9): the multiple is left for
+	// it, where passing a cold server by costs a lookup and no cache's room.
 	if b.set.Mode == Aside {
 		budget /= max(1, b.set.FallMultiple)
 	}
