--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -54,3 +54,13 @@
 		t.Errorf("%+v, %v", tr, err)
 	}
 }
+
+// A node keeps to its zone only where the settings price crossing: elsewhere zones cost nothing, and must not sway it.
+func TestZonesCountWhereCrossingIsPriced(t *testing.T) {
+	for price, want := range map[string]string{"0.2": "east", "0": "", "-1": ""} {
+		set, err := Decode([]byte(`{"Az":"east","Penalties":{"CrossZone":` + price + "}," + whole[1:]))
+		if err != nil || set.Zone != want {
+			t.Errorf("crossing at %s: zone %q, %v", price, set.Zone, err)
+		}
+	}
+}
