A planned end answers what would wait beyond the kill, whenever it was taken

Four of six nodes ended by themselves, n5 and n1 were killed 3.71 s after event=leaving.

Change: the last answer is due 0.5 s after the longest deadline, or after 3 s; what was taken before the signal is cut to it as well, which was left to its own deadline.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,8 @@
 	lameFor = 500 * time.Millisecond
 	// killAfter is how long after SIGTERM and the longest deadline the process may be killed, less a margin.
 	killAfter = 500 * time.Millisecond
+	// mostGrace is the longest that the platform waits for deadlines to pass, however long they are.
+	mostGrace = 3 * time.Second
 	// reserve is the number of descriptors kept for what is no pool's and no client's, and for clients of a full house,
 	// whose requests are refused.
 	reserve = 32
@@ -224,6 +226,19 @@
 	return wait
 }
 
+// hurry cuts what was taken before a planned end to what this process can wait.
+func (n *Node) hurry() {
+	now := n.loop.Now()
+	for _, c := range n.calls {
+		if c.answered || !c.counted || c.body != nil || c.deadline <= n.lastAnswer {
+			continue
+		}
+		c.timer.Stop()
+		c.deadline, c.end = n.lastAnswer, min(c.end, n.lastAnswer-margin)
+		c.timer = n.loop.After(c.deadline-lastCall-now, func() { n.overdue(c) })
+	}
+}
+
 // overdue fails a request that the module has left unanswered. It should never be needed; it guards rule 1 against
 // what nobody has thought of.
 func (n *Node) overdue(c *call) {
@@ -397,7 +412,10 @@
 	for _, d := range n.cfg.Transport.Deadlines {
 		longest = max(longest, d)
 	}
-	n.lastAnswer = n.loop.Now() + longest + killAfter
+	// Guards against requests whose clients would wait for longer than the process lives (launceston-platform,
+	// roll+term+brink, reads of 5 s: unanswered at the kill 3.7 s after SIGTERM).
+	n.lastAnswer = n.loop.Now() + min(longest, mostGrace) + killAfter
+	n.hurry()
 	succeeded := n.succession.succeeded()
 	log.Printf("event=leaving open=%d clients=%d succeeded=%t", len(n.calls), len(n.clients.all), succeeded)
 	if n.announcer != nil { // whoever follows the nodes knows before the listener closes
