What has not gone out for a client that has left is taken back, cancels allowed or not

Read and then forced by tests: Balancer.end calls attempts off only where cancels are allowed, so one on a connection still coming up, or behind others on a shared one, went out long after; where they are allowed, one behind others kept its bytes and only its answer was passed over (giveUp). And Conn.Pause stopped EPOLLIN, so that the end of a client behind 32 open requests was not seen before one of them was answered. Requests held in the module were forgotten already (forget, release; the burst test covers them).

Change: at the end of any request its unwritten attempts are withdrawn: the bytes are cut out of the connection's queue, the attempt counts as never sent (Moot, which is held against no server), and a connection coming up stays for others; one half written by itself ends. A client's connection heeds EPOLLRDHUP while it is paused. The same serves what is answered as failed at its last moment: nothing goes out behind it.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/netip"
+	"slices"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -39,6 +40,7 @@
 	failed  bool   // its end has been put off until the owner can be told
 	linger  *Timer // set once it only waits for the other end to finish
 	passed  int    // bytes passed over since
+	leaves  bool   // once the other end has finished, what it sent before is not wanted
 	last    bool   // it closes when out is empty
 	freed   func() // called when the descriptor is given back
 }
@@ -146,13 +148,13 @@
 	}
 }
 
-// TakeBack takes back what was written from a place on, as Queued told it, unless a byte of that has been handed to the
-// system. It reports whether it did.
-func (c *Conn) TakeBack(from int64) bool {
-	if from < c.written || from > c.Queued() || c.closed || c.last {
+// TakeBack takes back what was written between two places, as Queued told them, unless a byte of that has been handed to
+// the system. It reports whether it did; what was written behind it moves up.
+func (c *Conn) TakeBack(from, to int64) bool {
+	if from < c.written || to < from || to > c.Queued() || c.closed || c.last {
 		return false
 	}
-	c.out = c.out[:from-c.written]
+	c.out = slices.Delete(c.out, int(from-c.written), int(to-c.written))
 	return true
 }
 
@@ -181,6 +183,13 @@
 	}
 }
 
+// HeedEnd has the connection end as soon as the other end has finished, also while reading is paused, whatever it sent
+// before and nobody has read: for clients, who have left then. A reset ends it in any case.
+func (c *Conn) HeedEnd() {
+	c.leaves = true
+	c.interest()
+}
+
 // interest tells epoll what is waited for.
 func (c *Conn) interest() {
 	if c.closed {
@@ -190,6 +199,9 @@
 	if c.up && !c.paused {
 		events |= unix.EPOLLIN
 	}
+	if c.up && c.paused && c.leaves {
+		events |= unix.EPOLLRDHUP
+	}
 	if !c.up || len(c.out) > 0 {
 		events |= unix.EPOLLOUT
 	}
@@ -277,6 +289,10 @@
 	if !c.closed && len(c.out) > 0 && events&(unix.EPOLLOUT|unix.EPOLLERR) != 0 {
 		c.flush()
 	}
+	if !c.closed && !c.failed && c.paused && c.leaves && events&unix.EPOLLRDHUP != 0 {
+		c.end(io.EOF)
+		return
+	}
 	if !c.closed && !c.failed && (events&unix.EPOLLIN != 0 && !c.paused || events&(unix.EPOLLERR|unix.EPOLLHUP) != 0) {
 		c.read()
 	}
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -159,6 +159,71 @@
 	until(t, l, "the byte", func() bool { return string(r.data) == "x" })
 }
 
+// Guards against a client that leaves unseen while nothing is read from it: however it leaves, whatever it had sent. Where
+// that was not asked for, what came before the end is read first.
+func TestAnEndWhilePaused(t *testing.T) {
+	for name, leave := range map[string]func(*net.TCPConn){
+		"close":      func(c *net.TCPConn) { c.Close() },
+		"half-close": func(c *net.TCPConn) { c.CloseWrite() },
+		"reset":      func(c *net.TCPConn) { c.SetLinger(0); c.Close() },
+	} {
+		for _, heeds := range []bool{true, false} {
+			t.Run(name, func(t *testing.T) {
+				l, r := newLoop(t), &record{}
+				c, far := dial(t, l, r)
+				c.Pause(true)
+				if heeds {
+					c.HeedEnd()
+				}
+				far.Write([]byte("asked before"))
+				leave(far)
+				if heeds || name == "reset" {
+					until(t, l, "the end", func() bool { return r.end != nil })
+					if heeds && len(r.data) > 0 || l.Open() != 0 {
+						t.Errorf("read %q, %d open", r.data, l.Open())
+					}
+					return
+				}
+				until(t, l, "the end shows", c.Stale)
+				c.Pause(false)
+				until(t, l, "the end", func() bool { return r.end != nil })
+				if string(r.data) != "asked before" {
+					t.Errorf("read %q", r.data)
+				}
+			})
+		}
+	}
+}
+
+// What stands between two places is taken back and nothing else, and nothing of which a byte has gone.
+func TestTakeBackBetween(t *testing.T) {
+	l, r := newLoop(t), &record{}
+	c, far := dial(t, l, r)
+	big := make([]byte, 32<<20)
+	c.Write(big)
+	at := c.Queued()
+	c.Write([]byte("one,"))
+	c.Write([]byte("two,"))
+	c.Write([]byte("three"))
+	if c.TakeBack(0, at) || c.TakeBack(at+8, at+14) || c.TakeBack(at+4, at) {
+		t.Error("took back what has gone, or never was")
+	}
+	if !c.TakeBack(at+4, at+8) || c.Queued() != at+9 {
+		t.Error("did not take back what has not gone")
+	}
+	got := make(chan string, 1)
+	go func() {
+		io.CopyN(io.Discard, far, int64(len(big)))
+		rest := make([]byte, 9)
+		io.ReadFull(far, rest)
+		got <- string(rest)
+	}()
+	until(t, l, "all has gone", func() bool { return c.Pending() == 0 })
+	if rest := <-got; rest != "one,three" {
+		t.Errorf("%q came", rest)
+	}
+}
+
 // Finish must not throw away an answer on its way because of bytes that came meanwhile.
 func TestFinishDeliversWhatWasWritten(t *testing.T) {
 	l, r := newLoop(t), &record{}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -124,6 +124,9 @@
 		return
 	}
 	c.conn = conn
+	// Guards against a client that leaves while nothing is read from it: its end would stand behind what it had sent, and
+	// what it asked for would be sent on as if it waited.
+	conn.HeedEnd()
 	s.all[c] = true
 	c.rest(s.owing)
 	s.node.count.clientsIn++
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -263,6 +263,7 @@
 		c.client.waiting += len(text)
 		c.client.flush()
 	}
+	n.withdraw(c)
 	n.settle(c)
 }
 
@@ -283,9 +284,19 @@
 	if u := c.upload; u != nil && u.try != nil {
 		u.try.pool.cancel(u.try)
 	}
+	n.withdraw(c)
 	n.settle(c)
 }
 
+// withdraw takes back what has not gone out for a request that is over.
+func (n *Node) withdraw(c *call) {
+	for _, t := range c.tries {
+		if !t.done {
+			n.loop.Later(func() { t.pool.withdraw(t) })
+		}
+	}
+}
+
 // settle forgets a request that has been answered and has no attempt out.
 func (n *Node) settle(c *call) {
 	if !c.answered || c.open > 0 || n.calls[c.id] != c {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -160,15 +160,43 @@
 // takeBack takes back the attempts of which no byte has been written.
 func (l *link) takeBack() {
 	for i := len(l.tries) - 1; i >= 0 && !l.gone; i-- {
-		t := l.tries[i]
-		if t == nil {
-			continue
-		}
-		if !l.conn.TakeBack(t.first) {
+		if t := l.tries[i]; t != nil && !l.takeOut(t, policy.ConnectFailed) {
 			break
 		}
-		t.link, l.going, l.tries = nil, nil, l.tries[:i]
-		l.pool.node.finished(t, answer{outcome: policy.ConnectFailed})
+	}
+}
+
+// takeOut takes one attempt back, with all that was written of its request, if no byte of that has been handed to the
+// system: it has never run, and its place is free for others. It reports whether it did.
+func (l *link) takeOut(t *try, o policy.Outcome) bool {
+	end := t.last
+	if t.call.upload != nil { // has a connection to itself, and not all of it has come
+		end = l.conn.Queued()
+	}
+	i := slices.Index(l.tries, t)
+	if i < 0 || l.gone || !l.conn.TakeBack(t.first, end) {
+		return false
+	}
+	for _, x := range l.tries[i+1:] {
+		if x != nil {
+			x.first, x.last = x.first-(end-t.first), x.last-(end-t.first)
+		}
+	}
+	t.link, l.going, l.tries = nil, nil, slices.Delete(l.tries, i, i+1)
+	l.pool.node.finished(t, answer{outcome: o})
+	return true
+}
+
+// withdraw takes back an attempt for which nobody waits any more, if it has not gone out: from a connection that is yet to
+// come up or from behind others it would be sent on long after its client left. That needs no leave to call attempts
+// off, since nothing has run. One half written, with nothing else on its connection, ends with that: nor has it run.
+func (p *pool) withdraw(t *try) {
+	l := t.link
+	if t.done || l == nil || l.gone || l.takeOut(t, policy.Moot) {
+		return
+	}
+	if t.last > l.conn.Written() && len(l.tries) == 1 {
+		p.giveUp(t, answer{outcome: policy.Moot})
 	}
 }
 
@@ -362,6 +390,9 @@
 
 // cancel calls an attempt off.
 func (p *pool) cancel(t *try) {
+	if t.call.answered {
+		p.withdraw(t)
+	}
 	if !t.done && t.link != nil {
 		p.giveUp(t, answer{outcome: policy.Cancelled})
 	}
