Keyed repeats that miss their window, and requests on their way to a server that moves, are taken back

A keyed repeat is chosen inside the window (may), but its connection may come up, or its turn on a shared one come, up to a connect time-out later, when its servers have forgotten the first try: it would run twice, likeliest where the deadline is longer than the window. Send tells the time by which an attempt must have gone out whole (windowEnd, plain arithmetic in state.go), and the node takes back what has not. A server that moves to another address kept what was coming up or waited behind others for the old address, where another server may stand by now, one that drains among them: it is taken back like that of a server that leaves (pool, link.leave).

Ruled out: a wider margin in may, which would give up repeats that reach their server in time. Guards taken out one by one, the new tests fail (seen): leave in pool, the timer in Send, the check of what has gone, windowEnd.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,6 +108,7 @@
 	last  int64 // and the byte behind its last
 	whole bool  // it has been written whole
 	timer *loop.Timer
+	late  *loop.Timer // when it may not go out any more
 	done  bool
 }
 
@@ -314,6 +315,7 @@
 	}
 	t.done = true
 	t.timer.Stop()
+	t.late.Stop()
 	c := t.call
 	c.open--
 	n.count.outcome(a.outcome)
@@ -342,7 +344,7 @@
 type actions struct{ n *Node }
 
 // Send implements policy.Actions.
-func (a actions) Send(id, server string, wait time.Duration) {
+func (a actions) Send(id, server string, wait, by time.Duration) {
 	n := a.n
 	c := n.calls[id]
 	if c == nil {
@@ -368,6 +370,9 @@
 		t.timer = n.loop.After(left, func() { t.pool.timeout(t) })
 	}
 	t.pool.send(t, left)
+	if by > 0 && !t.done {
+		t.late = n.loop.After(by-n.loop.Now(), func() { t.pool.expire(t) })
+	}
 }
 
 // Refuse implements policy.Actions.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -76,11 +76,8 @@
 		p = &pool{node: n, id: s.ID, addr: addr, banned: n.banned(s.ID)}
 		n.pools[s.ID] = p
 	}
-	if s.State != policy.Gone && p.addr != addr {
-		for _, l := range slices.Clone(p.links) {
-			l.old = true
-			l.rest()
-		}
+	moved := s.State != policy.Gone && p.addr != addr
+	if moved {
 		p.addr = addr
 	}
 	if kind := n.cfg.Settings.OriginKind; kind != "" && s.Kind == kind {
@@ -89,6 +86,12 @@
 		p.proto = cacheProtocol{perConn: n.cfg.Transport.PerConn}
 	}
 	p.ready, p.weight = s.State == policy.Ready, s.Weight
+	if moved {
+		for _, l := range slices.Clone(p.links) {
+			l.old = true
+			l.leave() // another server may have the address by now
+		}
+	}
 }
 
 // origin reports whether the server is the origin.
@@ -105,11 +108,7 @@
 // taken back: it would be written when those have been answered. What is out goes on, a long value at once.
 func (p *pool) leave() {
 	for _, l := range slices.Clone(p.links) {
-		if !l.up {
-			l.over()
-		}
-		l.takeBack()
-		l.rest()
+		l.leave()
 		if l.body != nil {
 			l.body.hasten()
 		}
@@ -120,6 +119,15 @@
 	p.forget()
 }
 
+// leave ends a connection that has not come up and takes back what waits on one, unless it has begun to be written.
+func (l *link) leave() {
+	if !l.up {
+		l.over()
+	}
+	l.takeBack()
+	l.rest()
+}
+
 // forget lets go of a pool that nothing needs.
 func (p *pool) forget() {
 	if !p.ready && len(p.links) == 0 && p.node.pools[p.id] == p {
@@ -388,6 +396,15 @@
 	p.giveUp(t, end)
 }
 
+// expire takes back a repeat that has not gone out whole when its servers begin to forget the request: it would run again.
+func (p *pool) expire(t *try) {
+	l := t.link
+	if t.done || l == nil || l.gone || t.last <= l.conn.Written() || l.takeOut(t, policy.ConnectFailed) {
+		return
+	}
+	l.over() // half of it is on its way
+}
+
 // cancel calls an attempt off.
 func (p *pool) cancel(t *try) {
 	if t.call.answered {
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -252,6 +252,74 @@
 	}
 }
 
+// Guards against a request written to whatever server has an address by now, its own having moved while the connection came up
+// or while the request stood behind others.
+func TestAServerThatMovesUnderARequest(t *testing.T) {
+	for _, shared := range []bool{false, true} {
+		b := newBench(t)
+		if shared {
+			b.send("1")
+			b.run("it stands", func() bool { return b.pool.links[0].up })
+			b.node.links = b.node.linkMost()
+			b.pool.links[0].conn.Write(make([]byte, 32<<20))
+		}
+		second := b.send("2")
+		b.node.pool(policy.Server{ID: "s-1", State: policy.Ready}, netip.MustParseAddrPort("127.0.0.1:2"))
+		b.run("it is taken back", func() bool { return second.done })
+		if b.outcomes(policy.ConnectFailed) != 1 || len(b.pool.links) != map[bool]int{false: 0, true: 1}[shared] {
+			t.Errorf("shared %v: %v, %d connections", shared, b.node.count.outcomes, len(b.pool.links))
+		}
+	}
+}
+
+// Guards against a keyed write that runs twice: a repeat whose connection comes up when its servers have forgotten the first
+// try. What has gone out by then stays.
+func TestARepeatThatIsLateForItsWindow(t *testing.T) {
+	b := newBench(t)
+	late := b.send("1")
+	b.pool.expire(late)
+	if !late.done || b.outcomes(policy.ConnectFailed) != 1 || len(b.pool.links) != 1 {
+		t.Fatalf("%v, %d connections", b.node.count.outcomes, len(b.pool.links))
+	}
+	b.run("the connection is up, and idle", func() bool { return len(b.pool.idle) == 1 })
+	whole := b.send("2")
+	b.pool.expire(whole)
+	if whole.done {
+		t.Error("what had gone out was ended")
+	}
+	far, err := b.ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	if line, err := bufio.NewReader(far).ReadString('\n'); err != nil || !strings.Contains(line, "O2") {
+		t.Errorf("the server was sent %q, %v", line, err)
+	}
+	b.node.links = b.node.linkMost()
+	b.pool.links[0].conn.Write(make([]byte, 32<<20))
+	half := b.send("3")
+	half.first = b.pool.links[0].conn.Written() - 1 // as if its first byte had gone
+	b.pool.expire(half)
+	if !half.done || len(b.pool.links) != 0 || b.outcomes(policy.ConnectFailed) != 2 || b.outcomes(policy.Reset) != 1 {
+		t.Errorf("half of it gone: %v, %d connections", b.node.count.outcomes, len(b.pool.links))
+	}
+}
+
+// The module's time by which a repeat must have gone out is kept, on a connection that never comes up.
+func TestSendsKeepTheirLatestTime(t *testing.T) {
+	s := newStage(t, false, answering)
+	s.cache.Silence(true)
+	s.ask("1")
+	s.taken(1)
+	c := s.node.calls["1"]
+	actions{s.node}.Send("1", "c-1", 0, s.node.loop.Now()+20*time.Millisecond)
+	last := c.tries[len(c.tries)-1]
+	s.run("it is taken back", func() bool { return last.done })
+	if s.outcomes(policy.ConnectFailed) != 1 {
+		t.Errorf("%v", s.node.count.outcomes)
+	}
+}
+
 // client connects one to the node.
 func (b *bench) client() (far net.Conn, c *client) {
 	b.t.Helper()
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -295,7 +295,7 @@
 }
 
 // Send implements policy.Actions.
-func (a Actor) Send(id, server string, wait time.Duration) {
+func (a Actor) Send(id, server string, wait, _ time.Duration) {
 	a.W.open("Place", a.Instance)
 	a.W.text("Handle", id)
 	a.W.text("Server", server)
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -454,7 +454,7 @@
 	life int
 }
 
-func (a actions) Send(id, server string, wait time.Duration) {
+func (a actions) Send(id, server string, wait, _ time.Duration) {
 	n, s := a.n, a.n.sim
 	c := n.calls[id]
 	if c == nil {
--- a/policy/api.go
+++ b/policy/api.go
@@ -205,7 +205,9 @@
 
 // Actions is what a balancer may do. Each call takes effect at the time of the event being handled.
 type Actions interface {
-	Send(id, server string, wait time.Duration) // wait 0: as long as the client waits
+	// Send starts an attempt, which is given up after wait; 0: as long as the client waits. One that has not gone out
+	// whole at the time by must not go out any more; 0: there is no such time.
+	Send(id, server string, wait, by time.Duration)
 	Refuse(id string, comeBack time.Duration)
 	Fail(id string)
 	Cancel(id string, n int)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -484,7 +484,7 @@
 			wait = max((r.aim-b.now)/2, time.Duration(2*b.late))
 		}
 	}
-	b.act.Send(r.ID, s.ID, wait)
+	b.act.Send(r.ID, s.ID, wait, r.windowEnd())
 }
 
 // giveUp ends a request unserved, at once; an attempt still out may yet answer it.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -31,14 +31,14 @@
 type sent struct {
 	id, server string
 	n          int
-	wait       time.Duration
+	wait, by   time.Duration
 }
 
-func (w *world) Send(id, server string, wait time.Duration) {
+func (w *world) Send(id, server string, wait, by time.Duration) {
 	if w.onSend != nil {
 		w.onSend(id, server)
 	}
-	w.sends = append(w.sends, sent{id, server, w.tries[id], wait})
+	w.sends = append(w.sends, sent{id, server, w.tries[id], wait, by})
 	w.tries[id]++
 }
 func (w *world) end(id, how string) {
@@ -284,6 +284,26 @@
 	}
 }
 
+func TestARepeatIsToldItsWindow(t *testing.T) {
+	for _, c := range []struct {
+		class string
+		first Outcome
+		told  bool
+	}{{"write", Reset, true}, {"write", Errored, true}, {"write", ConnectFailed, false}, {"write", Full, false}, {"read", Reset, false}} {
+		w := start(t, settings(), 4)
+		w.request("q", c.class, "k")
+		first, at := w.last(), w.now
+		if first.by != 0 {
+			t.Errorf("%s: the first attempt must go out by %v", c.class, first.by)
+		}
+		w.answer(first, c.first, NoNote, 50*ms)
+		again := w.last()
+		if want := at + w.b.classes[c.class].Window; len(w.sends) != 2 || c.told && again.by != want || !c.told && again.by != 0 {
+			t.Errorf("%s after %v: %d sends, the second by %v", c.class, c.first, len(w.sends), again.by)
+		}
+	}
+}
+
 func TestKeyedWindowIsKept(t *testing.T) {
 	set := settings()
 	set.Classes[1].Window = 300 * ms
--- a/policy/state.go
+++ b/policy/state.go
@@ -249,6 +249,18 @@
 	}
 }
 
+// windowEnd is when the servers begin to forget a keyed request that may have run, so that a repeat may run again; 0 for
+// one that has not, and for other classes. Guards against a repeat chosen inside the window whose connection comes up, or
+// whose turn on one comes, behind it.
+func (r *request) windowEnd() (end time.Duration) {
+	for _, a := range r.tries {
+		if at := a.at + r.class.Window; r.class.Effect == Keyed && a.done && !a.clean && (end == 0 || at < end) {
+			end = at
+		}
+	}
+	return end
+}
+
 // leads reports whether the request is one whose answer others wait for.
 func (b *Balancer) leads(r *request) bool {
 	f := b.fetches[r.Key]
