A node does not start on settings that it half understands: each fault is one line with its key

Read in internal/settings: an unknown or missing mode was taken for through, an unknown dedup scope for the narrowest, a missing window or number of attempts for none, figures below 0 for 0, a missing origin for none (every write refused), two classes of one name for the later. Each is one line now, with its key, and status 1. What is missing of the transport's figures alone still has a harmless meaning. The simulator's adapter (Decode) stays as it was.

--- a/cmd/lapisshelf/node_test.go
+++ b/cmd/lapisshelf/node_test.go
@@ -935,6 +935,12 @@
 		"a bad effect": func(c map[string]any) {
 			c["settings"].(map[string]any)["Classes"].([]any)[0].(map[string]any)["Effect"] = "x"
 		},
+		"another mode": func(c map[string]any) {
+			c["settings"].(map[string]any)["FamilyInfo"].(map[string]any)["Mode"] = "around"
+		},
+		"no attempts": func(c map[string]any) {
+			delete(c["settings"].(map[string]any)["Limits"].(map[string]any), "SendCap")
+		},
 		"not an object": func(c map[string]any) { c["settings"] = "x" },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/migrate/migrate.go
+++ b/internal/migrate/migrate.go
@@ -312,7 +312,7 @@
 
 // resettle changes the settings object, which is the platform's: what nobody here knows of stays as it is.
 func resettle(path string, text []byte, p part, s Shape, r *Result) (json.RawMessage, error) {
-	if _, err := settings.Decode(p.value); err != nil {
+	if _, _, err := settings.DecodeAll(p.value); err != nil {
 		at, key := p.at, p.key
 		var wrong *json.UnmarshalTypeError
 		if errors.As(err, &wrong) {
