Two processes of a node compare the revisions of one registry only

Lead from the issue: heedLists took the larger revision for the newer list, also where discovery had been moved or restored between the two processes: the younger one, at a small revision of the new registry, kept off servers that drained by the old one, and nothing told it otherwise. The list that a process makes known names its registry; those of another are not heeded.

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -49,6 +49,7 @@
 
 // List is what a process's list says of servers that get nothing new.
 type List struct {
+	Source   string   `json:"source,omitempty"` // the registry: revisions of two compare with nothing
 	Revision int64    `json:"revision"`
 	Leaving  []string `json:"leaving,omitempty"` // draining, or gone lately
 	Listed   []string `json:"listed,omitempty"`  // ids that were ever listed
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -116,9 +116,10 @@
 	if n.registry == nil {
 		return
 	}
-	revision, _, _ := n.registry.Held()
+	own := s.source()
+	own.Revision, _, _ = n.registry.Held()
 	for _, p := range s.others() {
-		if p.List.Revision <= revision {
+		if !newer(p.List, own) {
 			continue
 		}
 		for _, id := range p.List.Leaving {
@@ -131,6 +132,22 @@
 	}
 }
 
+// newer reports whether a list tells more than the own one. Guards against comparing the revisions of two registries, where
+// discovery was moved between two processes: servers that are ready by the own list would get nothing for good.
+func newer(l, own handover.List) bool {
+	return l.Revision > own.Revision && (l.Source == "" || own.Source == "" || l.Source == own.Source)
+}
+
+// source is a list that says only which registry this process follows.
+func (s *succession) source() (l handover.List) {
+	r := &s.node.cfg.Registry
+	for _, e := range r.Endpoints {
+		l.Source += e.String() + " "
+	}
+	l.Source += r.Prefix
+	return l
+}
+
 // settle settles what this process takes, and tells the others.
 func (s *succession) settle() {
 	if s.member == nil {
@@ -210,6 +227,7 @@
 	if n.registry == nil {
 		return l
 	}
+	l = s.source()
 	l.Revision, _, _ = n.registry.Held()
 	now := n.loop.Now()
 	for id, at := range s.gone {
