The crossing test of planned ends leaves its slow read the time that it needs

The test committed before failed on its own account: its slow read took 1.5 s, as long as the attempt's time-out.

--- a/cmd/lapisshelf/crossings_test.go
+++ b/cmd/lapisshelf/crossings_test.go
@@ -66,7 +66,7 @@
 // connection that stands, half of it, in a new one of the same turn, in one that waits in the listen queue while the
 // listener closes, behind a request that is out, with a second SIGTERM, a SIGHUP and list news.
 func TestTerminateCrosses(t *testing.T) {
-	get := func(id string) string { return "mg k-" + id + " v O" + id + " Pc=read,d=2500\r\n" }
+	get := func(id string) string { return "mg k-" + id + " v O" + id + " Pc=read,d=9000\r\n" }
 	lame := func() { time.Sleep(600 * time.Millisecond) } // until connections begin to close
 	type world struct {
 		n    *process
@@ -158,7 +158,7 @@
 				return holding("v")(line, v)
 			})
 			d := startDiscovery(t, serving("s-1", c.Addr(), "m2"))
-			w := &world{n: start(t, d, patientReads), d: d}
+			w := &world{n: start(t, d, longReads(10*time.Second)), d: d}
 			w.open = w.n.dial()
 			w.open.send("mn\r\n")
 			w.open.want("MN", "")
