Tests of clients that leave at each place of the module where a request may wait

By events on a hand-moved clock, cancels allowed and not: held for room, for a server that leaves, for another's fetch, with an attempt that fails or misses behind it, as the leader of a fetch. Nothing was found.

--- /dev/null
+++ b/policy/leave_test.go
@@ -0,0 +1,115 @@
+package policy
+
+import "testing"
+
+// Clients that leave while their request waits in the module: nothing is sent for it from then on, whatever ends or comes
+// back, its place is free, and those who waited on its fetch are served. Cancels may be allowed or not.
+func TestNothingIsSentForWhoHasLeft(t *testing.T) {
+	left := false
+	leave := func(w *world) {
+		left = true
+		w.b.Abandoned(w.now, "gone")
+	}
+	for _, cancel := range []bool{false, true} {
+		for name, play := range map[string]func(w *world){
+			"held for room": func(w *world) {
+				s := w.fill("k")
+				w.request("gone", "read", "k")
+				if w.b.open["gone"].held != s {
+					t.Fatalf("%s is not held for %s", "gone", s.ID)
+				}
+				leave(w)
+				if len(s.queue) != 0 {
+					t.Error("its place is taken")
+				}
+				w.answer(w.sends[0], OK, NoteHit, 5*ms) // there is room now
+				w.b.Timer(w.now, "sweep")
+			},
+			"held for a server that leaves": func(w *world) {
+				s := w.fill("k")
+				w.request("gone", "read", "k")
+				leave(w)
+				drained := s.Server
+				drained.State = Draining
+				w.b.Members(w.now, ListChanges, []Server{drained})
+			},
+			"for another's fetch": func(w *world) {
+				w.request("lead", "read", "k")
+				w.answer(w.last(), Miss, NoteMiss, ms)
+				w.request("gone", "read", "k")
+				leave(w)
+				w.answer(w.last(), OK, NoteMiss, 10*ms)
+			},
+			"its attempt fails behind it": func(w *world) {
+				w.request("gone", "read", "k")
+				first := w.last()
+				leave(w)
+				w.answer(first, ConnectFailed, NoNote, 5*ms)
+				if w.b.open["gone"] != nil {
+					t.Error("it is not forgotten")
+				}
+			},
+			"its attempt misses behind it": func(w *world) {
+				w.request("gone", "read", "k")
+				first := w.last()
+				leave(w)
+				w.answer(first, Miss, NoteMiss, 5*ms)
+			},
+			"as the leader of a fetch": func(w *world) {
+				w.request("gone", "read", "k")
+				w.answer(w.last(), Miss, NoteMiss, ms)
+				fetch := w.last()
+				w.request("w1", "read", "k")
+				w.request("w2", "read", "k")
+				leave(w)
+				w.answer(fetch, Cancelled, NoNote, 5*ms)
+				if s := w.last(); s.id != "w1" || s.server != "o" {
+					t.Errorf("the fetch passed to %v", s)
+				}
+				w.answer(w.last(), OK, NoteMiss, 5*ms)
+				if s := w.last(); s.id != "w2" {
+					t.Errorf("%v, want w2 at its cache", s)
+				}
+			},
+		} {
+			t.Run(name, func(t *testing.T) {
+				set := settings()
+				set.Mode, set.MayCancel = Aside, cancel
+				w := start(t, set, 4)
+				w.cold = true
+				left = false
+				w.onSend = func(id, server string) {
+					if left && id == "gone" {
+						t.Errorf("sent to %s after its client had left", server)
+					}
+				}
+				play(w)
+				for range 400 { // whatever is due, is
+					w.now += 5 * ms
+					w.b.Timer(w.now, "sweep")
+				}
+				if r := w.b.open["gone"]; r != nil && !r.ended || w.ended["gone"] != "" {
+					t.Errorf("it is open still, or answered %q", w.ended["gone"])
+				}
+			})
+		}
+	}
+}
+
+// fill sends the top server of a key all that it has room for, so that the key's next request is held there.
+func (w *world) fill(key string) *server {
+	s := w.b.rank(key)[0]
+	for _, x := range w.b.caches {
+		x.limit = 1
+	}
+	w.b.usual = float64(ms)
+	for i := range 4 { // each cache has one out, of a key of its own
+		x := w.b.caches[i]
+		k := ""
+		for j := 0; w.b.rank(k)[0] != x || k == ""; j++ {
+			k = "fill-" + string(rune('a'+i)) + string(rune('a'+j%26)) + string(rune('a'+j/26))
+		}
+		w.request("fill"+string(rune('0'+i)), "read", k)
+	}
+	return s
+}
