--- a/cmd/lapisshelf/crossings_test.go
+++ b/cmd/lapisshelf/crossings_test.go
@@ -41,6 +41,9 @@
 			t.Errorf("request %d: %q", i, line)
 		}
 	}
+	if strings.Contains(n.log(), "event=overdue") {
+		t.Error("what a planned end cuts off is told as a fault")
+	}
 }
 
 // Events that cross are laid while the process stands still (SIGSTOP): all of them wait in the system when it goes on, and come in
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -246,8 +246,10 @@
 	if c.answered {
 		return
 	}
-	n.count.overdue++
-	log.Printf("event=overdue id=%s attempts=%d", c.id, len(c.tries))
+	if !n.leaving || c.deadline < n.lastAnswer { // else it would have gone on waiting
+		n.count.overdue++
+		log.Printf("event=overdue id=%s attempts=%d", c.id, len(c.tries))
+	}
 	n.reply(c, []byte(failure), failed)
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
 }
