--- a/cmd/lapisshelf/crossings_test.go
+++ b/cmd/lapisshelf/crossings_test.go
@@ -7,6 +7,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"lapisshelf/lab/standin"
 )
 
 // longReads has reads wait for up to so long.
@@ -72,9 +74,10 @@
 	get := func(id string) string { return "mg k-" + id + " v O" + id + " Pc=read,d=9000\r\n" }
 	lame := func() { time.Sleep(600 * time.Millisecond) } // until connections begin to close
 	type world struct {
-		n    *process
-		open *client
-		d    discovery
+		n      *process
+		open   *client
+		d      discovery
+		caches []*standin.Cache
 	}
 	term := func(w *world) { w.n.signal(syscall.SIGTERM) }
 	for name, cross := range map[string]func(w *world) (asked []*client){
@@ -140,13 +143,24 @@
 			w.open.send(get("3"))
 			return []*client{w.open, w.open, w.open}
 		},
+		"a retry that is due": func(w *world) []*client {
+			w.open.send(get("slow-1"))
+			eventually(t, "it is out", func() bool { w.n.signal(syscall.SIGUSR1); return strings.Contains(w.n.log(), " attempts=1 ") })
+			w.n.still(func() { // its connection ends in the turn of the signal
+				for _, c := range w.caches {
+					c.HangUp()
+				}
+				term(w)
+			})
+			return []*client{w.open}
+		},
 		"two signals, SIGHUP and list news": func(w *world) []*client {
 			w.n.still(func() {
 				term(w)
 				term(w)
 				w.open.send(get("1"))
 				w.n.signal(syscall.SIGHUP)
-				w.d.Set(serving("s-2", "127.0.0.1:1", "m2"))
+				w.d.Set(serving("s-3", "127.0.0.1:1", "m2"))
 			})
 			term(w)
 			return []*client{w.open}
@@ -154,14 +168,17 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			c := startCache(t, func(line string, v []byte) string {
-				if strings.Contains(line, "slow") {
-					time.Sleep(1500 * time.Millisecond)
-				}
-				return holding("v")(line, v)
-			})
-			d := startDiscovery(t, serving("s-1", c.Addr(), "m2"))
-			w := &world{n: start(t, d, longReads(10*time.Second)), d: d}
+			w := &world{}
+			for range 2 {
+				w.caches = append(w.caches, startCache(t, func(line string, v []byte) string {
+					if strings.Contains(line, "slow") {
+						time.Sleep(1500 * time.Millisecond)
+					}
+					return holding("v")(line, v)
+				}))
+			}
+			w.d = startDiscovery(t, serving("s-1", w.caches[0].Addr(), "m2"), serving("s-2", w.caches[1].Addr(), "m2"))
+			w.n = start(t, w.d, longReads(10*time.Second))
 			w.open = w.n.dial()
 			w.open.send("mn\r\n")
 			w.open.want("MN", "")
