Tests' own set-up is written once: a client on its loop, an attempt started by hand

Read again. watch_test.go repeated the second half of registry_test.go's start (now run), leave_test.go's waiting repeated the bench's send (now attempt); a comment's line was too wide.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -7,8 +7,8 @@
 //
 // The departures: a call that fails is made again at another endpoint after a wait with jitter, which grows with the
 // failures and with the number of nodes (again); a watch that says nothing when its wait is over is no failure yet, but
-// what it missed may count as told soon: the list is looked at anew at once (look); a revision that is forgotten ends in one whole reread, of which nothing
-// counts before its last page (forgotten, list); an answer older than the list held is never applied, until all endpoints
+// what it missed may count as told soon: the list is looked at anew at once (look); a revision that is forgotten ends in
+// one whole reread, of which nothing counts before its last page (forgotten, list); an answer older than the list held is never applied, until all endpoints
 // have told of nothing newer for a stated time (behind); servers that vanish in a mass without having drained are kept for
 // a stated time (settle); of two entries with one address the later one stands (standing); an entry that does not parse
 // leaves the last good one in force (take).
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"lapisshelf/decide/roster"
-	"lapisshelf/internal/meta"
 	"lapisshelf/lab/seen"
 	"lapisshelf/lab/standin"
 	"lapisshelf/policy"
@@ -265,14 +264,5 @@
 
 // waiting starts an attempt of a request that somebody waits for.
 func (b *bench) waiting(id string) *try {
-	m, _, err := meta.Next([]byte("mg key v O"+id+" Pc=read,d=1000\r\n"), meta.MaxValue, meta.MaxLong)
-	if err != nil {
-		b.t.Fatal(err)
-	}
-	c := &call{id: id, class: &class{name: "read"}, command: keep(m), open: 1}
-	b.node.calls[id] = c
-	t := &try{call: c, pool: b.pool, at: b.node.loop.Now()}
-	c.tries = []*try{t}
-	b.pool.send(t, time.Second)
-	return t
+	return b.attempt(&call{id: id, class: &class{name: "read"}})
 }
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -75,14 +75,18 @@
 }
 
 // send starts an attempt of a request of its own, of which nobody waits for the answer any more.
-func (b *bench) send(id string) *try {
-	line := "mg key v O" + id + " Pc=read,d=1000"
+func (b *bench) send(id string) *try { return b.attempt(&call{id: id, answered: true}) }
+
+// attempt starts one of a request.
+func (b *bench) attempt(c *call) *try {
+	b.t.Helper()
+	line := "mg key v O" + c.id + " Pc=read,d=1000"
 	m, _, err := meta.Next([]byte(line+"\r\n"), meta.MaxValue, meta.MaxLong)
 	if err != nil {
 		b.t.Fatal(err)
 	}
-	c := &call{id: id, command: keep(m), answered: true, open: 1}
-	b.node.calls[id] = c
+	c.command, c.open = keep(m), 1
+	b.node.calls[c.id] = c
 	t := &try{call: c, pool: b.pool, at: b.node.loop.Now()}
 	c.tries = []*try{t}
 	b.pool.send(t, time.Second)
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -54,10 +54,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(reg.Close)
-	r := &rig{t: t, reg: reg, told: map[string]roster.Entry{}, when: map[string]time.Time{}}
-	if r.loop, err = loop.New(); err != nil {
-		t.Fatal(err)
-	}
 	cfg := Config{Kind: kind, Prefix: prefix, MostBody: 8 << 20, Roster: roster.Config{Nodes: 1, Within: time.Second, Watch: time.Second,
 		Limit: 700 * ms, Page: 100, Rewind: 2 * time.Second}}
 	for _, a := range reg.Addrs(0) {
@@ -66,13 +62,26 @@
 	if change != nil {
 		change(&cfg)
 	}
+	r := run(t, cfg, 0, nil)
+	r.reg = reg
+	return r
+}
+
+// run starts a client on a loop of its own, from a list held before; its notes are logged if the test fails.
+func run(t *testing.T, cfg Config, revision int64, saved []roster.Entry) *rig {
+	t.Helper()
+	r := &rig{t: t, told: map[string]roster.Entry{}, when: map[string]time.Time{}}
+	var err error
+	if r.loop, err = loop.New(); err != nil {
+		t.Fatal(err)
+	}
 	r.client = New(r.loop, cfg, 1, r.apply, func(event, why string) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.notes = append(r.notes, event+" "+why)
 	})
 	done := make(chan error, 1)
-	r.loop.Later(func() { r.client.Start(0, nil) })
+	r.loop.Later(func() { r.client.Start(revision, saved) })
 	go func() { done <- r.loop.Run() }()
 	t.Cleanup(func() {
 		r.on(func() { r.client.Close(); r.loop.Stop() })
--- a/internal/registry/watch_test.go
+++ b/internal/registry/watch_test.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"lapisshelf/decide/roster"
-	"lapisshelf/internal/loop"
 	"lapisshelf/policy"
 )
 
@@ -206,30 +205,12 @@
 func follow(t *testing.T, reply func(n int, target string) (string, bool)) (*rig, *script) {
 	t.Helper()
 	s := serveScript(t, reply)
-	r := &rig{t: t, told: map[string]roster.Entry{}, when: map[string]time.Time{}}
-	var err error
-	if r.loop, err = loop.New(); err != nil {
-		t.Fatal(err)
-	}
 	cfg := Config{Kind: Discovery, Endpoints: []netip.AddrPort{netip.MustParseAddrPort(s.ln.Addr().String())}, MostBody: 1 << 20,
 		Roster: roster.Config{Nodes: 1, Within: time.Second, Watch: 200 * ms, Limit: 300 * ms, Quick: true}}
-	r.client = New(r.loop, cfg, 1, r.apply, func(event, why string) {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.notes = append(r.notes, event+" "+why)
-	})
-	saved := roster.Entry{Server: policy.Server{ID: "s-1", Weight: 1}, Addr: "10.0.0.1:1"}
-	done := make(chan error, 1)
-	r.loop.Later(func() { r.client.Start(7, []roster.Entry{saved}) })
-	go func() { done <- r.loop.Run() }()
 	t.Cleanup(func() {
-		r.on(func() { r.client.Close(); r.loop.Stop() })
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
 		if t.Failed() {
-			t.Logf("%q asked %q", r.notes, s.asked())
+			t.Logf("asked %q", s.asked())
 		}
 	})
-	return r, s
+	return run(t, cfg, 7, []roster.Entry{{Server: policy.Server{ID: "s-1", Weight: 1}, Addr: "10.0.0.1:1"}}), s
 }
