Waits behind failed list calls end in time to be told of a change before it counts

A change counts as told 6 s after the registry had it and could be reached, whatever failed before. pause kept each wait at crowd/jitter or more and grew it to a quarter of ask_within, both without a bound: with 300 nodes nothing was left for the call, with 1,900 it was 28 s in the mean, with ask_within = 1h up to 15 minutes. A second cause showed in the new test: a watch begun after a failure, while the registry took calls and said nothing, hung for all of its wait (60 s from 60 nodes on), also for pushed lists.

From the beginning of a call that fails to the next at most 5 s now pass (longest), the time of the call included, shared over as many endpoints as may be away while a majority is there, three at most. In that room the waits are drawn as widely as the calls a second allow, in the mean a call of each node in the time that all need. After a failure the next call is a look, which tells at once what there is. In an outage endpoints are asked in turn: two that failed less often kept others from being asked. A call to a registry that has hung, or of a node with no list, may take 3 s. Where the calls a second cannot serve all nodes in time they go first; MostNodes tells the largest fleet for which both hold (450 with 100 a second, 225 with three endpoints).

--- a/decide/roster/api.go
+++ b/decide/roster/api.go
@@ -17,9 +17,11 @@
 	Endpoints int // of one registry, at least 1
 	Nodes     int // followers of it, this one included; at least 1
 	// Within is the longest spell without a call after which a node counts as told all the same; waits between failed
-	// calls derive from it. 0 takes 20 s.
+	// calls grow from a sixteenth to a quarter of it, but never beyond what lets a change be known 6 s after the registry
+	// had it and could be reached. 0 takes 20 s.
 	Within time.Duration
-	// Calls is how many calls a second all nodes together may make while calls fail. 0 takes 100.
+	// Calls is how many calls a second all nodes together may make while calls fail. 0 takes 100. It goes before the 6 s:
+	// MostNodes tells the largest fleet for which both hold.
 	Calls float64
 	// Stream: a watch says at once that it stands, then each change as it comes, for as long as it lasts; else it is one
 	// answer, which comes with the first change or after Watch.
@@ -27,7 +29,8 @@
 	// Watch is how long a watch may wait for news at most before it is asked anew, a part of it drawn: with a cut line, how
 	// long a node does not know.
 	Watch time.Duration
-	// Limit is how long a call may take besides.
+	// Limit is how long a call may take besides; up to 3 s after one that hung, and for a node that knows no list. It is cut
+	// where several endpoints must be asked in the time there is.
 	Limit time.Duration
 	// Pause is the longest wait behind a call that failed, where the list is pushed to an agent beside the node: asking that
 	// anew costs the registry nothing, and what it has counts as told. 0: waits follow from Within, Nodes and Calls.
--- a/decide/roster/model_test.go
+++ b/decide/roster/model_test.go
@@ -47,6 +47,7 @@
 	double  bool // news are told twice
 	refuse  int  // so many calls to come fail, after tardy
 	tardy   time.Duration
+	fails   func(p *peer, c Call) bool // takes a call away from the registry; nil: none
 
 	followers []*peer
 	queue     []event
@@ -72,6 +73,8 @@
 	watch int64                    // of an open stream: told up to
 	asked time.Duration            // when the call that is out was made
 	hush  uint64                   // a call that nothing more comes of, without a word
+	lost  uint64                   // a call that fails, in its own time: no change is told to it
+	drain time.Duration            // when a server was first told to drain; 0: none was
 }
 
 func newModel(t fataler, s style, endpoints, followers int, change func(*Config)) *model {
@@ -182,6 +185,15 @@
 
 // arrive is a call at the registry.
 func (m *model) arrive(p *peer, c Call) {
+	if m.fails != nil && m.fails(p, c) {
+		p.lost = c.ID
+		return
+	}
+	m.take(p, c)
+}
+
+// take is a call that the registry takes up.
+func (m *model) take(p *peer, c Call) {
 	end := c.Endpoint
 	switch {
 	case m.mute[end]:
@@ -225,7 +237,7 @@
 // flow tells a follower that waits what it can see by now.
 func (m *model) flow(p *peer) {
 	c := p.call
-	if c.ID == 0 || c.Whole || m.mute[c.Endpoint] || m.down[c.Endpoint] {
+	if c.ID == 0 || c.ID == p.lost || c.Whole || m.mute[c.Endpoint] || m.down[c.Endpoint] {
 		return
 	}
 	rev := m.visible(c.Endpoint)
@@ -303,6 +315,9 @@
 		if old, known := p.told[e.ID]; known && old == e && !u.Whole {
 			p.m.t.Fatalf("%s is told twice", e.ID)
 		}
+		if e.State == policy.Draining && p.drain == 0 {
+			p.drain = p.m.now
+		}
 		if p.when[e.ID] = p.m.now; e.State == policy.Gone {
 			if _, known := p.told[e.ID]; !known && !u.Whole {
 				p.m.t.Fatalf("%s goes, which was not there", e.ID)
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -6,7 +6,7 @@
 // order of the registry's revisions, and each watch is followed by the next at once.
 //
 // The departures: a call that fails is made again at another endpoint after a wait with jitter, which grows with the
-// failures and with the number of nodes (again); a watch that says nothing when its wait is over is no failure yet, but
+// failures and with the number of nodes, and ends while there is time to be told before a change counts (pause); a watch that says nothing when its wait is over is no failure yet, but
 // what it missed may count as told soon: the list is looked at anew at once (look); a revision that is forgotten ends in
 // one whole reread, of which nothing counts before its last page (forgotten, list); an answer older than the list held is never applied, until all endpoints
 // have told of nothing newer for a stated time (behind); servers that vanish in a mass without having drained are kept for
@@ -17,6 +17,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -38,6 +39,16 @@
 	glance     = time.Millisecond       // the wait of a call that is to answer at once
 )
 
+// What a registry has to tell counts as told 6 s after it had it and could be reached, whatever failed before.
+const (
+	counted  = 6 * time.Second        // until then
+	callRoom = time.Second            // of it, for the call that tells, answer and pages included
+	tries    = 3                      // endpoints asked in that time, at most, until one of the majority that is there
+	slowCall = 3 * time.Second        // the limit of calls to a registry that is slow, if there is time
+	soonest  = 250 * time.Millisecond // the wait behind a call that has hung until its limit
+	unsynced = 0.2                    // the least part of a wait that is drawn, in fleets that need all the time there is
+)
+
 // New starts a follower with the list that the node had before, which may be none. Nothing is asked before Start.
 func New(now time.Duration, cfg Config, seed uint64, act Actions) *Follower {
 	f := blank(now, cfg, seed, act)
@@ -55,7 +66,7 @@
 		}
 	}
 	clear(f.touched)
-	f.rev, f.known, f.whole, f.looking = rev, true, false, f.cfg.Quick
+	f.rev, f.known, f.whole, f.looking, f.missed = rev, true, false, f.cfg.Quick, f.cfg.Quick
 }
 
 // Start makes the first call: at once, or, with a list in hand, within the time in which so many nodes may call.
@@ -76,7 +87,8 @@
 	f.at = f.rng.IntN(f.cfg.Endpoints)
 	f.drop()
 	// Guards against a first read of the new registry that fails: what that tells counts 4 s after the move.
-	f.whole, f.anew, f.looking, f.fails, f.older = true, true, true, 0, 0
+	f.whole, f.anew, f.looking, f.missed, f.fails, f.older = true, true, true, true, 0, 0
+	f.silent = false
 	f.ask()
 	f.wake()
 }
@@ -104,10 +116,10 @@
 		}
 	}
 	f.call, f.asked, f.heard = c, f.now, false
-	switch f.by = f.now + f.cfg.Limit; {
+	switch f.by = f.now + f.limit(); {
 	case f.cfg.Stream:
 	case f.looking && f.fails == 0 && f.Counts.Answers > 0 && !c.Whole:
-		f.by = f.now + min(f.cfg.Limit, lookFor)
+		f.by = f.now + min(f.limit(), lookFor)
 	case f.waits():
 		f.by = f.now + c.Wait + overdue
 	default:
@@ -117,6 +129,38 @@
 	f.act.Ask(c)
 }
 
+// longest is the most that may pass from the beginning of a call that fails to that of the next, so that what the registry
+// has to tell is known before it counts: at the next call a single endpoint is there, if it is at all; of several, more
+// than half, or the registry has no change to tell.
+func (f *Follower) longest() time.Duration {
+	return f.cfg.longest()
+}
+
+func (c Config) longest() time.Duration {
+	return (counted - callRoom) / time.Duration(min(tries, (c.Endpoints+1)/2))
+}
+
+// MostNodes is the largest fleet that can know of each change before it counts with these settings: a call of each node
+// in the time there is stays under Calls. A larger one keeps to Calls, and takes longer. Lists that are pushed to an agent
+// beside each node (Pause) know no such bound: math.MaxInt.
+func MostNodes(cfg Config) int {
+	if cfg.Pause > 0 {
+		return math.MaxInt
+	}
+	cfg = cfg.whole()
+	return max(1, int(cfg.Calls*(1-unsynced/2)*cfg.longest().Seconds()+1e-6)) // lest 150 comes out as 149
+}
+
+// limit is how long the next call may take besides its wait. Guards against a registry whose answers take longer than
+// Limit: none would ever come. What a node without a list waits longer for is not asked twice.
+func (f *Follower) limit() time.Duration {
+	limit := f.cfg.Limit
+	if f.silent && f.cfg.Pause == 0 || !f.known {
+		limit = max(limit, slowCall)
+	}
+	return min(limit, f.longest()-soonest)
+}
+
 // waits reports whether the call that is out is a watch that may wait for its one answer.
 func (f *Follower) waits() bool {
 	return f.call.ID != 0 && !f.call.Whole && !f.cfg.Stream && f.call.Wait > glance
@@ -135,7 +179,7 @@
 	}
 	f.drop()
 	f.turn()
-	f.looking = true
+	f.looking, f.missed = true, true
 	f.ask()
 }
 
@@ -157,8 +201,7 @@
 	f.wake()
 }
 
-// again plans the next call after one that failed. The wait is at least what keeps the calls of all nodes under their
-// bound, doubles with each round of failures over the endpoints, and stays well inside Within.
+// again plans the next call after one that failed: see pause.
 func (f *Follower) again(why string) {
 	f.Counts.Failed++
 	f.aside()
@@ -169,59 +212,83 @@
 	}
 }
 
-// aside turns away from the endpoint in use, and has the next call wait.
+// aside turns away from the endpoint in use, and has the next call wait. That one tells what there is at once, if it can:
+// guards against a watch begun in an outage, which hangs for all of its wait when the registry is back.
 func (f *Follower) aside() {
+	since := f.asked
+	if f.waits() || f.heard {
+		since = f.now // until now it would have told
+	}
 	f.drop()
 	f.turn()
 	f.fails++
-	f.retry = f.now + f.pause()
+	f.looking = true
+	f.retry = f.now + f.pause(since)
 }
 
-// turn turns from the endpoint in use to the one that has failed least, of those the one that failed longest ago.
+// turn turns from the endpoint in use to the one that has failed least, or in an outage to the one that failed longest
+// ago. Guards against two that fail in turn, while others have come back that have failed more often.
 func (f *Follower) turn() {
 	e := &f.ends[f.at]
 	e.fails++
 	e.last = f.now
+	first := f.fails == 0 && !f.looking
 	best := (f.at + 1) % len(f.ends)
 	for i := 2; i < len(f.ends); i++ {
 		j := (f.at + i) % len(f.ends)
-		if x, y := f.ends[j], f.ends[best]; x.fails < y.fails || x.fails == y.fails && x.last < y.last {
+		x, y := f.ends[j], f.ends[best]
+		if first && x.fails < y.fails || (!first || x.fails == y.fails) && x.last < y.last {
 			best = j
 		}
 	}
 	f.at = best
 }
 
-// pause is how long to wait after a failure.
-func (f *Follower) pause() time.Duration {
+// pause is how long to wait after a failure, of a call that would have told what there was until since. The waits grow
+// with each round of failures over the endpoints, from Within/16 to Within/4, and with the fleet, so that all nodes together
+// keep to Calls; but the next call begins longest after since, unless Calls is too low for that (MostNodes).
+func (f *Follower) pause(since time.Duration) time.Duration {
+	draw := func(least, most time.Duration) time.Duration {
+		return least + time.Duration(f.rng.Float64()*float64(max(0, most-least)))
+	}
 	if f.cfg.Pause > 0 {
 		// Guards against a drain that comes while no watch is open: what a pushed list says counts as told all the same.
-		return time.Duration((1 - jitter*f.rng.Float64()) * float64(f.cfg.Pause))
+		return draw(half(f.cfg.Pause), f.cfg.Pause)
 	}
-	if f.looking && f.fails == 1 {
-		wait := min(lookAgain, f.cfg.Within/16) // looks are spread already, as the waits before them were
+	crowd, first, took := f.crowd(), f.cfg.Within/16, f.now-since // the time that the call itself took is part of the wait
+	room := max(f.longest(), time.Duration(float64(crowd)/(1-unsynced/2)))
+	if f.missed && f.fails == 1 {
+		wait := min(lookAgain, first) // looks are spread already, as the waits before them were
+		least := half(wait)
 		if f.whole {
-			wait = max(wait, f.crowd()) // but all nodes move at once
+			wait = max(wait, min(crowd, room-took)) // but all nodes move at once
 		}
-		return time.Duration((1 - jitter*f.rng.Float64()) * float64(wait))
-	}
-	least := time.Duration(float64(f.crowd()) / jitter) // what fails for all at once is made again over that part of a wait
-	most := max(f.cfg.Within/4, least)
-	wait := max(f.cfg.Within/16, least)
-	for range (f.fails - 1) / len(f.ends) {
-		if wait *= 2; wait >= most {
-			wait = most
+		return draw(least, wait)
+	}
+	wait := first
+	for range max(0, f.fails-1) / len(f.ends) {
+		if wait *= 2; wait >= f.cfg.Within/4 {
+			wait = f.cfg.Within / 4
 			break
 		}
 	}
-	wait = min(wait, most)
-	if f.looking && f.fails == 2 {
+	most := min(max(wait, 2*crowd), room)
+	least := max(half(most), 2*crowd-most) // in the mean a call of each node in crowd, which all may make
+	if f.fails == 1 {                      // what fails for all at once is made again over all of that time
+		least = half(min(wait, most))
+	}
+	if f.missed && f.fails == 2 {
 		// Guards against a new process of a large fleet whose first call falls silent and whose second is turned away.
-		wait = min(wait, 4*lookAgain)
+		most = min(most, 4*lookAgain)
+		least = min(least, half(most))
 	}
-	return time.Duration((1 - jitter*f.rng.Float64()) * float64(wait))
+	brief := min(first, soonest)
+	return max(draw(least, most)-took, draw(half(brief), brief))
 }
 
+// half is the least of a wait that is drawn.
+func half(wait time.Duration) time.Duration { return time.Duration((1 - jitter) * float64(wait)) }
+
 // Answer takes something that the registry has said.
 func (f *Follower) Answer(now time.Duration, a Answer) {
 	f.now = now
@@ -244,7 +311,7 @@
 	if f.fails > 1 {
 		f.act.Note("list_back", fmt.Sprintf("failed=%d", f.fails))
 	}
-	f.fails, f.heard, f.looking = 0, true, false
+	f.fails, f.heard, f.looking, f.missed, f.silent = 0, true, false, false, false
 	f.ends[f.at] = endpoint{}
 	empty := a.Kind != List && len(a.Changes) == 0
 	switch {
@@ -272,7 +339,7 @@
 		// Guards against a registry that answers each watch at once with nothing: it would be asked without end.
 		f.call = Call{}
 		if f.idle++; f.idle > mostIdle {
-			f.retry = f.now + f.pause()
+			f.retry = f.now + f.pause(f.now)
 			break
 		}
 		f.ask()
@@ -296,7 +363,7 @@
 		return
 	}
 	f.fails++
-	f.retry = f.now + f.pause()
+	f.retry = f.now + f.pause(f.now)
 }
 
 // behind reports whether an answer is older than the list held, or of another registry, and must not count: what it
@@ -529,6 +596,7 @@
 	case f.waits() && now >= f.by:
 		f.look()
 	case f.call.ID != 0 && now >= f.by:
+		f.silent = true
 		f.again("no answer")
 	case f.call.ID == 0 && f.retry > 0 && now >= f.retry:
 		f.ask()
--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -23,7 +23,9 @@
 	asked   time.Duration // when it was made
 	heard   bool          // it has said something
 	by      time.Duration // when it has failed, or a stream is asked anew
-	looking bool          // a watch has fallen silent, and nothing was answered since
+	looking bool          // a watch has fallen silent or a call failed, and nothing was answered since: what is new is wanted first
+	missed  bool          // a watch has fallen silent, or the registry moved, and nothing was answered since
+	silent  bool          // a call has hung until its limit, and nothing was answered since
 	idle    int           // watches in a row that came back early with nothing
 	retry   time.Duration // when the next is made; 0: not planned
 	fails   int           // calls that failed since the last answer
