--- a/decide/roster/model_test.go
+++ b/decide/roster/model_test.go
@@ -74,6 +74,7 @@
 	asked time.Duration            // when the call that is out was made
 	hush  uint64                   // a call that nothing more comes of, without a word
 	lost  uint64                   // a call that fails, in its own time: no change is told to it
+	first time.Duration            // when a list was first told; 0: none was
 	drain time.Duration            // when a server was first told to drain; 0: none was
 }
 
@@ -195,6 +196,7 @@
 // take is a call that the registry takes up.
 func (m *model) take(p *peer, c Call) {
 	end := c.Endpoint
+	p.lost = 0
 	switch {
 	case m.mute[end]:
 		return
@@ -307,7 +309,9 @@
 
 // Apply implements Actions: what the node is told must make sense.
 func (p *peer) Apply(u Update) {
-	p.ups++
+	if p.ups++; p.first == 0 {
+		p.first = p.m.now
+	}
 	if u.Whole {
 		clear(p.told)
 	}
--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -88,7 +88,7 @@
 	f.drop()
 	// Guards against a first read of the new registry that fails: what that tells counts 4 s after the move.
 	f.whole, f.anew, f.looking, f.missed, f.fails, f.older = true, true, true, true, 0, 0
-	f.silent = false
+	f.slow = false
 	f.ask()
 	f.wake()
 }
@@ -152,10 +152,10 @@
 }
 
 // limit is how long the next call may take besides its wait. Guards against a registry whose answers take longer than
-// Limit: none would ever come. What a node without a list waits longer for is not asked twice.
+// Limit, of which none would ever come, and one that works through calls given up before it comes to those that are not.
 func (f *Follower) limit() time.Duration {
 	limit := f.cfg.Limit
-	if f.silent && f.cfg.Pause == 0 || !f.known {
+	if f.slow && f.cfg.Pause == 0 || !f.known {
 		limit = max(limit, slowCall)
 	}
 	return min(limit, f.longest()-soonest)
@@ -196,6 +196,7 @@
 func (f *Follower) Failed(now time.Duration, call uint64, why string) {
 	f.now = now
 	if call == f.call.ID && call != 0 {
+		f.slow = f.now-f.asked > f.cfg.Limit/2 && !f.waits() && !f.heard
 		f.again(why)
 	}
 	f.wake()
@@ -274,8 +275,11 @@
 	}
 	most := min(max(wait, 2*crowd), room)
 	least := max(half(most), 2*crowd-most) // in the mean a call of each node in crowd, which all may make
-	if f.fails == 1 {                      // what fails for all at once is made again over all of that time
+	switch {
+	case f.fails == 1: // what fails for all at once is made again over all of that time
 		least = half(min(wait, most))
+	case f.slow: // a registry that works through calls long given up is asked as seldom as may be
+		least = max(least, time.Duration((1-unsynced)*float64(most)))
 	}
 	if f.missed && f.fails == 2 {
 		// Guards against a new process of a large fleet whose first call falls silent and whose second is turned away.
@@ -283,7 +287,7 @@
 		least = min(least, half(most))
 	}
 	brief := min(first, soonest)
-	return max(draw(least, most)-took, draw(half(brief), brief))
+	return draw(max(least-took, half(brief)), max(most-took, brief))
 }
 
 // half is the least of a wait that is drawn.
@@ -308,10 +312,14 @@
 	if f.behind(a) {
 		return
 	}
+	if !f.waits() && !f.heard { // an answer that was due at once
+		f.slow = f.now-f.asked > f.cfg.Limit/2
+	}
 	if f.fails > 1 {
 		f.act.Note("list_back", fmt.Sprintf("failed=%d", f.fails))
 	}
-	f.fails, f.heard, f.looking, f.missed, f.silent = 0, true, false, false, false
+	late := f.fails > 0 && !f.known
+	f.fails, f.heard, f.looking, f.missed = 0, true, false, false
 	f.ends[f.at] = endpoint{}
 	empty := a.Kind != List && len(a.Changes) == 0
 	switch {
@@ -343,6 +351,11 @@
 			break
 		}
 		f.ask()
+	case late && f.known && f.cfg.Pause == 0:
+		// Guards against a registry that turns callers away, and new nodes that have a list but not yet a watch among them:
+		// others have none.
+		f.idle, f.call = 0, Call{}
+		f.retry = f.now + time.Duration(f.rng.Float64()*float64(min(f.crowd(), f.longest())))
 	default:
 		f.idle, f.call = 0, Call{}
 		f.ask() // at once: the watch goes on only if the next call comes soon
@@ -596,7 +609,7 @@
 	case f.waits() && now >= f.by:
 		f.look()
 	case f.call.ID != 0 && now >= f.by:
-		f.silent = true
+		f.slow = true
 		f.again("no answer")
 	case f.call.ID == 0 && f.retry > 0 && now >= f.retry:
 		f.ask()
--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -25,7 +25,7 @@
 	by      time.Duration // when it has failed, or a stream is asked anew
 	looking bool          // a watch has fallen silent or a call failed, and nothing was answered since: what is new is wanted first
 	missed  bool          // a watch has fallen silent, or the registry moved, and nothing was answered since
-	silent  bool          // a call has hung until its limit, and nothing was answered since
+	slow    bool          // the last call that was to be answered at once has hung until its limit, or took half of it
 	idle    int           // watches in a row that came back early with nothing
 	retry   time.Duration // when the next is made; 0: not planned
 	fails   int           // calls that failed since the last answer
