A look at Consul is answered at once; sockets show that a look follows each failed call

A look asks for what there is at once. To Consul it went out as wait=0ms, which is taken there for no wait told, that is 5 minutes (its documentation of blocking queries), so that it would have hung until its limit. Without an index the read does not block. TestRequests has the case and fails without it.

TestAfterAFailureWhatThereIsIsAskedFor, on loopback sockets: a call turned away, reset, reset in a body, closed in a head, nonsense, in no protocol or of a revision that cannot be is followed by looks, also where the first of them hangs, and by a watch once one is answered. With the look behind a failure taken out all seven fail.

--- a/internal/registry/protocol.go
+++ b/internal/registry/protocol.go
@@ -263,14 +263,19 @@
 	token  string
 }
 
-// mostBlock is the longest that a blocking read may wait there.
-const mostBlock = 10 * time.Minute
+// mostBlock is the longest that a blocking read may wait there, leastBlock the shortest that is worth a blocking one.
+const (
+	mostBlock  = 10 * time.Minute
+	leastBlock = 10 * time.Millisecond
+)
 
 func (consul) streams(roster.Call) bool { return false }
 
 func (p consul) request(c roster.Call) (method, target string, headers []httpc.Header, body []byte) {
 	target = "/v1/kv/" + (&url.URL{Path: p.prefix}).EscapedPath() + "?recurse=true"
-	if !c.Whole {
+	// Guards against a look, which is to be answered at once, that blocks: a wait of 0 ms is taken for none there, which is
+	// 5 minutes. Without an index a read is answered at once.
+	if !c.Whole && c.Wait >= leastBlock {
 		// Consul adds up to a sixteenth to the wait told, and an index below 1 would not block (its documentation, "Blocking
 		// Queries"). An answer that comes after the follower's own wait would be taken for a silent watch.
 		wait := min(c.Wait, mostBlock) * 16 / 17
--- a/internal/registry/protocol_test.go
+++ b/internal/registry/protocol_test.go
@@ -99,6 +99,8 @@
 		{ask(consul{"p q/", "tok"}, roster.Call{Whole: true}), "GET /v1/kv/p%20q/?recurse=true [{X-Consul-Token tok}] "},
 		{ask(consul{"p/", ""}, roster.Call{Revision: 7, Wait: 5 * time.Second}), "GET /v1/kv/p/?recurse=true&index=7&wait=4705ms [] "},
 		{ask(consul{"p/", ""}, roster.Call{Revision: 0, Wait: time.Hour}), "GET /v1/kv/p/?recurse=true&index=1&wait=564705ms [] "},
+		{ask(consul{"p/", ""}, roster.Call{Revision: 7, Wait: time.Millisecond}), "GET /v1/kv/p/?recurse=true [] "},
+		{ask(discovery{}, roster.Call{Revision: 7, Wait: time.Millisecond}), "GET /discovery/hosts?since=7&timeout_ms=1 [] "},
 		{ask(discovery{}, roster.Call{Whole: true}), "GET /discovery/hosts [] "},
 		{ask(discovery{}, roster.Call{Revision: 41, Wait: 5 * time.Second}), "GET /discovery/hosts?since=41&timeout_ms=5000 [] "},
 	} {
--- a/internal/registry/watch_test.go
+++ b/internal/registry/watch_test.go
@@ -122,6 +122,55 @@
 	}
 }
 
+// However a call fails, the next ones tell at once what there is, also where the first of them hangs: guards against a watch
+// begun in an outage, which would be held for all of its wait (here 100 s) once the registry is back.
+func TestAfterAFailureWhatThereIsIsAskedFor(t *testing.T) {
+	whole := told(8, "DRAINING")
+	for name, fails := range map[string]struct {
+		text string
+		ends bool
+	}{
+		"turned away":               {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", false},
+		"reset":                     {"", true},
+		"reset in a body":           {whole[:len(whole)-40], true},
+		"closed after half a head":  {whole[:12], true},
+		"an answer of nonsense":     {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n[]", false},
+		"an answer in no protocol":  {"nothing of the kind\r\n\r\n", false},
+		"a revision that cannot be": {strings.Replace(nothing, `"revision":7`, `"revision":-`, 1), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := serveScript(t, func(n int, _ string) (string, bool) {
+				switch n {
+				case 1: // the first call of a process, for what is newer than its list
+					return nothing, false
+				case 2: // its watch
+					return fails.text, fails.ends
+				case 3: // hangs
+					return "", false
+				case 4:
+					return whole, false
+				}
+				return "", false
+			})
+			cfg := Config{Kind: Discovery, Endpoints: []netip.AddrPort{netip.MustParseAddrPort(s.ln.Addr().String())}, MostBody: 1 << 20,
+				Roster: roster.Config{Nodes: 1, Within: time.Second, Watch: 100 * time.Second, Limit: 300 * ms, Quick: true}}
+			r := run(t, cfg, 7, []roster.Entry{{Server: policy.Server{ID: "s-1", Weight: 1}, Addr: "10.0.0.1:1"}})
+			eventually(t, "the drain is known", func() bool {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return r.told["s-1"].State == policy.Draining
+			})
+			eventually(t, "the next watch is out", func() bool { return len(s.asked()) >= 5 })
+			for i, target := range s.asked() {
+				if look := strings.HasSuffix(target, "timeout_ms=1"); look != (i != 1 && i != 4) {
+					t.Errorf("call %d: %s", i+1, target)
+				}
+			}
+		})
+	}
+}
+
 // An answer to a call already given up is nobody's, nor one that is older than the list held: what it would bring back may
 // have drained since.
 func TestLateAndOldAnswersDoNotCount(t *testing.T) {
