check and the start warn of a fleet too large for registry.calls_per_s, by file and key

Where the calls a second cannot let all nodes know of a change in the 6 s until it counts, no wait can mend it (decide/roster MostNodes). lapisshelf check now says so in one line: FILE:LINE: registry.calls_per_s against service.balancers with the rate that it takes; without a [registry] table it names service.balancers, for a platform's configuration settings: Balancers. It is a warning and the status stays: a fleet that existed before must still start. The start logs the same line as event=list_too_slow.

--- a/cmd/lapisshelf/main.go
+++ b/cmd/lapisshelf/main.go
@@ -15,6 +15,7 @@
 
 	"lapisshelf/internal/node"
 	"lapisshelf/internal/operator"
+	"lapisshelf/internal/registry"
 )
 
 // Statuses of the program's end.
@@ -92,11 +93,15 @@
 func check(c *cobra.Command, paths []string) error {
 	bad := 0
 	for _, path := range paths {
-		if err := checkFile(path); err != nil {
+		warning, err := checkFile(path)
+		if err != nil {
 			fmt.Fprintln(os.Stderr, "lapisshelf:", err)
 			bad++
 			continue
 		}
+		if warning != nil {
+			fmt.Fprintln(os.Stderr, "lapisshelf: warning:", warning)
+		}
 		fmt.Fprintf(c.OutOrStdout(), "%s: good\n", path)
 	}
 	if bad > 0 {
@@ -105,19 +110,37 @@
 	return nil
 }
 
-func checkFile(path string) error {
+// checkFile gives what makes a file a bad one, else what there is to warn of.
+func checkFile(path string) (warning, err error) {
 	if strings.HasSuffix(path, ".toml") {
-		_, err := operator.Read(path)
-		return err
+		op, err := operator.Read(path)
+		if err != nil || op.Service == nil {
+			return nil, err
+		}
+		return op.TooMany(op.Service.Balancers), nil
 	}
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	if _, err = node.ParseConfig(text, func(string) string { return "" }, nil); err != nil {
-		return fmt.Errorf("%s: %w", path, err)
+	cfg, err := node.ParseConfig(text, func(string) string { return "" }, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	return nil
+	return tooMany(&cfg, path, nil), nil
+}
+
+// tooMany warns of a fleet that its list's calls a second let know of a change too late, in one line with file and key: the
+// operator's file, which may be nil, where the list or the fleet's size is told there.
+func tooMany(cfg *node.Config, path string, op *operator.File) error {
+	why := cfg.TooMany()
+	switch {
+	case why == "":
+		return nil
+	case op != nil && (op.List != nil && cfg.Registry.Kind != registry.Discovery || op.Service != nil && op.Service.Balancers == cfg.Settings.Balancers):
+		return op.TooMany(cfg.Settings.Balancers)
+	}
+	return fmt.Errorf("%s: settings: Balancers: %s", path, why)
 }
 
 // version prints what the build knows of itself.
--- a/cmd/lapisshelf/node_test.go
+++ b/cmd/lapisshelf/node_test.go
@@ -983,6 +983,22 @@
 	cl.want("VA 1 O2", "v")
 }
 
+// A fleet larger than its calls a second let know of changes in time starts all the same, and says so in one line.
+func TestAFleetTooLargeForItsCallsStarts(t *testing.T) {
+	c := startCache(t, holding("v"))
+	d := startDiscovery(t, serving("s-1", c.Addr(), "m2"))
+	addr, path := refusing(t), filepath.Join(t.TempDir(), "x.toml")
+	text := fmt.Sprintf("[node]\nlisten = %q\ndiscovery = %q\n[service]\nbalancers = 1900\n[[class]]\nname = \"read\"\naim = \"600ms\"\ndeadline = \"3s\"\n", addr, d.Addr(0))
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n := launch(t, "{}", addr, nil, "serve", "--config", path)
+	eventually(t, "the node answers mn with MN", func() bool { return load.Ready(addr) })
+	eventually(t, "the log says so", func() bool {
+		return strings.Count(n.log(), "event=list_too_slow why=\""+path+":5: service.balancers: 100 calls a second let 450 nodes ") == 1
+	})
+}
+
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: func(e *testscript.Env) error {
 		e.Setenv("PATH", filepath.Dir(binary)+":"+e.Getenv("PATH"))
--- a/cmd/lapisshelf/serve.go
+++ b/cmd/lapisshelf/serve.go
@@ -68,7 +68,13 @@
 			return node.Config{}, err
 		}
 	}
-	return node.ReadConfig(os.Getenv, op)
+	cfg, err := node.ReadConfig(os.Getenv, op)
+	if err == nil {
+		if warning := tooMany(&cfg, os.Getenv("EDGE_CONFIG"), op); warning != nil {
+			log.Printf("event=list_too_slow why=%q", warning)
+		}
+	}
+	return cfg, err
 }
 
 // limitMemory has the collector work harder well before the limit at which the program is killed.
--- a/decide/roster/api.go
+++ b/decide/roster/api.go
@@ -12,6 +12,9 @@
 	"lapisshelf/policy"
 )
 
+// DefaultCalls is how many calls a second all nodes together may make while calls fail, where that is not told.
+const DefaultCalls = 100.0
+
 // Config is what a follower is told at its start, and again when the registry's address changes.
 type Config struct {
 	Endpoints int // of one registry, at least 1
@@ -20,7 +23,7 @@
 	// calls grow from a sixteenth to a quarter of it, but never beyond what lets a change be known 6 s after the registry
 	// had it and could be reached. 0 takes 20 s.
 	Within time.Duration
-	// Calls is how many calls a second all nodes together may make while calls fail. 0 takes 100. It goes before the 6 s:
+	// Calls is how many calls a second all nodes together may make while calls fail. 0 takes DefaultCalls. It goes before the 6 s:
 	// MostNodes tells the largest fleet for which both hold.
 	Calls float64
 	// Stream: a watch says at once that it stands, then each change as it comes, for as long as it lasts; else it is one
--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -95,7 +95,7 @@
 func (c Config) whole() Config {
 	c.Endpoints, c.Nodes = max(1, c.Endpoints), max(1, c.Nodes)
 	c.Within = cmp.Or(c.Within, 20*time.Second)
-	c.Calls = cmp.Or(c.Calls, 100)
+	c.Calls = cmp.Or(c.Calls, DefaultCalls)
 	c.Watch = cmp.Or(c.Watch, 5*time.Second)
 	c.Limit = cmp.Or(c.Limit, 1500*time.Millisecond)
 	c.Part = cmp.Or(c.Part, 0.5)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lapisshelf/decide/roster"
+	"lapisshelf/internal/operator"
 	"lapisshelf/internal/registry"
 	"lapisshelf/policy"
 )
@@ -26,27 +27,34 @@
 )
 
 // followed is the registry's configuration with what follows from the node's own.
-func (n *Node) followed() registry.Config {
-	c := n.cfg.Registry
+func (cfg *Config) followed() registry.Config {
+	c := cfg.Registry
 	r := &c.Roster
-	r.Nodes, r.Within = n.cfg.Settings.Balancers, n.cfg.Settings.AskWithin
+	r.Nodes, r.Within = cfg.Settings.Balancers, cfg.Settings.AskWithin
 	r.Limit, r.Quick = callFor, true
-	if !n.cfg.Settings.MustAsk {
-		r.Pause = cmp.Or(n.cfg.Transport.DrainGrace, usualGrace) / gracePart
+	if !cfg.Settings.MustAsk {
+		r.Pause = cmp.Or(cfg.Transport.DrainGrace, usualGrace) / gracePart
 	}
 	if r.Watch == 0 {
-		r.Watch = min(mostWatch, max(watchFor, callGap*time.Duration(n.cfg.Settings.Balancers)))
+		r.Watch = min(mostWatch, max(watchFor, callGap*time.Duration(cfg.Settings.Balancers)))
 	}
 	if r.Most == 0 {
-		r.Most = n.cfg.MemoryMB * entriesPer
+		r.Most = cfg.MemoryMB * entriesPer
 	}
-	c.MostBody = min(mostList, n.cfg.MemoryMB<<20/heldPart)
+	c.MostBody = min(mostList, cfg.MemoryMB<<20/heldPart)
 	return c
 }
 
+// TooMany says that the fleet is larger than the calls a second let know of a change before it counts; empty: it is not.
+func (cfg *Config) TooMany() string {
+	c := cfg.followed()
+	c.Roster.Endpoints = len(c.Endpoints)
+	return operator.TooMany(c.Roster, "Balancers", cfg.Settings.Balancers)
+}
+
 // follow begins to follow the list, from the one known before.
 func (n *Node) follow() {
-	n.registry = registry.New(n.loop, n.followed(), n.cfg.Seed, n.told, n.listNote)
+	n.registry = registry.New(n.loop, n.cfg.followed(), n.cfg.Seed, n.told, n.listNote)
 	n.registry.Heard = n.nowReady
 	n.registry.Start(n.cfg.Known.Revision, n.cfg.Known.Entries)
 	n.loop.After(readyWithin, n.nowReady)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -464,7 +464,7 @@
 	}
 	if !cfg.Registry.Same(&n.cfg.Registry) {
 		n.cfg.Registry = cfg.Registry
-		n.registry.Move(n.followed())
+		n.registry.Move(n.cfg.followed())
 	}
 	return true
 }
--- a/internal/operator/registry.go
+++ b/internal/operator/registry.go
@@ -1,10 +1,13 @@
 package operator
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/hex"
+	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -161,6 +164,30 @@
 	return c, nil
 }
 
+// TooMany says in one line, naming file and key, that a fleet of so many balancers is larger than the calls a second let know
+// of a change before it counts; nil if it is not. That is no fault of the file: such a fleet starts, and is told later.
+func (f *File) TooMany(balancers int) error {
+	c, key := roster.Config{}, tomlfile.At("service", "balancers") // discovery has no key of its own for it
+	if f.List != nil {
+		c.Calls, c.Endpoints, key = f.List.CallsPerS, len(f.List.Endpoints), tomlfile.At("registry", "calls_per_s")
+	}
+	if why := TooMany(c, "service.balancers", balancers); why != "" {
+		return f.file.Errorf(key, "%s", why)
+	}
+	return nil
+}
+
+// TooMany is what there is to say of a fleet of so many balancers, as a key tells, that follow a list so; empty: nothing.
+func TooMany(c roster.Config, key string, balancers int) string {
+	most := roster.MostNodes(c)
+	if balancers <= most {
+		return ""
+	}
+	calls := cmp.Or(c.Calls, roster.DefaultCalls)
+	return fmt.Sprintf("%g calls a second let %d nodes know of a change in the 6s until it counts, %s is %d, for which it takes %.0f",
+		calls, most, key, balancers, math.Ceil(calls*float64(balancers)/float64(most)))
+}
+
 // secret reads a file that a key names, beside the operator's file unless its path is whole; no name gives nothing.
 func (f *File) secret(path string, at ...any) ([]byte, error) {
 	if path == "" {
