--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -25,7 +25,7 @@
 	by      time.Duration // when it has failed, or a stream is asked anew
 	looking bool          // a watch has fallen silent or a call failed, and nothing was answered since: what is new is wanted first
 	missed  bool          // a watch has fallen silent, or the registry moved, and nothing was answered since
-	silent  bool          // a call has hung until its limit, and nothing was answered since
+	slow    bool          // the last call that was to be answered at once has hung until its limit, or took half of it
 	idle    int           // watches in a row that came back early with nothing
 	retry   time.Duration // when the next is made; 0: not planned
 	fails   int           // calls that failed since the last answer
@@ -95,7 +95,7 @@
 func (c Config) whole() Config {
 	c.Endpoints, c.Nodes = max(1, c.Endpoints), max(1, c.Nodes)
 	c.Within = cmp.Or(c.Within, 20*time.Second)
-	c.Calls = cmp.Or(c.Calls, 100)
+	c.Calls = cmp.Or(c.Calls, DefaultCalls)
 	c.Watch = cmp.Or(c.Watch, 5*time.Second)
 	c.Limit = cmp.Or(c.Limit, 1500*time.Millisecond)
 	c.Part = cmp.Or(c.Part, 0.5)
