--- a/decide/plan/change.go
+++ b/decide/plan/change.go
@@ -248,6 +248,9 @@
 // Revision is that of the state that is told now; 0 before the first Make.
 func (p *Planner) Revision() uint64 { return p.told.revision }
 
+// Cold reports whether grants are to be told: a server is cold and has a budget.
+func (p *Planner) Cold() bool { return len(p.cold) > 0 }
+
 // Change is what leads a forwarder that holds base to the present state, at this moment of the planner's clock; whole:
 // nothing can be counted from base, and all is told. It is the same for all that hold the same, but for the grants, which
 // are not in it. It takes O(servers whose factor ever changed). Only after a Make.
