--- a/decide/plan/gather.go
+++ b/decide/plan/gather.go
@@ -23,11 +23,13 @@
 	origin   Load
 	hot      map[uint32]int
 	tenants  map[string]int
+	past     map[string]*past // by server
+	pastAt   time.Duration    // when past was brought up to date
 }
 
 // NewGather begins to count for a forwarder that starts now.
 func NewGather(now time.Duration, name string) *Gather {
-	g := &Gather{name: name, start: int64(now), since: now}
+	g := &Gather{name: name, start: int64(now), since: now, past: map[string]*past{}, pastAt: now}
 	g.forget()
 	return g
 }
@@ -113,9 +115,7 @@
 	}
 	slices.SortFunc(d.Tenants, func(x, y Use) int { return strings.Compare(x.Tenant, y.Tenant) })
 	g.since = now
+	g.remember(now)
 	g.forget()
 	return d
 }
-
-// Brief gives a digest in brief: see brief.go.
-func (g *Gather) Brief(d *Digest) *Digest { return d }
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -230,24 +230,38 @@
 	part := within(all, p.middle-f.taken)
 	f.taken += all * part
 
-	// The rest is spread over the servers of which not all is told, by their parts.
+	// The rest is spread over the servers of which not all is told, by their parts; its bad answers over those of which
+	// nothing is.
 	open := p.parts
 	for i := range d.Servers {
 		if s := p.servers[d.Servers[i].ID]; s != nil {
-			s.exact = p.serial
+			s.named = p.serial
 			open -= s.part
 		}
 	}
 	var rest tallied
-	if open = max(open, leastPart*p.parts); open > 0 && d.Brief {
+	if d.Brief && p.parts > 0 {
+		open = max(open, leastPart*p.parts)
+		quiet := open
 		sum := d.Rest
 		for i := range d.Bad { // told by name; that they were answers stays in sum
 			sum.Timely += d.Bad[i].bad()
+			if s := p.servers[d.Bad[i].ID]; s != nil {
+				quiet -= s.part
+			}
+		}
+		bad := float64(d.Rest.bad()) * part / max(quiet, leastPart*p.parts)
+		cut := within(bad, p.middle/p.parts-f.restBad)
+		rest.add(&sum, part*cut/open)
+		rest.bad = bad * cut
+		f.restBad += rest.bad
+		for i := range d.Bad {
+			if s := p.servers[d.Bad[i].ID]; s != nil {
+				s.named = p.serial
+				s.skip.bad += rest.bad
+			}
 		}
-		bad := float64(d.Rest.bad()) * part / open
-		cut := part * within(bad, p.middle/p.parts-f.restBad)
-		rest.add(&sum, cut/open)
-		if f.restBad += rest.bad; rest.bad > 0 {
+		if rest.bad > 0 {
 			p.narrow(now, f, rest.bad)
 		}
 		p.rest.plus(&rest, 1)
@@ -294,7 +308,7 @@
 // narrow takes from servers what of a rest's bad answers would bring a forwarder over its share of them: it has named them.
 func (p *Planner) narrow(now time.Duration, f *forwarder, bad float64) {
 	for id, h := range f.named {
-		if s := p.servers[id]; s != nil && s.part > 0 && s.exact != p.serial {
+		if s := p.servers[id]; s != nil && s.part > 0 && s.named != p.serial {
 			if over := h.at(now, p.cfg.Memory) + s.part*f.restBad - p.share(s); over > 0 {
 				s.skip.bad += min(bad, over/s.part)
 			}
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -54,7 +54,7 @@
 	allow  float64 // sends a second that the fleet may make; 0: no limit
 	pooled tallied // all forwarders', fading
 	skip   tallied // of state.rest: what was told by those that named it
-	exact  uint64  // the digest that named it last, by state.serial
+	named  uint64  // the digest that named it last, by state.serial
 	word   string  // why
 }
 
--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -110,9 +110,10 @@
 // Planners are what nodes talk to, where there are any.
 type Planners struct {
 	Count int
-	Every Span // between digests and views
-	Valid Span // how long a view holds
-	Fade  Span // how long it fades after that
+	Every Span   // between digests and views
+	Valid Span   // how long a view holds
+	Fade  Span   // how long it fades after that
+	Talk  string // changes: brief digests and what changed of views; whole: both whole
 }
 
 // Fleet is the cache servers that have no group of their own.
@@ -311,7 +312,7 @@
 			AskWithin: ms(4000), WarmUp: ms(8000), ColdFrom: 0.2, FallMultiple: 3, FallWindow: ms(1500), Weights: "nominal",
 			OverWorth: 0.05, Hits: yes(), Reports: yes()},
 		Nodes:    Nodes{Count: 2, MemoryMB: 192, Sockets: 1024},
-		Planners: Planners{Every: ms(500), Valid: ms(3000), Fade: ms(10000)},
+		Planners: Planners{Every: ms(500), Valid: ms(3000), Fade: ms(10000), Talk: "changes"},
 		Fleet: Fleet{Group: Group{Kind: "std", Zone: "a", Weight: 1, Cores: 2, Speed: 1, Slots: 16, Room: 32, MemoryMB: 2,
 			ReportEvery: ms(100), ReportNoise: 0.05}, Tolerance: ms(50)},
 		Origin: Origin{Cores: 8, Slots: 64, Room: 64, Work: ms(10), Sigma: 0.4, WriteFactor: 1.5, FallMultiple: 2.5,
@@ -361,6 +362,8 @@
 		rule{x.Planners.Every.D() < 100*time.Millisecond || x.Planners.Every.D() > 10*time.Second, at("planners", "every"), "must be 100ms to 10s"},
 		rule{x.Planners.Valid.D() < 2*x.Planners.Every.D() || x.Planners.Valid.D() > 100*time.Second, at("planners", "valid"), "must be twice every to 100s"},
 		rule{x.Planners.Fade.D() < time.Second || x.Planners.Fade.D() > time.Hour, at("planners", "fade"), "must be 1s to 1h"},
+		rule{x.Planners.Talk != "changes" && x.Planners.Talk != "whole", at("planners", "talk"), fmt.Sprintf("%q is neither changes nor whole", x.Planners.Talk)},
+		rule{x.Planners.Talk == "whole" && !x.model, at("planners", "talk"), "lapislab model alone can choose it"},
 		rule{x.Planners.Count > 0 && n.Config != "", at("nodes", "config"), "the lab writes the operator's file itself where there are planners"},
 		rule{len(n.Listen) > 0 && len(n.Listen) != n.Count, at("nodes", "listen"), "wants an address for each node"},
 		rule{o.Cores < 1, at("origin", "cores"), "must be at least 1"},
--- a/lab/fleet/planners.go
+++ b/lab/fleet/planners.go
@@ -27,6 +27,8 @@
 	life    int
 	rev     int64
 	members map[string]world.Member
+	holds   map[*node]plan.Hold     // of those that take changes
+	sent    map[*node]time.Duration // when each was told last
 }
 
 // forwarder is a node's side of the planners.
@@ -35,6 +37,7 @@
 	follower *follow.Follower
 	trust    float64
 	followed string // which planner's view is in force
+	turns    uint64 // of the follower, when a view was put in force last
 }
 
 // startPlanners sets them up; without any nothing changes.
@@ -49,13 +52,14 @@
 // start begins a process that knows nothing.
 func (p *planner) start() {
 	x := p.sim.x
-	c := plan.Config{ID: p.id, Valid: x.Planners.Valid.D(), Mode: policy.Through, Weighted: x.Service.Weights != "off", ColdFrom: x.Service.ColdFrom,
+	p.life++
+	c := plan.Config{ID: p.id, History: uint64(p.life), Valid: x.Planners.Valid.D(), Mode: policy.Through, Weighted: x.Service.Weights != "off", ColdFrom: x.Service.ColdFrom,
 		WarmUp: x.Service.WarmUp.D(), FallMultiple: x.Service.FallMultiple, FallWindow: x.Service.FallWindow.D()}
 	if x.Service.Mode == "aside" {
 		c.Mode, c.OriginKind = policy.Aside, "origin"
 	}
 	p.plan, p.up, p.frozen, p.members = plan.New(c), true, false, map[string]world.Member{}
-	p.life++
+	p.holds, p.sent = map[*node]plan.Hold{}, map[*node]time.Duration{}
 	rev, members := p.sim.roster.Whole(p.sim.now)
 	p.rev = rev
 	p.take(members)
@@ -93,12 +97,33 @@
 		p.take(changes)
 	}
 	p.plan.Make(s.clock())
+	if s.x.Planners.Talk == "whole" {
+		for _, n := range s.nodes {
+			if !n.parted[p.id] {
+				v := p.plan.View(s.clock(), s.clock(), n.name())
+				s.hop(func() { n.view(v) })
+			}
+		}
+		return
+	}
+	changes := map[plan.Hold]plan.Change{} // made once for all that hold the same
 	for _, n := range s.nodes {
-		if n.parted[p.id] {
+		h, speaks := p.holds[n]
+		if n.parted[p.id] || !speaks {
 			continue
 		}
-		v := p.plan.View(s.clock(), s.clock(), n.name())
-		s.hop(func() { n.view(v) })
+		base := plan.Hold{History: h.History, Revision: h.Revision}
+		c, made := changes[base]
+		if !made {
+			c, _ = p.plan.Change(s.clock(), base)
+			changes[base] = c
+		}
+		if beat := min(time.Second, s.x.Planners.Valid.D()/3); c.Base == c.Revision && !p.plan.Cold() && p.sent[n] > 0 && s.now-p.sent[n] < beat {
+			continue // it holds all that there is to tell
+		}
+		p.sent[n] = s.now
+		c.Grants = p.plan.Grants(s.clock(), n.name())
+		s.hop(func() { n.change(c) })
 	}
 }
 
@@ -121,13 +146,20 @@
 			return
 		}
 		if !n.frozen {
-			d := n.forwarder.gather.Digest(n.clock())
+			d, changes := n.forwarder.gather.Digest(n.clock()), s.x.Planners.Talk != "whole"
+			if changes {
+				d = n.forwarder.gather.Brief(d)
+			}
 			for _, p := range s.planners {
 				if !n.parted[p.id] {
-					to := p.life
+					to, hold := p.life, n.forwarder.follower.Hold(p.id)
 					s.hop(func() {
-						if p.runs(to) {
-							p.plan.Digest(s.clock(), *d)
+						if !p.runs(to) {
+							return
+						}
+						p.plan.Digest(s.clock(), *d)
+						if changes {
+							p.holds[n] = hold
 						}
 					})
 				}
@@ -151,30 +183,50 @@
 	s.after(fadeStep, fade)
 }
 
-// view has a view judged, and puts it in force.
-func (n *node) view(v plan.View) {
-	f := n.forwarder
-	if f == nil || !n.up || n.frozen {
-		return
-	}
-	var ready []follow.Server
+// ready are the servers that serve by the node's list.
+func (n *node) ready() (list []follow.Server) {
 	for _, id := range slices.Sorted(maps.Keys(n.members)) {
 		if m := n.members[id]; m.Phase == world.Serving && m.Kind != "origin" {
-			ready = append(ready, follow.Server{ID: id, Weight: m.Weight})
+			list = append(list, follow.Server{ID: id, Weight: m.Weight})
 		}
 	}
-	if why, err := f.follower.Take(n.clock(), v, ready); why != follow.Taken {
+	return list
+}
+
+// view has a view judged, and puts it in force.
+func (n *node) view(v plan.View) {
+	if f := n.forwarder; f != nil && n.up && !n.frozen {
+		why, err := f.follower.Take(n.clock(), v, n.ready())
+		n.judged(v.Planner, why, err)
+	}
+}
+
+// change has a change judged, and puts what it leads to in force.
+func (n *node) change(c plan.Change) {
+	if f := n.forwarder; f != nil && n.up && !n.frozen {
+		why, err := f.follower.TakeChange(n.clock(), c, n.ready())
+		n.judged(c.Planner, why, err)
+	}
+}
+
+func (n *node) judged(planner string, why follow.Reason, err error) {
+	f := n.forwarder
+	if why != follow.Taken {
 		if why == follow.Absurd {
 			n.sim.logs = append(n.sim.logs, fmt.Sprintf("%v node %d: view refused: %v", n.sim.now, n.number+1, err))
 		}
 		return
 	}
-	if f.followed != v.Planner {
-		f.followed = v.Planner
-		n.sim.logs = append(n.sim.logs, fmt.Sprintf("%v node %d: follows %s", n.sim.now, n.number+1, v.Planner))
+	if f.followed != planner {
+		f.followed = planner
+		n.sim.logs = append(n.sim.logs, fmt.Sprintf("%v node %d: follows %s", n.sim.now, n.number+1, planner))
+	}
+	if f.trust == 1 && f.turns == f.follower.Turns() {
+		return // it is in force
 	}
-	f.trust = 1
-	n.policy.View(n.clock(), v.View)
+	f.trust, f.turns = 1, f.follower.Turns()
+	v, _ := f.follower.Now(n.clock())
+	n.policy.View(n.clock(), v)
 	n.settle()
 }
 
