--- /dev/null
+++ b/decide/plan/bench_test.go
@@ -0,0 +1,128 @@
+package plan
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+// A node's digest as Gather makes it in the calm: so many requests over the servers, one in a hundred answered late.
+func calm(rng *rand.Rand, g *Gather, servers, requests int) {
+	for range requests {
+		took, timely := 3*time.Millisecond, rng.IntN(100) > 0
+		if !timely {
+			took = 300 * time.Millisecond
+		}
+		g.Request(fmt.Sprint("k", rng.IntN(1e6)), "")
+		g.Attempt(fmt.Sprintf("c%02d", rng.IntN(servers)), false, policy.OK, took, timely, false)
+	}
+}
+
+// bench is a planner that has heard some seconds of forwarders, and digests of one more.
+func bench(b *testing.B, forwarders, servers, requests int, brief bool) (p *Planner, list []*Digest) {
+	p = New(config())
+	p.Roster(100*sec, fleet(servers))
+	rng := rand.New(rand.NewPCG(1, 2))
+	g := NewGather(100*sec, "")
+	var some []*Digest
+	for i := range 40 { // different ones are enough
+		calm(rng, g, servers, requests)
+		d := g.Digest(100*sec + time.Duration(i+1)*sec)
+		if brief {
+			d = g.Brief(d)
+		}
+		some = append(some, d)
+	}
+	for f := range forwarders {
+		d := *some[f%len(some)]
+		d.From, d.Seq = fmt.Sprintf("f%04d", f), 0
+		list = append(list, &d)
+	}
+	b.ReportAllocs()
+	return p, list
+}
+
+// sizes are the measured ones: nodes, servers, requests a second of a node.
+func sizes(b *testing.B, run func(b *testing.B, forwarders, servers, requests int, brief bool)) {
+	for _, x := range [][3]int{{400, 80, 6}, {475, 105, 842}, {1900, 420, 842}} {
+		for _, brief := range []bool{false, true} {
+			name := fmt.Sprintf("%dx%d/whole", x[0], x[1])
+			if brief {
+				name = fmt.Sprintf("%dx%d/brief", x[0], x[1])
+			}
+			b.Run(name, func(b *testing.B) { run(b, x[0], x[1], x[2], brief) })
+		}
+	}
+}
+
+// What a second's digests of all forwarders cost, counted in two looks.
+func BenchmarkDigests(b *testing.B) {
+	sizes(b, func(b *testing.B, forwarders, servers, requests int, brief bool) {
+		p, list := bench(b, forwarders, servers, requests, brief)
+		now := 100 * sec
+		for b.Loop() {
+			for i, d := range list {
+				if i == len(list)/2 {
+					now += sec / 2
+					p.Make(now)
+				}
+				d.Seq++
+				if err := p.Digest(now, *d); err != nil {
+					b.Fatal(err)
+				}
+			}
+			now += sec / 2
+			p.Make(now)
+		}
+	})
+}
+
+// A look by itself, with nothing new told.
+func BenchmarkMake(b *testing.B) {
+	sizes(b, func(b *testing.B, forwarders, servers, requests int, brief bool) {
+		p, list := bench(b, forwarders, servers, requests, brief)
+		now := 100 * sec
+		for range 3 {
+			for _, d := range list {
+				d.Seq++
+				p.Digest(now, *d)
+			}
+			now += sec / 2
+			p.Make(now)
+		}
+		for b.Loop() {
+			now += time.Microsecond
+			p.Make(now)
+		}
+	})
+}
+
+// What telling all forwarders costs: a whole view for each, or one change for all and each one's grants, of which there are
+// none in the calm.
+func BenchmarkViews(b *testing.B) {
+	sizes(b, func(b *testing.B, forwarders, servers, requests int, brief bool) {
+		p, list := bench(b, forwarders, servers, requests, brief)
+		now := 100 * sec
+		for _, d := range list {
+			d.Seq++
+			p.Digest(now, *d)
+		}
+		for b.Loop() {
+			now += sec / 2
+			p.Make(now)
+			if brief {
+				p.Change(now, Hold{1, p.Revision(), true})
+			}
+			for _, d := range list {
+				if brief {
+					p.Grants(now, d.From)
+				} else {
+					p.View(now, now, d.From)
+				}
+			}
+		}
+	})
+}
--- a/decide/plan/plan_test.go
+++ b/decide/plan/plan_test.go
@@ -314,29 +314,6 @@
 	}
 }
 
-// What a look at all, and a view for each, costs with 400 forwarders and 80 caches.
-func BenchmarkViews(b *testing.B) {
-	w := &world{p: New(config()), now: 100 * sec, forwarders: 400, caches: 80, perSecond: 2}
-	w.p.Roster(w.now, fleet(80))
-	w.run(3, nil)
-	for b.Loop() {
-		w.now += sec / 2
-		w.p.Make(w.now)
-		for f := range w.forwarders {
-			w.p.View(w.now, w.now, fmt.Sprintf("f%03d", f))
-		}
-	}
-}
-
-// And 400 digests.
-func BenchmarkDigests(b *testing.B) {
-	w := &world{p: New(config()), now: 100 * sec, forwarders: 400, caches: 80, perSecond: 2}
-	w.p.Roster(w.now, fleet(80))
-	for b.Loop() {
-		w.run(1, nil)
-	}
-}
-
 // Four planners and 400 forwarders, digests lost, late, doubled and in any order: all planners come to the same view of a
 // cache that jams, within seconds of each other.
 func TestPlannersConverge(t *testing.T) {
