--- a/decide/plan/brief.go
+++ b/decide/plan/brief.go
@@ -31,6 +31,14 @@
 	until        time.Duration // it is told whole until then
 }
 
+// worst tells how badly it answered of late; of a server that is not remembered, nothing.
+func (p *past) worst() float64 {
+	if p == nil {
+		return 0
+	}
+	return p.bad
+}
+
 // remember adds the span to what is remembered and finds the exceptions.
 func (g *Gather) remember(now time.Duration) {
 	left := math.Exp(-float64(max(0, now-g.pastAt)) / float64(gatherSpan))
@@ -143,7 +151,9 @@
 	// Guards against servers that seem worse than others since their names come first: which of those that are alike are told
 	// is another choice each time.
 	turn := func(l *Load) uint64 { return xxhash.Sum64String(l.ID) * (2*d.Seq + 1) }
-	slices.SortFunc(bad, func(x, y *Load) int { return cmp.Or(cmp.Compare(y.bad(), x.bad()), cmp.Compare(turn(x), turn(y))) })
+	slices.SortFunc(bad, func(x, y *Load) int {
+		return cmp.Or(cmp.Compare(g.past[y.ID].worst(), g.past[x.ID].worst()), cmp.Compare(turn(x), turn(y)))
+	})
 	for i, l := range bad {
 		if i < mostBad {
 			b.Bad = append(b.Bad, Load{ID: l.ID, Late: l.Late, Full: l.Full, Failed: l.Failed})
--- a/decide/plan/change.go
+++ b/decide/plan/change.go
@@ -22,7 +22,7 @@
 	hotStays    = 0.75 // part of hotLeast down to which a key that was told stays told
 	hotOff      = 1.0 / 8
 	useOff      = 1.0 / 10
-	chances     = 3.0 // standard deviations that are chance
+	chances     = 5.0 // square roots of a count that are chance: five standard deviations of the difference of two fading counts
 )
 
 // Change is what a planner tells a forwarder that holds one of its revisions.
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -19,12 +19,13 @@
 	backASec   = 1.25 // what it grows by in a second of being well
 	coldSafety = 0.5  // as the module's: part of the fall budget that is used
 	strained   = 1.0 / 3
-	admitCut   = 0.8 // of the part of the reads that may go to a strained origin
-	admitBack  = 0.2 // more of them in a second of its being well
-	hotLeast   = 0.5 // caches' mean loads that make a key worth naming
-	mostTimes  = 2.0 // what one forwarder counts for, against the middle one
-	leastPart  = 0.5 // of all servers' parts, over which a digest's rest is spread at least
-	mostKeysOf = 1 << 14
+	admitCut   = 0.8         // of the part of the reads that may go to a strained origin
+	admitBack  = 0.2         // more of them in a second of its being well
+	hotLeast   = 0.5         // caches' mean loads that make a key worth naming
+	mostTimes  = 2.0         // what one forwarder counts for, against the middle one
+	leastPart  = 0.5         // of all servers' parts, over which a digest's rest is spread at least
+	mostAsked  = 1 << 14     // that are counted at once
+	travels    = time.Second // for which a view is on its way at most; it counts from when it comes, and so do grants
 )
 
 // Planner makes views. It is not safe for concurrent use.
@@ -124,13 +125,13 @@
 		p.order = nil
 	}
 	p.settle(now)
-	p.pool()
+	p.pool(since)
 	if since > 0 {
 		p.weigh(since.Seconds())
 		p.limit(now, since.Seconds())
 	}
 	maps.DeleteFunc(p.granted, func(_ string, s *shared) bool {
-		s.renew(now)
+		s.renew(now - travels)
 		return len(s.by) == 0
 	})
 	mean := p.asked / max(1, float64(len(p.serving)))
@@ -327,7 +328,7 @@
 	}
 	part = within(n, most)
 	for _, h := range d.Hot {
-		if _, known := p.keys[h.Key]; known || len(p.keys) < mostKeysOf {
+		if _, known := p.keys[h.Key]; known || len(p.keys) < mostAsked {
 			p.keys[h.Key] += float64(h.Asked) * part
 		}
 	}
@@ -344,7 +345,7 @@
 }
 
 // pool adds up what all forwarders told of their requests and of the origin.
-func (p *Planner) pool() {
+func (p *Planner) pool(since time.Duration) {
 	p.answered, p.asked, p.demand, p.fetches = 0, 0, 0, tallied{}
 	var answered, origin []float64
 	for _, f := range p.forwarders {
@@ -357,6 +358,12 @@
 		p.demand += 1 + f.asked
 		p.fetches.plus(&f.origin, within(f.origin.total, mostOrigin))
 	}
+	// Digests come a second apart: between them the sums fall, by more than what is told anew for tenants.
+	if now := p.asked / p.cfg.Memory.Seconds(); p.rate == 0 {
+		p.rate = now
+	} else {
+		p.rate += (now - p.rate) * (1 - math.Exp(-float64(since)/float64(p.cfg.Memory)))
+	}
 }
 
 // bound is what one forwarder counts for at most.
@@ -440,7 +447,7 @@
 func (p *Planner) heat(mean float64) (hot []policy.Heat, use []policy.Use) {
 	mean = max(mean, fewest)
 	least := 0.1
-	if len(p.keys) > mostKeysOf/2 { // those that are far from hot make room
+	if len(p.keys) > mostAsked/2 { // those that are far from hot make room
 		least = max(least, hotLeast*mean/16)
 	}
 	for k, n := range p.keys {
@@ -455,7 +462,7 @@
 		if n < 0.1 {
 			delete(p.users, t)
 		} else {
-			use = append(use, policy.Use{Name: t, Asked: n / p.cfg.Memory.Seconds()})
+			use = append(use, policy.Use{Name: t, Asked: n / max(n, p.asked) * p.rate})
 		}
 	}
 	slices.SortFunc(use, func(x, y policy.Use) int { return cmp.Or(cmp.Compare(y.Asked, x.Asked), cmp.Compare(x.Name, y.Name)) })
@@ -486,7 +493,7 @@
 const leastGrant = 0.001
 
 // Grants gives a forwarder its part of the cold servers' budgets, by id, for as long as a change or view is valid that it is
-// told now: by what it asks for, and no more than the others' running grants leave. None to one that was not heard of late:
+// told now: by what it asks for, and no more than the others' running grants leave, those included that came late. None to one that was not heard of late:
 // its own bound holds.
 func (p *Planner) Grants(now time.Duration, to string) (list []Grant) {
 	f := p.forwarders[to]
@@ -508,7 +515,7 @@
 		}
 		part := s.allow * (1 + f.asked) / max(p.demand, 1+f.asked)
 		got := floor(max(0, min(part, s.allow-others)))
-		of.hold(now, to, grant{got, now + p.cfg.Valid})
+		of.hold(now-travels, to, grant{got, now + p.cfg.Valid})
 		list = append(list, Grant{s.ID, max(leastGrant, got)})
 	}
 	return list
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -30,6 +30,7 @@
 	stamp      time.Duration // of the last view
 	asked      float64       // requests of all forwarders in the span
 	answered   float64       // reads answered
+	rate       float64       // requests a second, evened out
 	demand     float64       // of budgets, by all forwarders
 	fetches    tallied       // of the origin
 	admit      float64       // part of the reads that may go to the origin
@@ -134,7 +135,7 @@
 	count float64 // what it is in shared.sum
 }
 
-// most is the largest that runs. The older ones run on: the view that told the new one may be lost.
+// most is the largest that runs at a time. The older ones run on: the view that told the new one may be lost.
 func (g *grants) most(now time.Duration) (most float64) {
 	if g == nil {
 		return 0
