--- a/decide/follow/change_test.go
+++ b/decide/follow/change_test.go
@@ -95,6 +95,11 @@
 	f := w.nodes[m.node]
 	why, _ := f.TakeChange(w.now, m.c, ready(6))
 	for id, s := range f.states { // followed or not
+		for server, x := range s.factors {
+			if x == 1 {
+				t.Fatalf("%s is kept, of which nothing is told", server)
+			}
+		}
 		want, known := w.truths[fmt.Sprint(id, s.history, "/", s.revision)]
 		if got := wholeOf(s.view(nil)); !known || !got.equal(want) {
 			t.Fatalf("node %d holds revision %d of %s's history %d as %+v, it is %+v", m.node, s.revision, id, s.history, got, want)
@@ -312,3 +317,100 @@
 		t.Errorf("%s, %v, when all have faded", why, err)
 	}
 }
+
+// What nodes may send a second to a cold server, by the views that are valid there, is never over the largest budget of the
+// time for which one may be valid, whatever is lost, late by up to a second or doubled, and whoever falls silent or restarts.
+// Guards against a cold server that all nodes are let loose on.
+func TestGrantsAtNodes(t *testing.T) {
+	limited := 0
+	rapid.Check(t, func(r *rapid.T) {
+		const nodes, valid, travels = 4, 3 * sec, sec
+		now := 100 * sec
+		list := listed(6)
+		list[0].Started = now - sec
+		p := plan.New(plan.Config{ID: "a", Weighted: true, ColdFrom: 0.2, WarmUp: 20 * sec, FallMultiple: 3, FallWindow: 1500 * time.Millisecond})
+		p.Roster(now, list)
+		type message struct {
+			to    int
+			c     plan.Change
+			until time.Duration
+			came  bool
+		}
+		type spell struct {
+			at     time.Duration
+			budget float64
+		}
+		var way []message
+		var budgets []spell
+		followers := make([]*Follower, nodes)
+		holds := make([]plan.Hold, nodes)
+		for i := range followers {
+			followers[i] = New(Config{})
+		}
+		seq := uint64(0)
+		for range rapid.IntRange(30, 150).Draw(r, "steps") {
+			now += time.Duration(rapid.IntRange(0, 400).Draw(r, "ms")) * time.Millisecond
+			node := rapid.IntRange(0, nodes-1).Draw(r, "node")
+			switch rapid.IntRange(0, 9).Draw(r, "what") {
+			case 0, 1, 2: // digests, of nodes that are busy at one time and idle at another
+				seq++
+				asked := rapid.SampledFrom([]int{0, 5, 50, 500}).Draw(r, "asked")
+				p.Digest(now, plan.Digest{From: fmt.Sprint(node), Seq: seq, Span: sec, Asked: asked, Answered: asked})
+				holds[node] = followers[node].Hold("a")
+			case 3, 4:
+				p.Make(now)
+			case 5:
+				followers[node] = New(Config{}) // a process that starts anew has another connection
+				way = slices.DeleteFunc(way, func(m message) bool { return m.to == node })
+			case 6: // the server starts anew, or another is cold too
+				at := rapid.IntRange(0, 1).Draw(r, "server")
+				list[at].Started = now
+				p.Roster(now, list)
+			default:
+				if p.Revision() == 0 {
+					break
+				}
+				c, _ := p.Change(now, holds[node])
+				if c.Grants = p.Grants(now, fmt.Sprint(node)); rapid.Bool().Draw(r, "arrives") {
+					way = append(way, message{to: node, c: c, until: now + travels})
+				}
+			}
+			for _, x := range p.Explain() {
+				if x.ID == "c0" {
+					budgets = append(budgets, spell{now, x.Allow})
+				}
+			}
+			for i := range way { // within a second; a second copy of what came may come later
+				if m := &way[i]; (now <= m.until || m.came) && rapid.Bool().Draw(r, "now") {
+					m.came = true
+					followers[m.to].TakeChange(now, m.c, ready(6))
+				}
+			}
+			way = slices.DeleteFunc(way, func(m message) bool { return now > m.until+2*sec })
+			sum, most := 0.0, 0.0
+			for _, f := range followers {
+				if v, trust := f.Now(now); trust == 1 {
+					for _, s := range v.Servers {
+						if s.ID == "c0" {
+							sum += s.Allow
+						}
+					}
+				}
+			}
+			for _, s := range budgets {
+				if now-s.at <= valid+travels {
+					most = max(most, s.budget)
+				}
+			}
+			if sum > 1 {
+				limited++
+			}
+			if sum > most+nodes*0.001+1e-9 {
+				r.Fatalf("nodes may send %v a second, the budget was %v at most", sum, most)
+			}
+		}
+	})
+	if limited == 0 {
+		t.Error("nothing was granted")
+	}
+}
--- a/decide/plan/brief_test.go
+++ b/decide/plan/brief_test.go
@@ -151,6 +151,7 @@
 	}
 	most := Load{ID: "c01", Sends: MostCount, Late: MostCount}
 	rest := Load{Sends: MostCount, Late: MostCount}
+	well := Load{Sends: MostCount, Timely: MostCount}
 	for name, lie := range map[string]func(d *Digest){
 		"bad answers of one": func(d *Digest) { d.Bad = []Load{most} },
 		"one told whole":     func(d *Digest) { d.Servers = []Load{most} },
@@ -164,6 +165,9 @@
 				d.Servers, d.Rest = others("c01"), rest
 			}
 		},
+		"all is well":             func(d *Digest) { d.Rest = well },
+		"one is well":             func(d *Digest) { d.Servers, d.Rest = others("c01"), well },
+		"one is well, told whole": func(d *Digest) { d.Servers = []Load{{ID: "c01", Timely: MostCount}} },
 		"hot keys": func(d *Digest) {
 			d.Asked = MostCount
 			for i := range MostHot {
@@ -185,9 +189,14 @@
 				c.second(t)
 				p := c.brief
 				for _, s := range p.serving {
-					if most := p.share(s); s.pooled.bad > 1.001*most {
+					most := p.share(s)
+					if s.pooled.bad > 1.001*most {
 						t.Fatalf("%s: %.1f bad answers by one liar, twice the middle one's are %.1f", s.ID, s.pooled.bad, most)
 					}
+					// Good answers of the rest may be spread over half of the servers: twice as much again.
+					if honest := most / 2 * float64(len(c.nodes)); s.pooled.total > 1.3*honest+2*most {
+						t.Fatalf("%s: %.1f answers with one liar, %.1f is what the others bring", s.ID, s.pooled.total, honest)
+					}
 				}
 				asked := 0.0
 				for _, n := range p.keys {
@@ -210,6 +219,30 @@
 	}
 }
 
+// What brief digests tell is counted once: all servers' answers, and bad ones, are as many in sum as by whole digests.
+func TestBriefDigestsCountOnce(t *testing.T) {
+	for _, usual := range []float64{0.01, 0.4} { // few bad answers, and more than are named
+		c := newCrowd(4, 20, 80, 842)
+		c.bad = func(s int) float64 {
+			if s == 5 {
+				return 1
+			}
+			return usual
+		}
+		for range 6 {
+			c.second(t)
+			var whole, brief tallied
+			for i, s := range c.whole.serving {
+				whole.plus(&s.pooled, 1)
+				brief.plus(&c.brief.serving[i].pooled, 1)
+			}
+			if math.Abs(brief.total-whole.total) > 0.01*whole.total || math.Abs(brief.bad-whole.bad) > 0.01*whole.bad {
+				t.Errorf("usual %v: %.0f answers, %.0f bad by brief ones, %.0f and %.0f by whole ones", usual, brief.total, brief.bad, whole.total, whole.bad)
+			}
+		}
+	}
+}
+
 // What is kept of each forwarder is what it named of late, whatever the number of servers.
 // Guards against sums over forwarders times servers.
 func TestWhatIsKeptOfAForwarder(t *testing.T) {
--- a/decide/plan/plan_test.go
+++ b/decide/plan/plan_test.go
@@ -286,6 +286,43 @@
 	})
 }
 
+// A grant that was on its way for a second runs a second longer at its forwarder: until then others get what it leaves. One
+// forwarder that dies holds back its part no longer than that.
+func TestALateGrantCounts(t *testing.T) {
+	w := small()
+	w.forwarders = 2
+	list := fleet(8)
+	list[1].Started = w.now
+	w.p.Roster(w.now, list)
+	digest := func(from string, asked int) {
+		w.seq++
+		if err := w.p.Digest(w.now, Digest{From: from, Start: 1, Seq: w.seq, Span: sec, Asked: asked, Answered: 200}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	grant := func(to string) float64 { return w.p.Grants(w.now, to)[0].Rate }
+	digest("first", 200)
+	digest("second", 0)
+	w.now += sec / 2
+	w.p.Make(w.now)
+	first, since := grant("first"), w.now
+	if first < 0.9*w.p.servers["c01"].allow {
+		t.Fatalf("%v of %v: not most of it", first, w.p.servers["c01"].allow)
+	}
+	for w.now < since+6*sec { // from here on the first is dead
+		w.now += sec / 4
+		digest("second", 2000)
+		w.p.Make(w.now)
+		got, all := grant("second"), w.p.servers["c01"].allow
+		if over := got + first - all; over > 1e-9 && w.now <= since+4*sec && got > leastGrant {
+			t.Errorf("%v after the grant: %v of %v for the second, %v may be with the first", w.now-since, got, all, first)
+		}
+		if w.now > since+5*sec && got < all/2 {
+			t.Errorf("%v after the grant: %v of %v for the second alone", w.now-since, got, all)
+		}
+	}
+}
+
 func (s *server) allowed() float64 {
 	if s == nil {
 		return 0
