--- a/internal/planwire/planwire_test.go
+++ b/internal/planwire/planwire_test.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"fmt"
 	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 
 	"lapisshelf/decide/plan"
@@ -20,6 +23,12 @@
 		{View: &plan.View{Epoch: 3, Planner: "p", Made: 9 * time.Second, Valid: time.Second, View: policy.View{Admit: 0.5, Servers: []policy.Share{{ID: "c1", Factor: 0.3, Allow: 4}},
 			Hot: []policy.Heat{{Key: 8, Load: 1.5}}, Tenants: []policy.Use{{Name: "a", Asked: 20}}}}},
 		{View: &plan.View{Planner: "p", Valid: time.Second, View: policy.View{Servers: []policy.Share{{ID: "c1", Factor: math.Inf(1)}}}}},
+		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 8, Span: time.Second, Asked: 9, Brief: true, Rest: plan.Load{Sends: 5, Timely: 5, Times: []int{5}}, Bad: []plan.Load{{ID: "c2", Late: 1}}},
+			Hold: &plan.Hold{History: 1 << 63, Revision: 4, Follows: true}},
+		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 9, Span: time.Second}, Hold: &plan.Hold{}},
+		{Change: &plan.Change{Epoch: 3, Planner: "p", Made: 9 * time.Second, Valid: time.Second, History: 1 << 63, Base: 4, Revision: 6, Count: 20, Servers: []policy.Share{{ID: "c1", Factor: 0.537}, {ID: "c2", Factor: 1}},
+			Admit: 0.8, Hot: []policy.Heat{{Key: 8, Load: 1.5}}, HotSet: true, TenantsSet: true, Sum: 77, Grants: []plan.Grant{{ID: "c3", Rate: 0.25}}}},
+		{Change: &plan.Change{Planner: "p", History: 1, Revision: 1, Tenants: []policy.Use{{Name: "a", Asked: 20}}, TenantsSet: true, HotSet: true}},
 	}
 }
 
@@ -60,13 +69,224 @@
 	}
 }
 
+// And so are those of a digest in brief with what is held, and of a change with grants.
+func TestTheFormOfChanges(t *testing.T) {
+	for name, c := range map[string]struct {
+		m    Message
+		want string
+	}{
+		// {0: 1, 1: {1: "f", 2: 1, 3: 2, 4: 3, 8: {}, 11: true, 12: {3: 9}, 13: [{1: "c", 4: 1}]}, 3: {1: 7, 2: 5, 3: true}}
+		"digest": {Message{Digest: &plan.Digest{From: "f", Start: 1, Seq: 2, Span: 3, Brief: true, Rest: plan.Load{Timely: 9}, Bad: []plan.Load{{ID: "c", Late: 1}}},
+			Hold: &plan.Hold{History: 7, Revision: 5, Follows: true}},
+			"00000026" + "a3" + "0001" + "01a8" + "016166" + "0201" + "0302" + "0403" + "08a0" + "0bf5" + "0ca10309" + "0d81a20161630401" + "03a3" + "0107" + "0205" + "03f5"},
+		// {0: 1, 3: {}} beside the digest: nothing is held
+		"nothing held": {Message{Digest: &plan.Digest{From: "f", Start: 1, Seq: 2, Span: 3}, Hold: &plan.Hold{}},
+			"00000012" + "a3" + "0001" + "01a5" + "016166" + "0201" + "0302" + "0403" + "08a0" + "03a0"},
+		// {0: 1, 4: {2: "p", 3: 9, 4: 10, 5: 7, 6: 5, 7: 6, 8: 4, 9: [{1: "c", 2: 500}], 10: 800, 15: 1}, 5: [{1: "d", 2: 0.5}]}
+		"change": {Message{Change: &plan.Change{Planner: "p", Made: 9, Valid: 10, History: 7, Base: 5, Revision: 6, Count: 4, Servers: []policy.Share{{ID: "c", Factor: 0.5}}, Admit: 0.8, Sum: 1,
+			Grants: []plan.Grant{{ID: "d", Rate: 0.5}}}},
+			"0000002e" + "a3" + "0001" + "04aa" + "026170" + "0309" + "040a" + "0507" + "0605" + "0706" + "0804" + "0981a20161630219" + "01f4" + "0a190320" + "0f01" + "0581a2016164" + "02f93800"},
+	} {
+		got, err := Append(nil, c.m)
+		if err != nil || hex.EncodeToString(got) != c.want {
+			t.Errorf("%s: %x, %v, want %s", name, got, err, c.want)
+		}
+	}
+}
+
+// A change that is written once serves all that hold the same: what each is granted goes beside it.
+func TestOneChangeForMany(t *testing.T) {
+	c := *samples()[6].Change
+	raw, err := EncodeChange(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, grants := range [][]plan.Grant{nil, {{ID: "x", Rate: 3}}} {
+		got, err := AppendChange([]byte("before"), raw, grants)
+		c.Grants = grants
+		want, wrong := Append([]byte("before"), Message{Change: &c})
+		if err != nil || wrong != nil || !bytes.Equal(got, want) {
+			t.Errorf("%x, %v, want %x, %v", got, err, want, wrong)
+		}
+	}
+}
+
+// What stood before there were changes, as it was: the wire's forms of version 1 at the time.
+type (
+	oldMessage struct {
+		Version uint8      `cbor:"0,keyasint"`
+		Digest  *oldDigest `cbor:"1,keyasint,omitempty"`
+		View    *oldView   `cbor:"2,keyasint,omitempty"`
+	}
+	oldLoad struct {
+		ID     string `cbor:"1,keyasint,omitempty"`
+		Sends  int    `cbor:"2,keyasint,omitempty"`
+		Timely int    `cbor:"3,keyasint,omitempty"`
+		Late   int    `cbor:"4,keyasint,omitempty"`
+		Full   int    `cbor:"5,keyasint,omitempty"`
+		Failed int    `cbor:"6,keyasint,omitempty"`
+		Times  []int  `cbor:"7,keyasint,omitempty"`
+	}
+	oldHeat struct {
+		Key   uint32  `cbor:"1,keyasint"`
+		Asked int     `cbor:"2,keyasint,omitempty"`
+		Load  float64 `cbor:"3,keyasint,omitempty"`
+	}
+	oldUse struct {
+		Tenant string  `cbor:"1,keyasint"`
+		Asked  int     `cbor:"2,keyasint,omitempty"`
+		Rate   float64 `cbor:"3,keyasint,omitempty"`
+	}
+	oldDigest struct {
+		From     string    `cbor:"1,keyasint"`
+		Start    int64     `cbor:"2,keyasint"`
+		Seq      uint64    `cbor:"3,keyasint"`
+		Span     int64     `cbor:"4,keyasint"`
+		Asked    int       `cbor:"5,keyasint,omitempty"`
+		Answered int       `cbor:"6,keyasint,omitempty"`
+		Servers  []oldLoad `cbor:"7,keyasint,omitempty"`
+		Origin   oldLoad   `cbor:"8,keyasint"`
+		Hot      []oldHeat `cbor:"9,keyasint,omitempty"`
+		Tenants  []oldUse  `cbor:"10,keyasint,omitempty"`
+	}
+	oldShare struct {
+		ID     string  `cbor:"1,keyasint"`
+		Factor float64 `cbor:"2,keyasint"`
+		Allow  float64 `cbor:"3,keyasint,omitempty"`
+	}
+	oldView struct {
+		Epoch   uint64     `cbor:"1,keyasint,omitempty"`
+		Planner string     `cbor:"2,keyasint"`
+		Made    int64      `cbor:"3,keyasint"`
+		Valid   int64      `cbor:"4,keyasint"`
+		Servers []oldShare `cbor:"5,keyasint,omitempty"`
+		Admit   float64    `cbor:"6,keyasint,omitempty"`
+		Hot     []oldHeat  `cbor:"7,keyasint,omitempty"`
+		Tenants []oldUse   `cbor:"8,keyasint,omitempty"`
+	}
+)
+
+// An old planner takes a new forwarder's whole digest, with what is held beside it; an old forwarder takes a new planner's
+// view; and what either writes is taken as one that knows no changes.
+func TestOldAndNew(t *testing.T) {
+	decode := must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxArrayElements: 2 * plan.MostServers, MaxMapPairs: 32,
+		MaxNestedLevels: 6, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden}.DecMode())
+	encode := must(cbor.CanonicalEncOptions().EncMode())
+	old := []oldMessage{
+		{Version: 1, Digest: &oldDigest{From: "f", Start: 5, Seq: 7, Span: 1e9, Asked: 3, Answered: 2, Servers: []oldLoad{{ID: "c1", Sends: 3, Timely: 1, Late: 1, Failed: 1, Times: []int{0, 1, 0, 1}}},
+			Origin: oldLoad{Sends: 1, Timely: 1}, Hot: []oldHeat{{Key: 8, Asked: 3}}, Tenants: []oldUse{{Tenant: "a", Asked: 3}}}},
+		{Version: 1, View: &oldView{Epoch: 3, Planner: "p", Made: 9e9, Valid: 1e9, Servers: []oldShare{{ID: "c1", Factor: 0.3, Allow: 4}}, Admit: 0.5, Hot: []oldHeat{{Key: 8, Load: 1.5}},
+			Tenants: []oldUse{{Tenant: "a", Rate: 20}}}},
+	}
+	now := samples()[:2]
+	for i, m := range now {
+		if m.Digest != nil {
+			m.Hold = &plan.Hold{History: 9, Revision: 2, Follows: true}
+		}
+		frame, err := Append(nil, m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var got oldMessage
+		if err := decode.Unmarshal(frame[4:], &got); err != nil {
+			t.Fatalf("an old one reads it as %v", err)
+		}
+		if diff := cmp.Diff(old[i], got); diff != "" {
+			t.Error(diff)
+		}
+		body, err := encode.Marshal(old[i])
+		if err != nil {
+			t.Fatal(err)
+		}
+		read, used, err := Next(append([]byte{0, 0, byte(len(body) >> 8), byte(len(body))}, body...))
+		if err != nil || used != 4+len(body) || read.Hold != nil {
+			t.Errorf("an old one's: %+v, %d, %v", read, used, err)
+		}
+		if diff := cmp.Diff(samples()[i], read); diff != "" {
+			t.Error(diff)
+		}
+	}
+	// One in brief reads, to an old planner, as a digest that leaves most out: it goes to those that have sent a change.
+	frame, _ := Append(nil, samples()[3])
+	var got oldMessage
+	if err := decode.Unmarshal(frame[4:], &got); err != nil || got.Digest == nil || len(got.Digest.Servers) > 0 {
+		t.Errorf("%+v, %v", got.Digest, err)
+	}
+}
+
+// A calm second's digest in brief, and what a planner tells in the calm, take as many bytes whatever the number of servers.
+func TestBytesInTheCalm(t *testing.T) {
+	const node, most = "forwarder-site-079-0024", 700
+	sizes := map[int]int{}
+	for _, servers := range []int{100, 420, 2000} {
+		rng := rand.New(rand.NewPCG(1, uint64(servers)))
+		g := plan.NewGather(100*time.Second, node)
+		now := 100 * time.Second
+		worst := 0
+		for range 20 {
+			for range 842 {
+				took, timely := time.Duration(1+rng.IntN(40))*time.Millisecond, rng.IntN(100) > 0
+				if !timely {
+					took = time.Second
+				}
+				g.Request(fmt.Sprint("k", rng.IntN(1e7)), "")
+				g.Attempt(fmt.Sprintf("cache-zone-%02d-%04d", servers%59, rng.IntN(servers)), false, policy.OK, took, timely, false)
+				if rng.IntN(20) == 0 {
+					g.Attempt("origin", true, policy.OK, took, timely, false)
+				}
+			}
+			now += time.Second
+			whole := g.Digest(now)
+			d := g.Brief(whole)
+			if err := d.Check(); err != nil {
+				t.Fatal(err)
+			}
+			frame, err := Append(nil, Message{Digest: d, Hold: &plan.Hold{History: math.MaxUint64, Revision: 1e6, Follows: true}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			worst = max(worst, len(frame))
+			if all, _ := Append(nil, Message{Digest: whole}); len(all) < 3*len(frame) {
+				t.Errorf("%d servers: %d bytes in brief, %d whole", servers, len(frame), len(all))
+			}
+		}
+		sizes[servers] = worst
+		if worst > most {
+			t.Errorf("%d servers: up to %d bytes", servers, worst)
+		}
+		p := plan.New(plan.Config{ID: "planner-1", History: math.MaxUint64})
+		var list []policy.Server
+		for i := range servers {
+			list = append(list, policy.Server{ID: fmt.Sprint("c", i)})
+		}
+		p.Roster(now, list)
+		p.Make(now)
+		for _, base := range []plan.Hold{{}, {History: math.MaxUint64, Revision: 1}} {
+			c, whole := p.Change(1764000000*time.Second, base)
+			frame, err := Append(nil, Message{Change: &c})
+			if err != nil || len(frame) > 80 {
+				t.Errorf("%d servers, whole %v: a change of %d bytes, %v", servers, whole, len(frame), err)
+			}
+		}
+	}
+	t.Logf("largest of twenty digests, by servers: %v", sizes)
+	if sizes[2000] > sizes[100]*5/4 {
+		t.Errorf("%v: they grow with the servers", sizes)
+	}
+}
+
 // Neighbouring versions are read, with fields that this one does not know; others are not, nor is what is no message.
 func TestVersionsAndNoise(t *testing.T) {
 	for text, good := range map[string]bool{
 		"0000000a" + "a3000202a2026170" + "0401" + "0901":                             false, // shorter than its length says: not whole
 		"00000010" + "a3" + "0002" + "02a3026170" + "0401" + "186301" + "1863" + "01": true,  // version 2, unknown fields
 		"0000000c" + "a2" + "0003" + "02a2026170" + "0401" + "00":                     false, // version 3, and bytes behind
-		"00000003" + "a10001":     false, // neither
+		"00000003" + "a10001":         false, // neither
+		"00000007" + "a3000103a004a0": true,  // an empty change: plan.Change.Check refuses it
+		"00000005" + "a2000103a0":     false, // what is held by nobody
+		"00000013" + "a3" + "0001" + "02a2026170" + "0401" + "04a3" + "026170" + "0401" + "0500": false, // a view and a change
+		"00000006" + "a2" + "0001" + "0481a0":                                                    false, // a change that is a list
+		"00000014" + "a2" + "0001" + "04a2" + "026170" + "0981a2016163021a00010000":              false, // a factor that is none
 		"ffffffff":                false,
 		"00000000":                false,
 		"00000001ff":              false,
