What a forwarder counted for while it was heard alone is taken back once others are

Sums that are kept as digests come remember what was counted before there was a middle forwarder to hold it against: a liar heard first after a planner's restart, with 10^6 bad answers of one server, would have cut it for as long as they fade. TestALiarThatIsFirst fails without it.

--- a/decide/plan/bench_test.go
+++ b/decide/plan/bench_test.go
@@ -126,3 +126,21 @@
 		}
 	})
 }
+
+// What a node's digest costs it, whole and then in brief.
+func BenchmarkBrief(b *testing.B) {
+	for _, x := range [][2]int{{80, 6}, {420, 842}} {
+		b.Run(fmt.Sprintf("%dservers,%drequests", x[0], x[1]), func(b *testing.B) {
+			rng := rand.New(rand.NewPCG(1, 2))
+			g := NewGather(100*sec, "f")
+			now := 100 * sec
+			for b.Loop() {
+				b.StopTimer()
+				calm(rng, g, x[0], x[1])
+				b.StartTimer()
+				now += sec
+				g.Brief(g.Digest(now))
+			}
+		})
+	}
+}
--- a/decide/plan/brief_test.go
+++ b/decide/plan/brief_test.go
@@ -219,6 +219,42 @@
 	}
 }
 
+// A liar that is heard before all others, when there is no other to hold it against, is held against them once they are.
+func TestALiarThatIsFirst(t *testing.T) {
+	for name, lie := range map[string]Digest{
+		"whole":         {Servers: []Load{{ID: "c01", Late: MostCount}, {ID: "c02", Timely: 9}}},
+		"in part":       {Brief: true, Bad: []Load{{ID: "c01", Late: MostCount}}},
+		"by the others": {Brief: true, Rest: Load{Late: MostCount}, Servers: []Load{{ID: "c03"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCrowd(6, 30, 40, 100)
+			c.bad = func(int) float64 { return 0 }
+			lie.From, lie.Span, lie.Asked, lie.Hot, lie.Tenants = "liar", sec, MostCount, []Heat{{Key: 8, Asked: MostCount}}, []Use{{Tenant: "t", Asked: MostCount}}
+			for range 3 {
+				lie.Seq++
+				if err := c.brief.Digest(c.now, lie); err != nil {
+					t.Fatal(err)
+				}
+				c.now += sec / 2
+				c.brief.Make(c.now)
+			}
+			c.second(t)
+			factor := c.brief.servers["c01"].factor // what it has done while there was no other
+			for range 5 {
+				c.second(t)
+				for _, s := range c.brief.serving {
+					if s.pooled.bad > slack*c.brief.share(s) || s.factor < factor {
+						t.Errorf("%s: %.1f bad answers, factor %.2f", s.ID, s.pooled.bad, s.factor)
+					}
+				}
+			}
+			if v := c.brief.View(c.now, c.now, "x"); len(v.Hot) > 0 || len(v.Tenants) > 0 {
+				t.Errorf("%+v", v)
+			}
+		})
+	}
+}
+
 // What brief digests tell is counted once: all servers' answers, and bad ones, are as many in sum as by whole digests.
 func TestBriefDigestsCountOnce(t *testing.T) {
 	for _, usual := range []float64{0.01, 0.4} { // few bad answers, and more than are named
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -23,6 +23,7 @@
 	admitBack  = 0.2         // more of them in a second of its being well
 	hotLeast   = 0.5         // caches' mean loads that make a key worth naming
 	mostTimes  = 2.0         // what one forwarder counts for, against the middle one
+	slack      = 1.5         // by which it may be over that while what is in the middle falls
 	leastPart  = 0.5         // of all servers' parts, over which a digest's rest is spread at least
 	mostAsked  = 1 << 14     // that are counted at once
 	travels    = time.Second // for which a view is on its way at most; it counts from when it comes, and so do grants
@@ -177,6 +178,9 @@
 		said, asked = append(said, f.said), append(asked, f.asked)
 	}
 	p.middle, p.middleAsk = bound(said), bound(asked)
+	for _, f := range p.ordered() {
+		p.takeBack(now, f)
+	}
 	for i := range p.pending {
 		p.count(now, p.pending[i].by, &p.pending[i].d)
 	}
@@ -225,7 +229,7 @@
 	p.serial++
 	f.sweep(now, p.cfg.Memory)
 	if f.named == nil {
-		f.named = map[string]*fade{}
+		f.named = map[string]*taken{}
 	}
 	all := float64(d.answers())
 	part := within(all, p.middle-f.taken)
@@ -255,6 +259,7 @@
 		cut := within(bad, p.middle/p.parts-f.restBad)
 		rest.add(&sum, part*cut/open)
 		rest.bad = bad * cut
+		f.rest += rest.total
 		f.restBad += rest.bad
 		for i := range d.Bad {
 			if s := p.servers[d.Bad[i].ID]; s != nil {
@@ -271,13 +276,13 @@
 		if s := p.servers[d.Servers[i].ID]; s != nil { // the list alone says who there is
 			s.skip.plus(&rest, 1)
 			l := &d.Servers[i]
-			s.pooled.add(l, p.name(now, f, s, float64(l.answers())*part)*part)
+			s.pooled.add(l, p.name(now, f, s, float64(l.answers())*part, float64(l.bad())*part)*part)
 		}
 	}
 	for i := range d.Bad {
 		if s := p.servers[d.Bad[i].ID]; s != nil {
 			n := float64(d.Bad[i].bad()) * part
-			s.pooled.bad += n * p.name(now, f, s, n)
+			s.pooled.bad += n * p.name(now, f, s, n, n)
 		}
 	}
 	p.ask(f, d)
@@ -291,26 +296,49 @@
 	return max(mostTimes, p.middle*s.part/p.parts)
 }
 
-// name gives the part that counts of n answers of a server told by name.
-func (p *Planner) name(now time.Duration, f *forwarder, s *server, n float64) float64 {
+// name gives the part that counts of n answers of a server told by name, so many of them bad.
+func (p *Planner) name(now time.Duration, f *forwarder, s *server, n, bad float64) float64 {
 	if n == 0 {
 		return 0
 	}
 	h := f.named[s.ID]
 	if h == nil {
-		h = &fade{when: now}
+		h = &taken{when: now}
 		f.named[s.ID] = h
 	}
-	part := within(n, p.share(s)-h.at(now, p.cfg.Memory)-s.part*f.restBad)
-	h.value += n * part
+	part := within(n, p.share(s)-h.at(now, p.cfg.Memory).total-s.part*f.restBad)
+	h.total += n * part
+	h.bad += bad * part
 	return part
 }
 
+// takeBack takes back what a forwarder has counted for beyond twice the middle one.
+// Guards against a forwarder that is heard before the others, when what is in the middle is what it says itself.
+func (p *Planner) takeBack(now time.Duration, f *forwarder) {
+	if over := 1 - p.middle/f.taken; f.taken > slack*p.middle {
+		for _, s := range p.servers {
+			x := tallied{total: s.part * f.rest * over, bad: s.part * f.restBad * over}
+			if h := f.named[s.ID]; h != nil {
+				h.at(now, p.cfg.Memory)
+				x.total, x.bad = x.total+h.total*over, x.bad+h.bad*over
+				h.total, h.bad = h.total*(1-over), h.bad*(1-over)
+			}
+			s.pooled.total, s.pooled.bad = max(0, s.pooled.total-x.total), max(0, s.pooled.bad-x.bad)
+		}
+		f.taken, f.rest, f.restBad = p.middle, f.rest*(1-over), f.restBad*(1-over)
+	}
+	if f.askedTaken > slack*p.middleAsk { // whose keys they were is not known
+		f.askedTaken = p.middleAsk
+		clear(p.keys)
+		clear(p.users)
+	}
+}
+
 // narrow takes from servers what of a rest's bad answers would bring a forwarder over its share of them: it has named them.
 func (p *Planner) narrow(now time.Duration, f *forwarder, bad float64) {
 	for id, h := range f.named {
 		if s := p.servers[id]; s != nil && s.part > 0 && s.named != p.serial {
-			if over := h.at(now, p.cfg.Memory) + s.part*f.restBad - p.share(s); over > 0 {
+			if over := h.at(now, p.cfg.Memory).total + s.part*f.restBad - p.share(s); over > 0 {
 				s.skip.bad += min(bad, over/s.part)
 			}
 		}
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -94,15 +94,16 @@
 	askedTaken float64 // those that count
 	answered   float64
 	origin     tallied
-	said       float64          // answers of servers
-	taken      float64          // those that count
-	restBad    float64          // bad ones that count of the rest, for each unit of a server's part
-	named      map[string]*fade // those that count of servers told by name
-	swept      time.Duration    // when what had faded was dropped from it
+	said       float64           // answers of servers
+	taken      float64           // those that count
+	rest       float64           // those that count of the rest, for each unit of a server's part
+	restBad    float64           // and of them the bad ones
+	named      map[string]*taken // those that count of servers told by name
+	swept      time.Duration     // when what had faded was dropped from it
 }
 
 func (f *forwarder) fade(left float64) {
-	for _, x := range []*float64{&f.asked, &f.askedTaken, &f.answered, &f.said, &f.taken, &f.restBad, &f.origin.bad, &f.origin.total} {
+	for _, x := range []*float64{&f.asked, &f.askedTaken, &f.answered, &f.said, &f.taken, &f.rest, &f.restBad, &f.origin.bad, &f.origin.total} {
 		*x *= left
 	}
 }
@@ -113,7 +114,7 @@
 		return
 	}
 	f.swept = now
-	maps.DeleteFunc(f.named, func(_ string, h *fade) bool { return h.at(now, span) < 0.05 })
+	maps.DeleteFunc(f.named, func(_ string, h *taken) bool { return h.at(now, span).total < 0.05 })
 }
 
 // grant is what a forwarder may send a second, until then.
@@ -233,22 +234,20 @@
 	return min(1, s.bad/s.total) // bad answers are told by name, the others may be inferred
 }
 
-// fade is a count that forgets evenly over a span.
-type fade struct {
-	value float64
-	when  time.Duration
+// taken is what counts of a forwarder's answers of a server, fading.
+type taken struct {
+	total, bad float64
+	when       time.Duration
 }
 
-func (f *fade) at(now, span time.Duration) float64 {
-	if now > f.when {
-		f.value *= math.Exp(-float64(now-f.when) / float64(span))
-		f.when = now
+func (t *taken) at(now, span time.Duration) *taken {
+	if now > t.when {
+		left := math.Exp(-float64(now-t.when) / float64(span))
+		t.total, t.bad, t.when = t.total*left, t.bad*left, now
 	}
-	return f.value
+	return t
 }
 
-func (f *fade) add(now, span time.Duration, n float64) { f.value = f.at(now, span) + n }
-
 // middle is the median; 0 of nothing.
 func middle(list []float64) float64 {
 	if len(list) == 0 {
