--- a/decide/plan/api.go
+++ b/decide/plan/api.go
@@ -71,10 +71,12 @@
 	Hot      []Heat
 	Tenants  []Use
 	// A brief one names few servers: in Servers those of which all is told, in Bad those of which the bad answers alone are
-	// told. Rest is all others' answers in sum, and the good ones of those in Bad. See Gather.Brief.
+	// told, and as Sends how many answers of it are remembered from before the span, in tenths; Past is that of all servers in
+	// sum. Rest is all others' answers in sum, and the good ones of those in Bad. See Gather.Brief.
 	Brief bool
 	Rest  Load
 	Bad   []Load
+	Past  int
 }
 
 func name(id string) bool { return id != "" && len(id) <= MostName }
@@ -112,9 +114,9 @@
 		return fmt.Errorf("a span of %v", d.Span)
 	case len(d.Servers) > MostServers || len(d.Bad) > MostServers || len(d.Hot) > MostHot || len(d.Tenants) > MostTenants:
 		return errors.New("too many entries")
-	case !counts(d.Asked, d.Answered) || !d.Origin.sound() || !d.Rest.sound():
+	case !counts(d.Asked, d.Answered) || d.Past < 0 || d.Past > tenths*MostCount || !d.Origin.sound() || !d.Rest.sound():
 		return errors.New("absurd counts")
-	case !d.Brief && (len(d.Bad) > 0 || d.Rest.answers() > 0):
+	case !d.Brief && (len(d.Bad)+d.Past > 0 || d.Rest.answers() > 0):
 		return errors.New("a whole one with parts of a brief one")
 	}
 	seen := make(map[string]bool, len(d.Servers)+len(d.Bad))
--- a/decide/plan/brief.go
+++ b/decide/plan/brief.go
@@ -11,11 +11,14 @@
 
 // A brief digest names few servers, however many there are. Those whose answers the node's middle does not explain by chance
 // are told whole. Of the others that answered badly in its span the bad answers are told, at most of mostBad servers; all else
-// is a sum, which the planner spreads over the servers by their parts. Where a node sent to few servers in the span, all are
+// is a sum, which the planner spreads over the servers by their parts. Keys are not asked for alike, and a server that is asked
+// more has more bad answers: beside them stands what part of the node's answers were its before the span, on which the span's
+// bad ones do not depend. Where a node sent to few servers in the span, all are
 // told whole and there is no rest.
 
 const (
 	mostBad    = 16              // servers in Digest.Bad; as many servers are told whole, if there are no others
+	tenths     = 10              // of an answer, in which what is remembered is told
 	mostHotBy  = 16              // keys in a brief digest
 	gatherSpan = 3 * time.Second // in which what was seen of a server fades; it stays named for so long
 	leastBad   = 0.02            // part of a server's answers that is ordinary anywhere
@@ -28,23 +31,27 @@
 // past is what was seen of a server, fading.
 type past struct {
 	answers, bad float64
+	before       float64       // answers, before the last span
 	until        time.Duration // it is told whole until then
 }
 
-// worst tells how badly it answered of late; of a server that is not remembered, nothing.
-func (p *past) worst() float64 {
+// worst is how many bad answers it had of late beyond what is usual at the node; of a server that is not remembered, nothing.
+func (p *past) worst(usual float64) float64 {
 	if p == nil {
 		return 0
 	}
-	return p.bad
+	return p.bad - usual*p.answers
 }
 
 // remember adds the span to what is remembered and finds the exceptions.
 func (g *Gather) remember(now time.Duration) {
 	left := math.Exp(-float64(max(0, now-g.pastAt)) / float64(gatherSpan))
 	g.pastAt = now
+	g.before = 0
 	for id, p := range g.past {
 		p.answers *= left
+		p.before = p.answers
+		g.before += p.answers
 		if p.bad *= left; p.answers < 0.05 && g.servers[id] == nil && p.until < now {
 			delete(g.past, id)
 		}
@@ -69,6 +76,14 @@
 	}
 }
 
+// turn is a number for a server, another one in each digest and at each node.
+func (g *Gather) turn(id string) uint64 {
+	x := (xxhash.Sum64String(id) ^ xxhash.Sum64String(g.name)) + g.seq*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 // usual is the part of bad answers in the better half of the servers: rather too little, so that rather too many are named.
 func (g *Gather) usual() float64 {
 	list := make([]*past, 0, len(g.past))
@@ -125,9 +140,13 @@
 	return &b
 }
 
+// inTenths is a count as it is told.
+func inTenths(n float64) int { return int(math.Round(min(n, MostCount/tenths) * tenths)) }
+
 // reduce sorts the servers of d into those that are told whole, those of which bad answers are told, and the rest.
 func (g *Gather) reduce(b, d *Digest) {
 	var bad []*Load
+	b.Past = inTenths(g.before)
 	sum := func(l *Load) {
 		b.Rest.Sends += l.Sends
 		b.Rest.Timely += l.Timely
@@ -148,15 +167,25 @@
 			bad = append(bad, l)
 		}
 	}
+	sumBad, sumAll := 0.0, 0.0
+	for _, l := range bad {
+		if p := g.past[l.ID]; p != nil {
+			sumBad, sumAll = sumBad+p.bad, sumAll+p.answers
+		}
+	}
+	usual := sumBad / max(1, sumAll)
 	// Guards against servers that seem worse than others since their names come first: which of those that are alike are told
 	// is another choice each time.
-	turn := func(l *Load) uint64 { return xxhash.Sum64String(l.ID) * (2*d.Seq + 1) }
 	slices.SortFunc(bad, func(x, y *Load) int {
-		return cmp.Or(cmp.Compare(g.past[y.ID].worst(), g.past[x.ID].worst()), cmp.Compare(turn(x), turn(y)))
+		return cmp.Or(cmp.Compare(g.past[y.ID].worst(usual), g.past[x.ID].worst(usual)), cmp.Compare(g.turn(x.ID), g.turn(y.ID)))
 	})
 	for i, l := range bad {
 		if i < mostBad {
-			b.Bad = append(b.Bad, Load{ID: l.ID, Late: l.Late, Full: l.Full, Failed: l.Failed})
+			known := 0.0
+			if p := g.past[l.ID]; p != nil {
+				known = p.before
+			}
+			b.Bad = append(b.Bad, Load{ID: l.ID, Sends: inTenths(known), Late: l.Late, Full: l.Full, Failed: l.Failed})
 			continue
 		}
 		b.Rest.Late += l.Late
--- a/decide/plan/brief_test.go
+++ b/decide/plan/brief_test.go
@@ -22,6 +22,7 @@
 	whole, brief *Planner
 	named        int // servers in the last second's digests
 	twist        func(node int, d *Digest)
+	pull         func(server int) float64 // of the requests, against what its weight tells; nil: 1
 }
 
 func newCrowd(seed uint64, nodes, servers, requests int) *crowd {
@@ -41,7 +42,11 @@
 	sum := make([]float64, c.servers)
 	all := 0.0
 	for i, s := range c.brief.serving {
-		all += s.factor
+		pull := 1.0
+		if c.pull != nil {
+			pull = c.pull(i)
+		}
+		all += s.factor * pull
 		sum[i] = all
 	}
 	c.now += sec
@@ -138,6 +143,40 @@
 	}
 }
 
+// A server that is asked for more than its weight tells, since its keys are hot, has more bad answers than others and no
+// larger part of them; one that is asked for less has fewer. Neither is blamed or missed.
+// Guards against a hot server that loses its weight while all answer badly.
+func TestKeysAreNotAskedForAlike(t *testing.T) {
+	for _, x := range []struct{ nodes, servers, requests int }{{40, 80, 842}, {100, 80, 60}, {100, 420, 842}} {
+		c := newCrowd(2, x.nodes, x.servers, x.requests)
+		c.pull = func(s int) float64 {
+			return map[int]float64{2: 3, 4: 0.5}[s] + map[bool]float64{true: 1}[s != 2 && s != 4]
+		}
+		for _, bad := range []float64{0.02, 0.25} {
+			c.bad = func(int) float64 { return bad }
+			for range 15 {
+				c.second(t)
+			}
+		}
+		for _, s := range []int{2, 4, 6} {
+			whole, brief := c.shares(s)
+			t.Logf("%v: asked %.1f times its part: whole %.3f brief %.3f, taken for %.2f", x, c.pull(s), whole, brief, c.brief.serving[s].pull())
+		}
+		for _, s := range c.brief.serving {
+			if s.factor != 1 {
+				t.Errorf("%v: %s has %.2f", x, s.ID, s.factor)
+			}
+		}
+		c.bad = func(s int) float64 { return map[bool]float64{true: 0.9, false: 0.05}[s == 4] }
+		for range 12 {
+			c.second(t)
+		}
+		if f := c.brief.serving[4].factor; f > 0.5 {
+			t.Errorf("%v: the jammed one has %.2f", x, f)
+		}
+	}
+}
+
 // One forwarder that lies in brief digests, whatever it names and leaves out and in whatever order, counts for no more than
 // twice the middle one of any server, and for none of the others' hot keys and tenants.
 func TestALiarInBriefDecidesNothing(t *testing.T) {
--- a/decide/plan/gather.go
+++ b/decide/plan/gather.go
@@ -25,6 +25,7 @@
 	tenants  map[string]int
 	past     map[string]*past // by server
 	pastAt   time.Duration    // when past was brought up to date
+	before   float64          // answers of all servers that were remembered before the last span
 }
 
 // NewGather begins to count for a forwarder that starts now.
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -19,11 +19,15 @@
 	backASec   = 1.25 // what it grows by in a second of being well
 	coldSafety = 0.5  // as the module's: part of the fall budget that is used
 	strained   = 1.0 / 3
-	admitCut   = 0.8         // of the part of the reads that may go to a strained origin
-	admitBack  = 0.2         // more of them in a second of its being well
-	hotLeast   = 0.5         // caches' mean loads that make a key worth naming
-	mostTimes  = 2.0         // what one forwarder counts for, against the middle one
-	slack      = 1.5         // by which it may be over that while what is in the middle falls
+	admitCut   = 0.8 // of the part of the reads that may go to a strained origin
+	admitBack  = 0.2 // more of them in a second of its being well
+	hotLeast   = 0.5 // caches' mean loads that make a key worth naming
+	mostTimes  = 2.0 // what one forwarder counts for, against the middle one
+	slack      = 1.5 // by which it may be over that while what is in the middle falls
+	leastPull  = 0.5 // of the requests that a server gets, against what it should; a liar moves it no further
+	mostPull   = 4.0
+	unknown    = 5.0         // answers by which it is taken to get what it should
+	longer     = 4           // times the memory in which that fades: what a server gets changes slowly
 	leastPart  = 0.5         // of all servers' parts, over which a digest's rest is spread at least
 	mostAsked  = 1 << 14     // that are counted at once
 	travels    = time.Second // for which a view is on its way at most; it counts from when it comes, and so do grants
@@ -58,7 +62,7 @@
 			p.servers[e.ID] = s
 		}
 		if e.Started > s.Started { // what was learned of the process before is void
-			s.factor, s.pooled = 1, tallied{}
+			s.factor, s.pooled, s.known, s.due = 1, tallied{}, 0, 0
 		}
 		s.Server, named[e.ID] = e, true
 	}
@@ -158,13 +162,17 @@
 	for t := range p.users {
 		p.users[t] *= left
 	}
-	p.parts = 0
+	p.parts, p.bases = 0, 0
+	leftLong := math.Pow(left, 1.0/longer)
 	for _, s := range p.servers {
-		s.part = 0
+		s.base, s.part = 0, 0
 		s.pooled.fade(left)
+		s.known, s.due = s.known*leftLong, s.due*leftLong
 	}
 	for _, s := range p.serving {
-		s.part = s.weight() * s.factor * p.warmth(now, s)
+		s.base = s.weight() * s.factor * p.warmth(now, s)
+		s.part = s.base * s.pull()
+		p.bases += s.base
 		p.parts += s.part
 	}
 	if len(p.pending) == 0 {
@@ -261,10 +269,13 @@
 		rest.bad = bad * cut
 		f.rest += rest.total
 		f.restBad += rest.bad
+		past := min(float64(d.Past)/tenths, p.middle) / p.bases
 		for i := range d.Bad {
 			if s := p.servers[d.Bad[i].ID]; s != nil {
 				s.named = p.serial
 				s.skip.bad += rest.bad
+				s.due += past * s.base
+				s.known += min(float64(d.Bad[i].Sends)/tenths, 2*mostPull*past*s.base)
 			}
 		}
 		if rest.bad > 0 {
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -18,6 +18,7 @@
 	servers    map[string]*server
 	serving    []*server // those that serve by the list, by id
 	parts      float64   // of the serving ones in sum
+	bases      float64   // alike
 	rest       tallied   // what was told in sum since the last look, for each unit of a server's part
 	serial     uint64    // of digests counted
 	forwarders map[string]*forwarder
@@ -51,7 +52,10 @@
 type server struct {
 	policy.Server
 	factor float64
-	part   float64 // of the requests that it should get: weight, factor and warmth; 0: it does not serve
+	base   float64 // of the requests that it should get: weight, factor and warmth; 0: it does not serve
+	part   float64 // of those that it gets, by what forwarders remember
+	known  float64 // answers of it that they remembered, when they told of bad ones; fading
+	due    float64 // how many that should be by its base; fading
 	allow  float64 // sends a second that the fleet may make; 0: no limit
 	pooled tallied // all forwarders', fading
 	skip   tallied // of state.rest: what was told by those that named it
@@ -66,6 +70,11 @@
 	return 1
 }
 
+// pull is how many times what its base tells a server gets, as far as is known.
+func (s *server) pull() float64 {
+	return max(leastPull, min(mostPull, (s.known+unknown)/(s.due+unknown)))
+}
+
 // ordered are the forwarders by name: sums of the same figures are the same to the last bit.
 func (st *state) ordered() []*forwarder {
 	if st.order == nil {
--- a/internal/planwire/planwire.go
+++ b/internal/planwire/planwire.go
@@ -80,6 +80,7 @@
 		Brief    bool   `cbor:"11,keyasint,omitempty"`
 		Rest     *load  `cbor:"12,keyasint,omitempty"`
 		Bad      []load `cbor:"13,keyasint,omitempty"`
+		Past     int    `cbor:"14,keyasint,omitempty"`
 	}
 	share struct {
 		ID     string  `cbor:"1,keyasint"`
@@ -156,6 +157,7 @@
 		for _, l := range d.Bad {
 			x.Bad = append(x.Bad, load(l))
 		}
+		x.Past = d.Past
 		out.Digest = x
 	}
 	if h := m.Hold; h != nil {
@@ -279,6 +281,7 @@
 		for _, l := range x.Bad {
 			d.Bad = append(d.Bad, plan.Load(l))
 		}
+		d.Past = x.Past
 		if in.Hold != nil {
 			m.Hold = &plan.Hold{History: in.Hold.History, Revision: in.Hold.Revision, Follows: in.Hold.Follows}
 		}
--- a/internal/planwire/planwire_test.go
+++ b/internal/planwire/planwire_test.go
@@ -23,7 +23,7 @@
 		{View: &plan.View{Epoch: 3, Planner: "p", Made: 9 * time.Second, Valid: time.Second, View: policy.View{Admit: 0.5, Servers: []policy.Share{{ID: "c1", Factor: 0.3, Allow: 4}},
 			Hot: []policy.Heat{{Key: 8, Load: 1.5}}, Tenants: []policy.Use{{Name: "a", Asked: 20}}}}},
 		{View: &plan.View{Planner: "p", Valid: time.Second, View: policy.View{Servers: []policy.Share{{ID: "c1", Factor: math.Inf(1)}}}}},
-		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 8, Span: time.Second, Asked: 9, Brief: true, Rest: plan.Load{Sends: 5, Timely: 5, Times: []int{5}}, Bad: []plan.Load{{ID: "c2", Late: 1}}},
+		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 8, Span: time.Second, Asked: 9, Brief: true, Rest: plan.Load{Sends: 5, Timely: 5, Times: []int{5}}, Bad: []plan.Load{{ID: "c2", Sends: 24, Late: 1}}, Past: 310},
 			Hold: &plan.Hold{History: 1 << 63, Revision: 4, Follows: true}},
 		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 9, Span: time.Second}, Hold: &plan.Hold{}},
 		{Change: &plan.Change{Epoch: 3, Planner: "p", Made: 9 * time.Second, Valid: time.Second, History: 1 << 63, Base: 4, Revision: 6, Count: 20, Servers: []policy.Share{{ID: "c1", Factor: 0.537}, {ID: "c2", Factor: 1}},
@@ -75,10 +75,10 @@
 		m    Message
 		want string
 	}{
-		// {0: 1, 1: {1: "f", 2: 1, 3: 2, 4: 3, 8: {}, 11: true, 12: {3: 9}, 13: [{1: "c", 4: 1}]}, 3: {1: 7, 2: 5, 3: true}}
-		"digest": {Message{Digest: &plan.Digest{From: "f", Start: 1, Seq: 2, Span: 3, Brief: true, Rest: plan.Load{Timely: 9}, Bad: []plan.Load{{ID: "c", Late: 1}}},
+		// {0: 1, 1: {1: "f", 2: 1, 3: 2, 4: 3, 8: {}, 11: true, 12: {3: 9}, 13: [{1: "c", 2: 24, 4: 1}], 14: 20}, 3: {1: 7, 2: 5, 3: true}}
+		"digest": {Message{Digest: &plan.Digest{From: "f", Start: 1, Seq: 2, Span: 3, Brief: true, Rest: plan.Load{Timely: 9}, Bad: []plan.Load{{ID: "c", Sends: 24, Late: 1}}, Past: 20},
 			Hold: &plan.Hold{History: 7, Revision: 5, Follows: true}},
-			"00000026" + "a3" + "0001" + "01a8" + "016166" + "0201" + "0302" + "0403" + "08a0" + "0bf5" + "0ca10309" + "0d81a20161630401" + "03a3" + "0107" + "0205" + "03f5"},
+			"0000002b" + "a3" + "0001" + "01a9" + "016166" + "0201" + "0302" + "0403" + "08a0" + "0bf5" + "0ca10309" + "0d81a3016163" + "021818" + "0401" + "0e14" + "03a3" + "0107" + "0205" + "03f5"},
 		// {0: 1, 3: {}} beside the digest: nothing is held
 		"nothing held": {Message{Digest: &plan.Digest{From: "f", Start: 1, Seq: 2, Span: 3}, Hold: &plan.Hold{}},
 			"00000012" + "a3" + "0001" + "01a5" + "016166" + "0201" + "0302" + "0403" + "08a0" + "03a0"},
