Forwarders and planners talk by changes; older ones still by whole views

A forwarder tells with each digest what it holds and gets what changed from there; one without a hold gets whole views. Digests are brief only to a planner that has told a change on this connection; until it has said what it speaks it gets an empty digest with the hold. A connection keeps 1 to 8 KiB of room at the planner and 4 KiB at the node, in place of 32 and 64. Bytes are counted at the sockets.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -1,5 +1,6 @@
 // Package forwarder is a node's side of the planners: it counts what the node sees, tells planners of it in digests, and has
-// the views that come back judged by decide/follow and put in force. All of it runs on the node's loop but for TLS, which
+// the changes that come back judged by decide/follow and put in force. With each digest it tells what it holds of that
+// planner's states. A planner that has told views alone since the connection came up is an older one: it gets whole digests. All of it runs on the node's loop but for TLS, which
 // has goroutines of its own; nothing of it is in a request's way. A nil Forwarder counts nothing.
 package forwarder
 
@@ -25,6 +26,8 @@
 	redialMin  = 500 * time.Millisecond
 	redialMost = 5 * time.Second
 	silentFor  = 10 * time.Second // a planner that says nothing for so long is dialled anew
+	helloFor   = 5 * time.Second  // a planner that has not said what it speaks gets no counts for so long, then whole ones
+	keepInput  = 16 << 10         // bytes of room for what comes that a connection keeps
 	noteEvery  = 10 * time.Second // of refused views
 )
 
@@ -35,6 +38,7 @@
 	TLS      *tls.Config   // with the node's certificate
 	Every    time.Duration // between digests, give or take a fifth; 1 s
 	Fade     time.Duration // of views that are no longer valid; 10 s
+	Whole    bool          // it speaks as one of before there were changes: whole digests, views alone
 }
 
 // Forwarder is one node's. It is made by New and used from the loop alone.
@@ -48,13 +52,26 @@
 	links    []*link
 	gather   *plan.Gather
 	trust    float64 // in force
+	turns    uint64  // of the follower, at that time
 	noted    time.Duration
 	closed   bool
 	timers   []*loop.Timer
-	// Digests and Views are how many went and came; Errors, connections that ended.
-	Digests, Views, Errors int64
+	// Digests are how many went, Wholes how many of these named all servers; Views are how many views and changes came;
+	// Errors, connections that ended.
+	Digests, Wholes, Views, Errors int64
+	// BytesIn and BytesOut are what has come and gone over the sockets, TLS included, as of the last message.
+	BytesIn, BytesOut int64
 }
 
+// talk is what a planner speaks, by what it has said since its connection came up.
+type talk uint8
+
+const (
+	unknown talk = iota
+	views        // whole ones alone: it is of before there were changes
+	changes
+)
+
 // link is the connection to one planner.
 type link struct {
 	f       *Forwarder
@@ -66,7 +83,10 @@
 	wait    time.Duration // before the next try
 	retry   *loop.Timer
 	why     string // it ended last
-	planner string
+	planner string // its id, also while it is away: what is held of it is told as soon as it is back
+	talk    talk
+	began   time.Duration // the connection came up
+	in, out int64         // bytes counted so far
 }
 
 // New begins to talk to the planners. Ready tells which servers serve by the node's list, apply is given the view in
@@ -107,22 +127,86 @@
 		return
 	}
 	now := f.loop.Now()
-	frame, err := planwire.Append(nil, planwire.Message{Digest: f.gather.Digest(now)})
+	whole := f.gather.Digest(now)
+	brief := f.gather.Brief(whole)
+	frames := map[kind][]byte{} // planners that are alike get the same
 	for _, l := range f.links {
-		switch {
-		case !l.up || err != nil:
-		case now-l.heard > silentFor:
+		if !l.up {
+			continue
+		}
+		l.count()
+		if now-l.heard > silentFor {
 			l.conn.Close()
 			l.End(errors.New("it says nothing"))
-		default:
-			f.Digests++
-			l.conn.Write(frame)
+			continue
 		}
+		k := l.kind(now)
+		frame, made := frames[k]
+		if !made {
+			d := whole
+			if k.brief {
+				d = brief
+			}
+			if k.hello {
+				d = f.gather.Hello()
+			}
+			var err error
+			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err != nil {
+				continue // a digest too large to tell
+			}
+			frames[k] = frame
+		}
+		l.send(k, frame)
 	}
 	// Guards against a fleet whose digests all come at one moment.
 	f.timers[0] = f.loop.After(f.cfg.Every*4/5+time.Duration(rand.Int64N(int64(f.cfg.Every)*2/5)), f.tell)
 }
 
+// kind is how a digest is told to a planner.
+type kind struct {
+	hello bool // no counts
+	brief bool
+	mute  bool // no hold: as before there were changes
+	hold  plan.Hold
+}
+
+func (k *kind) told() *plan.Hold {
+	if k.mute {
+		return nil
+	}
+	return &k.hold
+}
+
+// kind is what a planner is to be told now.
+func (l *link) kind(now time.Duration) kind {
+	switch {
+	case l.f.cfg.Whole:
+		return kind{mute: true}
+	case l.talk == views: // which passes the hold over
+		return kind{}
+	default:
+		// Guards against brief digests at a planner that would take them for whole ones: only changes prove it a new one.
+		// And against a fleet that tells whole digests, thirty times as long, to a planner that has come back.
+		hello := l.talk == unknown && now-l.began < helloFor
+		return kind{hello: hello, brief: !hello && l.talk == changes, hold: l.f.follower.Hold(l.planner)}
+	}
+}
+
+func (l *link) send(k kind, frame []byte) {
+	l.f.Digests++
+	if !k.hello && !k.brief {
+		l.f.Wholes++
+	}
+	l.conn.Write(frame)
+}
+
+// count notes what has come and gone over the socket.
+func (l *link) count() {
+	in, out := l.conn.Bytes()
+	l.f.BytesIn, l.f.BytesOut = l.f.BytesIn+in-l.in, l.f.BytesOut+out-l.out
+	l.in, l.out = in, out
+}
+
 // fade puts in force what is left of a view that ages.
 func (f *Forwarder) fade() {
 	if f.closed {
@@ -132,30 +216,43 @@
 		if trust == 0 || trust < 1 && f.trust == 1 {
 			f.note("view_fades", fmt.Sprintf("trust=%.2f", trust))
 		}
-		f.trust = trust
+		f.trust, f.turns = trust, f.follower.Turns()
 		f.apply(v)
 	}
 	f.timers[1] = f.loop.After(fadeStep, f.fade)
 }
 
-// take has a view judged, and puts it in force.
-func (f *Forwarder) take(l *link, v *plan.View) {
+// take has a view or a change judged, and puts in force what it makes another.
+func (f *Forwarder) take(l *link, m planwire.Message) {
 	now := f.loop.Now()
 	f.Views++
 	held, _ := f.follower.Held()
-	why, err := f.follower.Take(now, *v, f.ready())
+	var why follow.Reason
+	var err error
+	if c := m.Change; c != nil {
+		l.talk, l.planner = changes, c.Planner
+		why, err = f.follower.TakeChange(now, *c, f.ready())
+	} else {
+		if l.planner = m.View.Planner; l.talk == unknown {
+			l.talk = views
+		}
+		why, err = f.follower.Take(now, *m.View, f.ready())
+	}
 	if why != follow.Taken {
 		if why != follow.Another && (f.noted == 0 || now-f.noted > noteEvery) {
 			f.noted = now
-			f.note("view_refused", fmt.Sprintf("planner=%q addr=%s reason=%s why=%q", v.Planner, l.addr, why, err))
+			f.note("view_refused", fmt.Sprintf("planner=%q addr=%s reason=%s why=%q", l.planner, l.addr, why, err))
 		}
 		return
 	}
+	v, _ := f.follower.Held()
 	if held == nil || held.Planner != v.Planner || held.Epoch != v.Epoch {
 		f.note("follows", fmt.Sprintf("planner=%q epoch=%d", v.Planner, v.Epoch))
 	}
-	f.trust = 1
-	f.apply(v.View)
+	if turns := f.follower.Turns(); f.trust != 1 || turns != f.turns {
+		f.trust, f.turns = 1, turns
+		f.apply(v.View)
+	}
 }
 
 // Reload has connections that are made from now on use other certificates.
@@ -197,7 +294,9 @@
 	}
 	for _, l := range f.links {
 		if l.up {
-			fmt.Fprintf(&b, "planner %s up %s, heard %.1f s ago\n", l.addr, l.planner, (now - l.heard).Seconds())
+			h := f.follower.Hold(l.planner)
+			fmt.Fprintf(&b, "planner %s up %s, heard %.1f s ago, tells %s, revision %d of %016x is held\n", l.addr, l.planner, (now - l.heard).Seconds(),
+				[]string{unknown: "nothing", views: "views", changes: "changes"}[l.talk], h.Revision, h.History)
 		} else {
 			fmt.Fprintf(&b, "planner %s down: %s\n", l.addr, cmp.Or(l.why, "not tried yet"))
 		}
@@ -213,9 +312,10 @@
 	for _, h := range v.Hot {
 		fmt.Fprintf(&b, "hot key %08x load %.1f\n", h.Key, h.Load)
 	}
-	for _, r := range []follow.Reason{follow.Taken, follow.Absurd, follow.Epoch, follow.Late, follow.Another} {
+	for _, r := range []follow.Reason{follow.Taken, follow.Absurd, follow.Epoch, follow.Late, follow.Another, follow.Doubt} {
 		fmt.Fprintf(&b, "views %s %d\n", r, f.follower.Counts[r])
 	}
+	fmt.Fprintf(&b, "digests %d, %d of them whole; bytes in %d, out %d\n", f.Digests, f.Wholes, f.BytesIn, f.BytesOut)
 	return b.String()
 }
 
@@ -231,8 +331,16 @@
 
 // Up implements loop.Handler.
 func (l *link) Up() {
-	l.up, l.wait, l.heard = true, redialMin, l.f.loop.Now()
+	now := l.f.loop.Now()
+	l.up, l.wait, l.heard, l.began, l.talk = true, redialMin, now, now, unknown
 	l.f.note("planner_up", "addr="+l.addr.String())
+	if l.f.cfg.Whole {
+		return
+	}
+	k := l.kind(now)
+	if frame, err := planwire.Append(nil, planwire.Message{Digest: l.f.gather.Hello(), Hold: k.told()}); err == nil {
+		l.send(k, frame)
+	}
 }
 
 // Drained implements loop.Handler.
@@ -241,31 +349,45 @@
 // Data implements loop.Handler.
 func (l *link) Data(data []byte) {
 	l.heard = l.f.loop.Now()
+	l.count()
 	l.input = append(l.input, data...)
+	read := 0
 	for !l.f.closed {
-		m, used, err := planwire.Next(l.input)
-		if err != nil || m.Digest != nil {
+		m, used, err := planwire.Next(l.input[read:])
+		switch {
+		case err != nil:
+		case m.Digest != nil:
+			err = errors.New("a digest from a planner")
+		case m.Change != nil && l.f.cfg.Whole:
+			err = errors.New("neither a digest nor a view")
+		}
+		if err != nil {
 			l.conn.Close()
-			l.End(cmp.Or(err, errors.New("a digest from a planner")))
+			l.End(err)
 			return
 		}
 		if used == 0 {
-			return
+			break
 		}
-		l.input = append(l.input[:0], l.input[used:]...)
-		l.planner = m.View.Planner
-		l.f.take(l, m.View)
+		read += used
+		l.f.take(l, m)
+	}
+	if l.input = append(l.input[:0], l.input[read:]...); len(l.input) == 0 && cap(l.input) > keepInput {
+		l.input = nil
 	}
 }
 
 // End implements loop.Handler: it is dialled again, after a growing while.
 func (l *link) End(err error) {
 	l.f.Errors++
+	if l.conn != nil {
+		l.count()
+	}
 	why := fmt.Sprint(err)
 	if l.up || why != l.why { // once for each cause
 		l.f.note("planner_down", fmt.Sprintf("addr=%s why=%q", l.addr, why))
 	}
-	l.up, l.why, l.input, l.conn = false, why, nil, nil
+	l.up, l.why, l.input, l.conn, l.in, l.out = false, why, nil, nil, 0, 0
 	l.wait = min(2*l.wait, redialMost)
 	l.again(l.wait/2 + time.Duration(rand.Int64N(int64(l.wait))/2))
 }
--- a/internal/loop/tls.go
+++ b/internal/loop/tls.go
@@ -6,27 +6,32 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 )
 
-// mostQueued is how many writes may wait for a TLS connection to stand, or to take them.
-const mostQueued = 64
+const (
+	mostQueued = 64      // writes that may wait for a TLS connection to stand, or to take them
+	tlsRead    = 4 << 10 // bytes taken from a TLS connection at a time; each has such a buffer of its own
+)
 
 // TLSConn is a connection with TLS, for what is no part of serving requests: its handshake and its bytes go through
 // goroutines of its own, its owner is called from the loop as ever.
 type TLSConn struct {
 	loop   *Loop
 	h      Handler
-	out    chan []byte
+	queue  chan []byte
 	cancel context.CancelFunc
 	closed bool // known to the loop
 	mu     sync.Mutex
 	conn   net.Conn
+	in     atomic.Int64
+	out    atomic.Int64
 }
 
 // DialTLS begins a connection; its outcome is told by Up, once the handshake is through, or End.
 func (l *Loop) DialTLS(addr netip.AddrPort, cfg *tls.Config, h Handler) *TLSConn {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &TLSConn{loop: l, h: h, out: make(chan []byte, mostQueued), cancel: cancel}
+	c := &TLSConn{loop: l, h: h, queue: make(chan []byte, mostQueued), cancel: cancel}
 	l.open++
 	go c.run(ctx, addr, cfg)
 	return c
@@ -34,8 +39,7 @@
 
 // run dials and reads; a second goroutine writes.
 func (c *TLSConn) run(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) {
-	d := tls.Dialer{Config: cfg}
-	conn, err := d.DialContext(ctx, "tcp", addr.String())
+	conn, err := c.dial(ctx, addr, cfg)
 	if err != nil {
 		c.tell(func() { c.end(err) })
 		return
@@ -54,7 +58,7 @@
 			select {
 			case <-ctx.Done():
 				return
-			case data := <-c.out:
+			case data := <-c.queue:
 				if _, err := conn.Write(data); err != nil {
 					conn.Close() // which ends the reading
 					return
@@ -62,7 +66,7 @@
 			}
 		}
 	}()
-	buffer := make([]byte, readSize)
+	buffer := make([]byte, tlsRead)
 	for {
 		n, err := conn.Read(buffer)
 		if n > 0 {
@@ -84,6 +88,48 @@
 	}
 }
 
+// dial connects and shakes hands. What goes over the socket is counted.
+func (c *TLSConn) dial(ctx context.Context, addr netip.AddrPort, cfg *tls.Config) (net.Conn, error) {
+	var d net.Dialer
+	raw, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	if cfg.ServerName == "" {
+		cfg = cfg.Clone()
+		cfg.ServerName = addr.Addr().String()
+	}
+	conn := tls.Client(Counted(raw, &c.in, &c.out), cfg)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// Bytes is what has come and gone over the socket so far, with all that TLS adds.
+func (c *TLSConn) Bytes() (in, out int64) { return c.in.Load(), c.out.Load() }
+
+// Counted is a connection of which the bytes that come and go are added to in and out.
+func Counted(conn net.Conn, in, out *atomic.Int64) net.Conn { return &counted{conn, in, out} }
+
+type counted struct {
+	net.Conn
+	in, out *atomic.Int64
+}
+
+func (c *counted) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(data []byte) (int, error) {
+	n, err := c.Conn.Write(data)
+	c.out.Add(int64(n))
+	return n, err
+}
+
 // tell runs f on the loop unless the connection is closed by then; done is closed in any case.
 func (c *TLSConn) tell(f func(), done ...chan struct{}) {
 	c.loop.Post(func() {
@@ -109,7 +155,7 @@
 		return
 	}
 	select {
-	case c.out <- append([]byte(nil), data...):
+	case c.queue <- append([]byte(nil), data...):
 	default:
 		c.loop.Later(func() {
 			if !c.closed {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -1,5 +1,5 @@
-// Package planner is a planner as a process: it follows the server list, takes forwarders' digests and sends them views, which
-// decide/plan makes. The decisions run on one loop; each connection has a reader and a writer of its own, which may wait
+// Package planner is a planner as a process: it follows the server list, takes forwarders' digests and sends them changes of
+// its state, which decide/plan makes, or whole views if they are of before there were changes. The decisions run on one loop; each connection has a reader and a writer of its own, which may wait
 // without anything waiting for them.
 package planner
 
@@ -9,11 +9,16 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/bits"
+	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -32,7 +37,8 @@
 	shakeWithin  = 5 * time.Second  // a connection's handshake
 	silentFor    = 30 * time.Second // a forwarder that says nothing for so long is hung up on
 	writeWithin  = 5 * time.Second
-	readSize     = 32 << 10
+	readLeast    = 1 << 10 // room for what comes, of each connection; digests in brief fit
+	readKeep     = 8 << 10 // of it that a connection keeps
 	snapEvery    = 5 * time.Second
 	listWatch    = 5 * time.Second
 	listCall     = 1500 * time.Millisecond
@@ -59,23 +65,27 @@
 
 // Planner is one process's. Its fields belong to the loop but for those that say otherwise.
 type Planner struct {
-	cfg      Config
-	loop     *loop.Loop
-	plan     *plan.Planner
-	listener net.Listener
-	tls      atomic.Pointer[tls.Config] // any goroutine's
-	conns    map[*conn]bool
-	held     atomic.Int64 // connections, those in their handshake included
-	entries  map[string]roster.Entry
-	registry *registry.Client
-	control  *control.Server
-	store    *bbolt.DB
-	members  *members
-	lease    *lease
-	restored bool
-	refused  map[string]int64 // digests that count for nothing, by why
-	digests  int64
-	views    int64
+	cfg       Config
+	loop      *loop.Loop
+	plan      *plan.Planner
+	listener  net.Listener
+	tls       atomic.Pointer[tls.Config] // any goroutine's
+	conns     map[*conn]bool
+	held      atomic.Int64 // connections, those in their handshake included
+	entries   map[string]roster.Entry
+	registry  *registry.Client
+	control   *control.Server
+	store     *bbolt.DB
+	members   *members
+	lease     *lease
+	restored  bool
+	refused   map[string]int64 // messages that count for nothing, by who sent them
+	forgotten int64            // those of before the table was cleared
+	broken    int64            // connections ended for what came there
+	digests   int64
+	briefs    int64
+	out       outbox
+	in, sent  atomic.Int64 // bytes over sockets, TLS included
 }
 
 // conn is a forwarder's connection.
@@ -84,11 +94,18 @@
 	tls  *tls.Conn
 	name string
 	out  chan []byte
+	// What follows belongs to the loop.
+	speech speech
+	hold   plan.Hold     // what it holds, as it last told; after a whole state: that
+	waits  bool          // for a whole state
+	last   time.Duration // it was sent a change
+	sent   uint64        // the revision of that
 }
 
 // New makes a planner that listens; Run runs it.
 func New(cfg Config) (*Planner, error) {
-	p := &Planner{cfg: cfg, plan: plan.New(cfg.Plan), conns: map[*conn]bool{}, entries: map[string]roster.Entry{}, refused: map[string]int64{}}
+	cfg.Plan.History = rand.Uint64() | 1 // no other life of this or another planner has the same
+	p := &Planner{cfg: cfg, plan: plan.New(cfg.Plan), out: outbox{rate: statesASecond}, conns: map[*conn]bool{}, entries: map[string]roster.Entry{}, refused: map[string]int64{}}
 	certs, err := cfg.Certificates()
 	if err != nil {
 		return nil, err
@@ -203,7 +220,7 @@
 // serve speaks with one forwarder, in two goroutines.
 func (p *Planner) serve(raw net.Conn) {
 	defer p.held.Add(-1)
-	c := &conn{p: p, tls: tls.Server(raw, p.tls.Load()), out: make(chan []byte, 2)}
+	c := &conn{p: p, tls: tls.Server(loop.Counted(raw, &p.in, &p.sent), p.tls.Load()), out: make(chan []byte, 2)}
 	defer c.tls.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), shakeWithin)
 	err := c.tls.HandshakeContext(ctx)
@@ -222,8 +239,12 @@
 			}
 		}
 	}()
-	err = c.read()
+	bad := c.read()
 	p.loop.Post(func() {
+		if bad != nil {
+			p.broken++
+			p.refuse(c, bad)
+		}
 		if p.conns[c] {
 			delete(p.conns, c)
 			close(c.out)
@@ -231,27 +252,32 @@
 	})
 }
 
-// read takes digests until the connection ends.
+// read takes digests until the connection ends. An error is of what came, not of the connection.
 func (c *conn) read() error {
 	var input []byte
-	buffer := make([]byte, readSize)
 	for {
+		if len(input) == 0 && cap(input) > readKeep {
+			input = nil
+		}
+		input = slices.Grow(input, readLeast)
 		c.tls.SetReadDeadline(time.Now().Add(silentFor))
-		n, err := c.tls.Read(buffer)
-		input = append(input, buffer[:n]...)
+		n, err := c.tls.Read(input[len(input):cap(input)])
+		input = input[:len(input)+n]
+		read := 0
 		for {
-			m, used, bad := planwire.Next(input)
+			m, used, bad := planwire.Next(input[read:])
 			if bad != nil {
 				return bad
 			}
 			if used == 0 {
 				break
 			}
-			input = append(input[:0], input[used:]...)
+			read += used
 			c.p.loop.Post(func() { c.p.take(c, m) })
 		}
+		input = append(input[:0], input[read:]...)
 		if err != nil {
-			return err
+			return nil
 		}
 	}
 }
@@ -262,22 +288,47 @@
 	var err error
 	switch d := m.Digest; {
 	case d == nil:
-		err = fmt.Errorf("no digest")
+		err = fmt.Errorf("no digest, but what planners tell")
 	case d.From != c.name: // who it is, its certificate says
 		err = fmt.Errorf("%q says it is another", c.name)
 	default:
-		err = p.plan.Digest(p.loop.Now(), *d)
-	}
-	if err != nil {
-		if p.refused[c.name]++; len(p.refused) > 1024 {
-			clear(p.refused)
+		if m.Hold != nil {
+			err = c.holds(*m.Hold)
+		} else if c.speech == unheard {
+			c.speech = older
 		}
-		if p.refused[c.name] == 1 {
-			p.note("digest_refused", fmt.Sprintf("from=%q why=%q", c.name, err))
+		if err == nil {
+			err = p.plan.Digest(p.loop.Now(), *d)
 		}
+		if d.Brief {
+			p.briefs++
+		}
+	}
+	if err != nil {
+		p.refuse(c, err)
 	}
 }
 
+// refuse counts a message that counts for nothing, and tells of the first, second, fourth and so on of a forwarder.
+func (p *Planner) refuse(c *conn, why error) {
+	n := p.refused[c.name] + 1
+	if p.refused[c.name] = n; len(p.refused) > 1024 {
+		p.forgotten += p.refusals()
+		clear(p.refused)
+	}
+	if bits.OnesCount64(uint64(n)) == 1 {
+		p.note("digest_refused", fmt.Sprintf("from=%q count=%d why=%q", c.name, n, why))
+	}
+}
+
+// refusals is how many messages of those now in the table counted for nothing.
+func (p *Planner) refusals() (sum int64) {
+	for _, n := range p.refused {
+		sum += n
+	}
+	return sum
+}
+
 // told takes list news.
 func (p *Planner) told(u roster.Update) {
 	if u.Whole {
@@ -301,24 +352,11 @@
 	}
 }
 
-// tick makes views and sends them. A forwarder that has not taken the last two gets none: it is late or frozen.
+// tick makes what is told, and tells it.
 func (p *Planner) tick() {
 	now := p.loop.Now()
 	p.plan.Make(now)
-	if len(p.entries) > 0 {
-		for c := range p.conns {
-			v := p.plan.View(now, now, c.name)
-			frame, err := planwire.Append(nil, planwire.Message{View: &v})
-			if err != nil {
-				continue
-			}
-			select {
-			case c.out <- frame:
-				p.views++
-			default:
-			}
-		}
-	}
+	p.send(now)
 	p.loop.After(p.cfg.Every, p.tick)
 }
 
@@ -400,16 +438,33 @@
 
 func (p *Planner) vars() control.Reply {
 	var b strings.Builder
-	refused := int64(0)
-	for _, n := range p.refused {
-		refused += n
-	}
+	var u syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &u) // fails for no process of its own
+	o := &p.out
 	for _, x := range []struct {
 		name, kind string
-		value      int64
-	}{{"forwarders", "gauge", int64(p.plan.Followed())}, {"connections", "gauge", int64(len(p.conns))}, {"digests_total", "counter", p.digests},
-		{"digests_refused_total", "counter", refused}, {"views_total", "counter", p.views}, {"cache_servers_known", "gauge", int64(len(p.plan.Explain()))}} {
-		fmt.Fprintf(&b, "# TYPE app_planner_%s %s\napp_planner_%s %d\n", x.name, x.kind, x.name, x.value)
+		value      float64
+	}{{"app_planner_forwarders", "gauge", float64(p.plan.Followed())}, {"app_planner_connections", "gauge", float64(len(p.conns))},
+		{"app_planner_digests_total", "counter", float64(p.digests)}, {"app_planner_digests_brief_total", "counter", float64(p.briefs)},
+		{"app_planner_digests_refused_total", "counter", float64(p.forgotten + p.refusals())}, {"app_planner_connections_broken_total", "counter", float64(p.broken)},
+		{"app_planner_views_total", "counter", float64(o.views)}, {"app_planner_changes_total", "counter", float64(o.changes)},
+		{"app_planner_states_total", "counter", float64(o.states)}, {"app_planner_states_waiting", "gauge", float64(len(o.waiting))},
+		{"app_planner_states_paced_total", "counter", float64(o.paced)}, {"app_planner_doubts_total", "counter", float64(o.doubts)},
+		{"app_planner_changes_encoded_total", "counter", float64(o.encoded)}, {"app_planner_revision", "gauge", float64(p.plan.Revision())},
+		{"app_planner_bytes_in_total", "counter", float64(p.in.Load())}, {"app_planner_bytes_out_total", "counter", float64(p.sent.Load())},
+		{"app_planner_cache_servers_known", "gauge", float64(len(p.plan.Explain()))},
+		{"process_cpu_seconds_total", "counter", time.Duration(u.Utime.Nano() + u.Stime.Nano()).Seconds()}, {"process_resident_memory_bytes", "gauge", resident()}} {
+		fmt.Fprintf(&b, "# TYPE %s %s\n%s %s\n", x.name, x.kind, x.name, strconv.FormatFloat(x.value, 'f', -1, 64))
 	}
 	return control.Reply{Status: 200, Type: "text/plain; version=0.0.4; charset=utf-8", Body: []byte(b.String())}
 }
+
+// resident is how many bytes of memory the process has; 0: the system does not say.
+func resident() float64 {
+	text, _ := os.ReadFile("/proc/self/statm")
+	if words := strings.Fields(string(text)); len(words) > 1 {
+		pages, _ := strconv.Atoi(words[1])
+		return float64(pages * os.Getpagesize())
+	}
+	return 0
+}
