Tests of control talk: both versions at both ends, lost and late changes, pacing, absurd messages

Real planners and forwarders over loopback TLS, scripted planners, and frames of before frozen in the test. Pacing, heartbeats and grants on a hand-moved clock.

--- /dev/null
+++ b/internal/planner/send_test.go
@@ -0,0 +1,362 @@
+package planner
+
+import (
+	"crypto/tls"
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"lapisshelf/decide/follow"
+	"lapisshelf/decide/plan"
+	"lapisshelf/decide/roster"
+	"lapisshelf/internal/planwire"
+	"lapisshelf/policy"
+)
+
+// still is a planner that does not run: a test moves its clock and looks at what it puts out.
+type still struct {
+	*Planner
+	t   *testing.T
+	now time.Duration
+	ids []string
+	off float64 // what all servers count for; they would recover, since nothing bad is told of them
+}
+
+func newStill(t *testing.T, caches int, off float64) *still {
+	t.Helper()
+	p, err := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Every: 500 * ms, Certificates: func() (*tls.Config, error) { return &tls.Config{}, nil },
+		Plan: plan.Config{ID: "p", Forwarders: 4096, Valid: 3 * time.Second, FallMultiple: 3, WarmUp: time.Minute, ColdFrom: 0.1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { p.listener.Close() })
+	s := &still{Planner: p, t: t, now: 1000 * time.Second, off: off}
+	for i := range caches {
+		s.ids = append(s.ids, fmt.Sprintf("shelf-cache-%03d", i))
+	}
+	s.roster(0)
+	s.make()
+	return s
+}
+
+// roster has the list name all caches; the first so many started now.
+func (s *still) roster(cold int) {
+	var list []policy.Server
+	for i, id := range s.ids {
+		e := policy.Server{ID: id, Kind: "m2", Weight: 1, State: policy.Ready}
+		if i < cold {
+			e.Started = s.now
+		}
+		list = append(list, e)
+		s.entries[id] = roster.Entry{Server: e}
+	}
+	s.plan.Roster(s.now, list)
+}
+
+// make has the planner look at what is so.
+func (s *still) make() {
+	shot := plan.Snapshot{Clock: s.now, Factors: map[string]float64{}}
+	for _, id := range s.ids {
+		shot.Factors[id] = s.off
+	}
+	if s.off < 1 && !s.plan.Restore(s.now, time.Hour, shot) {
+		s.t.Fatal("the snapshot does not count")
+	}
+	s.plan.Make(s.now)
+}
+
+// conn is a forwarder's connection whose frames the test takes.
+func (s *still) conn(name string) *conn {
+	c := &conn{p: s.Planner, name: name, out: make(chan []byte, 2)}
+	s.conns[c] = true
+	return c
+}
+
+// tick moves the clock by as much as lies between two sendings, and sends.
+func (s *still) tick() {
+	s.now += s.cfg.Every
+	s.make()
+	s.send(s.now)
+}
+
+// got is what waits for a connection, taken from it.
+func (s *still) got(c *conn) (frames [][]byte) {
+	for {
+		select {
+		case f := <-c.out:
+			frames = append(frames, f)
+		default:
+			return frames
+		}
+	}
+}
+
+// read reads frames.
+func (s *still) read(frames ...[]byte) (list []planwire.Message) {
+	s.t.Helper()
+	for _, f := range frames {
+		m, used, err := planwire.Next(f)
+		if err != nil || used != len(f) {
+			s.t.Fatalf("%d of %d bytes, %v", used, len(f), err)
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func (s *still) says(c *conn, h plan.Hold) {
+	s.t.Helper()
+	if err := c.holds(h); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+func (s *still) held() plan.Hold {
+	return plan.Hold{History: s.cfg.Plan.History, Revision: s.plan.Revision()}
+}
+
+// A fleet that comes back all at once, with a state of 420 servers that are all off: the whole states go out at their pace,
+// in the order of asking, frozen forwarders keep none of the others waiting, and one that asks again each time waits in turn.
+func TestWholeStatesArePaced(t *testing.T) {
+	const nodes = 1900
+	s := newStill(t, 420, 0.5)
+	var conns []*conn
+	for i := range nodes {
+		conns = append(conns, s.conn(fmt.Sprintf("n%04d", i)))
+		s.says(conns[i], plan.Hold{})
+	}
+	frozen, liar := conns[0], conns[1]
+	frozen.out <- nil
+	frozen.out <- nil
+	bytes, order, served := []int{}, []*conn{}, map[*conn]int{}
+	size := 0
+	for ticks := 0; len(served) < nodes-1; ticks++ {
+		if ticks == 60 {
+			t.Fatalf("%d of %d served in 30 s", len(served), nodes)
+		}
+		before := slices.Clone(s.out.waiting)
+		s.tick()
+		sum := 0
+		for _, c := range conns {
+			if c == frozen {
+				continue
+			}
+			for _, f := range s.got(c) {
+				m := s.read(f)[0]
+				if m.Change == nil || m.Change.Base != 0 {
+					continue // a heartbeat
+				}
+				sum += len(f)
+				size = len(f)
+				if served[c]++; c != liar && served[c] > 1 {
+					t.Errorf("%s got %d", c.name, served[c])
+				}
+				order = append(order, c)
+			}
+		}
+		bytes = append(bytes, sum)
+		if ticks > 0 { // those who wait from before come first
+			for i, c := range before[:min(len(before), 20)] {
+				if served[c] == 0 && c != frozen {
+					t.Errorf("tick %d: the %d. of those who waited got none", ticks, i+1)
+				}
+			}
+		}
+		s.says(liar, plan.Hold{})
+	}
+	t.Logf("states of %d bytes, bytes each half second: %v", size, bytes)
+	if size < 4000 {
+		t.Errorf("a state of %d bytes: that is no test", size)
+	}
+	for i := range bytes[1:] { // in any second
+		if sum := bytes[i] + bytes[i+1]; sum > statesASecond*3/2+2*size {
+			t.Errorf("%d bytes from tick %d on", sum, i)
+		}
+	}
+	if total := nodes * size; len(bytes) > 2+2*total/statesASecond {
+		t.Errorf("%d ticks for %d bytes", len(bytes), total)
+	}
+	if served[liar] > 1+len(bytes)/2 || s.out.paced == 0 {
+		t.Errorf("the one that asks each time got %d in %d ticks; %d paced", served[liar], len(bytes), s.out.paced)
+	}
+	s.got(frozen)
+	s.tick()
+	if list := s.got(frozen); len(list) != 1 {
+		t.Errorf("thawed, it got %d frames", len(list))
+	}
+}
+
+// In the calm a forwarder that holds the present state hears once a second, all of them the same bytes, made once.
+func TestHeartbeats(t *testing.T) {
+	s := newStill(t, 20, 1)
+	var conns []*conn
+	for i := range 50 {
+		c := s.conn(fmt.Sprint("n", i))
+		conns = append(conns, c)
+		s.says(c, s.held())
+		c.last = s.now
+	}
+	frozen := conns[0]
+	frozen.out <- nil
+	frozen.out <- nil
+	for tick := 1; tick <= 20; tick++ {
+		made := s.out.encoded
+		s.tick()
+		want := (tick + 1) % 2 // every other
+		if s.out.encoded-made > 1 {
+			t.Errorf("tick %d: encoded %d times", tick, s.out.encoded-made)
+		}
+		var first []byte
+		for _, c := range conns[1:] {
+			got := s.got(c)
+			if len(got) != want {
+				t.Fatalf("tick %d: %s got %d frames, want %d", tick, c.name, len(got), want)
+			}
+			if want == 0 {
+				continue
+			}
+			if first == nil {
+				first = got[0]
+			}
+			if &first[0] != &got[0][0] {
+				t.Fatal("the same bytes made twice")
+			}
+			if m := s.read(got[0])[0].Change; m.Base != s.plan.Revision() || len(m.Servers) > 0 || len(got[0]) > 120 {
+				t.Fatalf("%d bytes: %+v", len(got[0]), m)
+			}
+		}
+	}
+	if len(frozen.out) != 2 {
+		t.Error("a frozen one was written to")
+	}
+}
+
+// What changed is told at once from what is acknowledged, again with the heartbeat while it is not, and no more once it is.
+// One that has told nothing, not even that it is older, is told nothing.
+func TestChangesAreToldFromWhatIsHeld(t *testing.T) {
+	s := newStill(t, 20, 1)
+	a, b, mute := s.conn("a"), s.conn("b"), s.conn("mute")
+	first := s.held()
+	for _, c := range []*conn{a, b} {
+		s.says(c, first)
+		c.last = s.now
+	}
+	s.off = 0.5
+	s.tick()
+	for _, c := range []*conn{a, b} {
+		if list := s.read(s.got(c)...); len(list) != 1 || list[0].Change.Base != first.Revision || list[0].Change.Revision != s.plan.Revision() || len(list[0].Change.Servers) != 20 {
+			t.Fatalf("%s: %+v", c.name, list)
+		}
+	}
+	s.says(a, s.held())
+	s.tick() // b's is on its way
+	if n, m := len(s.got(a)), len(s.got(b)); n+m > 0 {
+		t.Errorf("%d and %d frames", n, m)
+	}
+	s.tick() // the heartbeat
+	for c, base := range map[*conn]uint64{a: s.plan.Revision(), b: first.Revision} {
+		if list := s.read(s.got(c)...); len(list) != 1 || list[0].Change.Base != base {
+			t.Errorf("%s: %+v", c.name, list)
+		}
+	}
+	s.says(b, plan.Hold{}) // it does not fit what it has
+	s.tick()
+	if list := s.read(s.got(b)...); len(list) != 1 || list[0].Change.Base != 0 || s.out.doubts != 1 {
+		t.Errorf("%+v, %d doubts", list, s.out.doubts)
+	}
+	s.says(a, plan.Hold{History: s.cfg.Plan.History ^ 2, Revision: 1}) // another life's
+	s.tick()
+	if list := s.read(s.got(a)...); len(list) != 1 || list[0].Change.Base != 0 {
+		t.Errorf("%+v", list)
+	}
+	if n := len(s.got(mute)); n > 0 {
+		t.Errorf("%d frames to one that said nothing", n)
+	}
+}
+
+// A forwarder's grants go to it alone, beside what goes to all, at each tick while a server is cold.
+func TestGrantsAreToldToEachAlone(t *testing.T) {
+	s := newStill(t, 20, 1)
+	conns := []*conn{s.conn("a"), s.conn("b"), s.conn("unheard of")}
+	seq := uint64(0)
+	digest := func() {
+		seq++
+		for i, c := range conns[:2] {
+			d := plan.Digest{From: c.name, Start: 1, Seq: seq, Span: time.Second, Asked: 1000 * (1 + 2*i), Answered: 1000 * (1 + 2*i)}
+			for _, id := range s.ids {
+				d.Servers = append(d.Servers, plan.Load{ID: id, Sends: 50, Timely: 50})
+			}
+			if err := s.plan.Digest(s.now, d); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for _, c := range conns {
+		s.says(c, s.held())
+	}
+	for range 8 {
+		s.now += time.Second
+		digest()
+		s.plan.Make(s.now)
+	}
+	s.roster(1)
+	s.tick()
+	for _, c := range conns {
+		s.got(c)
+	}
+	for range 3 {
+		digest()
+		s.tick()
+		var rates []float64
+		for _, c := range conns {
+			list := s.read(s.got(c)...)
+			if len(list) != 1 {
+				t.Fatalf("%s: %+v", c.name, list)
+			}
+			if g := list[0].Change.Grants; len(g) == 1 && g[0].ID == s.ids[0] {
+				rates = append(rates, g[0].Rate)
+			}
+		}
+		budget := 0.0
+		for _, r := range s.plan.Explain() {
+			budget = max(budget, r.Allow)
+		}
+		if len(rates) != 2 || rates[1] < 2*rates[0] || rates[0]+rates[1] > budget || budget == 0 {
+			t.Fatalf("grants %v of %.1f", rates, budget)
+		}
+	}
+}
+
+// What a forwarder says that it holds is believed only where it can be true.
+func TestAbsurdHolds(t *testing.T) {
+	s := newStill(t, 20, 1)
+	c := s.conn("a")
+	for _, h := range []plan.Hold{{History: 5}, {Revision: 5}, {History: s.cfg.Plan.History, Revision: s.plan.Revision() + 1}, {History: s.cfg.Plan.History, Revision: 1 << 63}} {
+		m := planwire.Message{Digest: &plan.Digest{From: "a", Start: 1, Seq: 1, Span: time.Second}, Hold: &h}
+		before := s.refused["a"]
+		s.take(c, m)
+		if s.refused["a"] != before+1 || c.speech != unheard || c.hold != (plan.Hold{}) || s.plan.Followed() != 0 {
+			t.Errorf("%+v: refused %d, %+v", h, s.refused["a"], c.hold)
+		}
+	}
+	// A follower's own holds are none of these.
+	f := follow.New(follow.Config{})
+	for range 3 {
+		s.says(c, f.Hold("p"))
+		s.tick()
+		var ready []follow.Server
+		for _, id := range s.ids {
+			ready = append(ready, follow.Server{ID: id, Weight: 1})
+		}
+		for _, m := range s.read(s.got(c)...) {
+			if why, err := f.TakeChange(s.now, *m.Change, ready); why != follow.Taken {
+				t.Error(why, err)
+			}
+		}
+	}
+	if c.hold != s.held() || s.out.states != 1 {
+		t.Errorf("%+v, %d states", c.hold, s.out.states)
+	}
+}
--- /dev/null
+++ b/internal/planner/talk_test.go
@@ -0,0 +1,706 @@
+package planner
+
+import (
+	"encoding/binary"
+	"math"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"lapisshelf/decide/plan"
+	"lapisshelf/internal/forwarder"
+	"lapisshelf/internal/planwire"
+	"lapisshelf/policy"
+)
+
+// reads has each node's digests tell reads of all caches, of which those of the bad ones come to nothing.
+func (r *rig) reads(bad *sync.Map) func(n *node) {
+	return func(n *node) {
+		for _, id := range r.ids {
+			_, is := bad.Load(id)
+			for range 20 {
+				n.Request("k", "t")
+				if is {
+					n.Attempt(id, false, policy.TimedOut, time.Second, false, false)
+				} else {
+					n.Attempt(id, false, policy.OK, 5*ms, true, false)
+				}
+			}
+		}
+	}
+}
+
+// factor is what a node counts a cache for.
+func (n *node) factor(id string) float64 {
+	for _, s := range n.view.Servers {
+		if s.ID == id {
+			return s.Factor
+		}
+	}
+	return 1
+}
+
+func frameOf(t *testing.T, m planwire.Message) []byte {
+	t.Helper()
+	frame, err := planwire.Append(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return frame
+}
+
+func addrOf(s *scripted) netip.AddrPort { return netip.MustParseAddrPort(s.listener.Addr().String()) }
+
+// Forwarders of before there were changes, among new ones at one planner: they get whole views on the connection that
+// stands, and all act alike. Both a new forwarder told to speak as then, and frames as they were then.
+func TestOldForwardersAtANewPlanner(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	var bad sync.Map
+	bad.Store(r.ids[0], true)
+	c := r.crowd()
+	c.load = r.reads(&bad)
+	fresh, whole := c.join("new", nil, p.Addr()), c.join("whole", func(cfg *forwarder.Config) { cfg.Whole = true }, p.Addr())
+	conn := r.dial("frozen", p.Addr().String())
+	go func() {
+		for seq := uint64(1); ; seq++ {
+			d := &oldDigest{From: "frozen", Start: 1, Seq: seq, Span: int64(100 * ms), Asked: 160, Answered: 140}
+			for i, id := range r.ids {
+				l := oldLoad{ID: id, Sends: 20, Timely: 20}
+				if i == 0 {
+					l = oldLoad{ID: id, Sends: 20, Late: 20}
+				}
+				d.Servers = append(d.Servers, l)
+			}
+			if _, err := conn.Write(oldFrame(t, oldMessage{Digest: d})); err != nil {
+				return
+			}
+			time.Sleep(100 * ms)
+		}
+	}()
+	var mu sync.Mutex
+	least, views, wrong := 1.0, 0, 0
+	go func() {
+		for {
+			m, _, err := oldRead(conn)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			if views++; m.View == nil || len(m.View.Servers) != len(r.ids) {
+				wrong++
+			} else {
+				least = min(least, m.View.Servers[0].Factor)
+			}
+			mu.Unlock()
+		}
+	}()
+	c.eventually("all act on the bad cache", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return fresh.factor(r.ids[0]) < 0.5 && whole.factor(r.ids[0]) < 0.5 && least < 0.5
+	})
+	c.on(func() {
+		if fresh.Wholes > 0 || whole.Wholes != whole.Digests || fresh.Errors+whole.Errors > 0 || !strings.Contains(fresh.Status(), "tells changes") || !strings.Contains(whole.Status(), "tells views") {
+			t.Errorf("new: %s, old: %s", fresh.Status(), whole.Status())
+		}
+	})
+	mu.Lock()
+	if wrong > 0 {
+		t.Errorf("%d of %d views are not whole", wrong, views)
+	}
+	mu.Unlock()
+	p.on(func() {
+		if len(p.conns) != 3 || p.plan.Followed() != 3 || p.broken > 0 || p.refusals() > 0 || p.out.views == 0 || p.out.changes == 0 {
+			t.Errorf("%d connections, %d heard, %d broken, %v refused, %+v", len(p.conns), p.plan.Followed(), p.broken, p.refused, p.out)
+		}
+	})
+	bad.Clear()
+	// And back, with the connections that stand.
+	go conn.Close()
+	c.eventually("the cache is well again", func() bool { return fresh.factor(r.ids[0]) == 1 && whole.factor(r.ids[0]) == 1 })
+	c.on(func() {
+		if fresh.Errors+whole.Errors > 0 {
+			t.Error("a connection ended")
+		}
+	})
+}
+
+// A planner of before there were changes: a new forwarder acts on its whole views, and tells it whole digests alone, on the
+// connection that stands.
+func TestANewForwarderAtAnOldPlanner(t *testing.T) {
+	r := newRig(t, 8)
+	var mu sync.Mutex
+	hellos, wholes := 0, 0
+	old := r.oldPlanner("p1", "", 0.4, func(d oldDigest, raw map[int]cbor.RawMessage) {
+		mu.Lock()
+		defer mu.Unlock()
+		var fields map[int]cbor.RawMessage
+		if oldDecoder.Unmarshal(raw[1], &fields); fields[11] != nil || fields[12] != nil || fields[13] != nil {
+			t.Error("a brief digest at a planner that would take it for a whole one")
+		}
+		switch {
+		case d.Asked == 0 && len(d.Servers) == 0:
+			hellos++
+		case len(d.Servers) == len(r.ids):
+			wholes++
+		default:
+			t.Errorf("a digest of %d servers", len(d.Servers))
+		}
+	})
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	n := c.join("new", nil, addrOf(old))
+	c.eventually("whole digests", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return wholes >= 5 && n.factor(r.ids[0]) == 0.4
+	})
+	if mu.Lock(); old.came() != 1 || hellos == 0 || hellos > 2 {
+		t.Errorf("%d connections, %d hellos", old.came(), hellos)
+	}
+	mu.Unlock()
+	c.on(func() {
+		if n.Errors > 0 || !strings.Contains(n.Status(), "tells views") {
+			t.Error(n.Status())
+		}
+	})
+}
+
+// A planner is replaced at its address by one of before there were changes, and that by a new one: what it speaks is asked
+// anew on each connection.
+// Guards against brief digests that an older planner would take for whole ones.
+func TestAPlannerOfAnotherVersionAtTheSameAddress(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	at := p.Addr()
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	n := c.join("new", nil, at)
+	p.eventually("brief digests", func() bool { return p.briefs > 3 })
+	p.end()
+	var mu sync.Mutex
+	wholes := 0
+	old := r.oldPlanner("p1", at.String(), 0.4, func(d oldDigest, raw map[int]cbor.RawMessage) {
+		mu.Lock()
+		defer mu.Unlock()
+		var fields map[int]cbor.RawMessage
+		if oldDecoder.Unmarshal(raw[1], &fields); fields[11] != nil {
+			t.Error("a brief digest at a planner that would take it for a whole one")
+		}
+		if len(d.Servers) == len(r.ids) {
+			wholes++
+		}
+	})
+	c.eventually("whole digests", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return wholes > 3 && n.factor(r.ids[0]) == 0.4
+	})
+	old.end()
+	p = r.plans("p1", at.String(), nil)
+	p.eventually("brief digests again", func() bool { return p.briefs > 3 })
+	c.eventually("its state", func() bool { return n.factor(r.ids[0]) == 1 })
+}
+
+// A planner that says nothing gets no counts at first, then whole digests: it may be one that has no list yet.
+func TestAPlannerThatSaysNothing(t *testing.T) {
+	t.Parallel()
+	r := newRig(t, 8)
+	var mu sync.Mutex
+	var kinds []int
+	s := r.script("p1", "", func(conn net.Conn) {
+		for {
+			m, raw, err := oldRead(conn)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			kinds = append(kinds, len(m.Digest.Servers))
+			var fields map[int]cbor.RawMessage
+			if oldDecoder.Unmarshal(raw[1], &fields); fields[11] != nil {
+				t.Error("a brief digest")
+			}
+			mu.Unlock()
+		}
+	})
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	c.join("new", nil, addrOf(s))
+	c.eventually("whole digests", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(kinds) > 0 && kinds[len(kinds)-1] == len(r.ids)
+	})
+	mu.Lock()
+	defer mu.Unlock()
+	if kinds[0] != 0 || kinds[1] != 0 {
+		t.Errorf("the first digests named %v servers", kinds[:2])
+	}
+}
+
+// told is a planner whose states a test makes and sends as it likes.
+type told struct {
+	*scripted
+	mu    sync.Mutex
+	conn  net.Conn
+	holds []plan.Hold
+	brief []bool
+	plan  *plan.Planner
+	now   time.Duration
+	bad   map[string]bool
+	seq   uint64
+}
+
+func (r *rig) told(id string) *told {
+	s := &told{now: time.Duration(time.Now().UnixNano()), bad: map[string]bool{}}
+	s.plan = plan.New(plan.Config{ID: id, History: 77, Move: 1})
+	var list []policy.Server
+	for _, id := range r.ids {
+		list = append(list, policy.Server{ID: id, Kind: "m2", Weight: 1, State: policy.Ready})
+	}
+	s.plan.Roster(s.now, list)
+	s.scripted = r.script(id, "", func(conn net.Conn) {
+		s.mu.Lock()
+		s.conn = conn
+		s.mu.Unlock()
+		var input []byte
+		buffer := make([]byte, 4096)
+		for {
+			n, err := conn.Read(buffer)
+			input = append(input, buffer[:n]...)
+			for {
+				m, used, bad := planwire.Next(input)
+				if bad != nil {
+					r.t.Error(bad)
+				}
+				if used == 0 {
+					break
+				}
+				input = input[used:]
+				s.mu.Lock()
+				if m.Hold == nil {
+					r.t.Error("a digest without a hold")
+				} else {
+					s.holds, s.brief = append(s.holds, *m.Hold), append(s.brief, m.Digest.Brief)
+				}
+				s.mu.Unlock()
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+	s.next()
+	return s
+}
+
+// next makes another state, in which more caches are bad.
+func (s *told) next(bad ...string) {
+	for _, id := range bad {
+		s.bad[id] = true
+	}
+	for from, i := s.plan.Revision(), 0; i < 4 || s.plan.Revision() == from; i++ {
+		if i == 100 {
+			s.r.t.Fatal("no other state")
+		}
+		s.now += time.Second
+		s.seq++
+		d := plan.Digest{From: "x", Start: 1, Seq: s.seq, Span: time.Second, Asked: 4000, Answered: 4000}
+		for _, sv := range s.plan.Explain() {
+			l := plan.Load{ID: sv.ID, Sends: 500, Timely: 500}
+			if s.bad[sv.ID] {
+				l = plan.Load{ID: sv.ID, Sends: 500, Late: 500}
+			}
+			d.Servers = append(d.Servers, l)
+		}
+		if err := s.plan.Digest(s.now, d); err != nil {
+			s.r.t.Error(err)
+		}
+		s.plan.Make(s.now)
+	}
+}
+
+// change is what leads from a revision to the present state.
+func (s *told) change(from uint64) plan.Change {
+	c, _ := s.plan.Change(s.now, plan.Hold{History: 77, Revision: from})
+	return c
+}
+
+func (s *told) send(c plan.Change) {
+	s.r.t.Helper()
+	frame, err := planwire.Append(nil, planwire.Message{Change: &c})
+	if err != nil {
+		s.r.t.Fatal(err)
+	}
+	s.raw(frame)
+}
+
+func (s *told) raw(frame []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn.Write(frame)
+}
+
+// acknowledges waits until so many digests from now on have told a hold, and gives the last.
+func (s *told) acknowledges(n int) plan.Hold {
+	s.r.t.Helper()
+	s.mu.Lock()
+	from := len(s.holds)
+	s.mu.Unlock()
+	eventually(s.r.t, "digests", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.holds) >= from+n
+	})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holds[len(s.holds)-1]
+}
+
+// Changes that are lost, doubled, late or of another history, as they come over a connection: what is in force is the
+// planner's state or, where that can't be, the forwarder says so with its next digest and gets all.
+func TestLostDoubledAndLateChanges(t *testing.T) {
+	r := newRig(t, 24)
+	s := r.told("p1")
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	n := c.join("n", nil, addrOf(s.scripted))
+	if h := s.acknowledges(1); h != (plan.Hold{}) {
+		t.Fatalf("it holds %+v", h)
+	}
+	is := func(what string, rev uint64, bad ...string) {
+		t.Helper()
+		want := plan.Hold{History: 77, Revision: rev, Follows: true}
+		eventually(t, what, func() bool { return s.acknowledges(1) == want })
+		c.on(func() {
+			for _, id := range r.ids {
+				if f, want := n.factor(id), s.bad[id]; (f < 1) != want {
+					t.Errorf("%s: %s counts for %.2f", what, id, f)
+				}
+			}
+		})
+	}
+	counts := func(reason string) (k int) {
+		c.on(func() {
+			_, after, _ := strings.Cut(n.Status(), "views "+reason+" ")
+			for _, d := range after {
+				if d < '0' || d > '9' {
+					break
+				}
+				k = 10*k + int(d-'0')
+			}
+		})
+		return k
+	}
+	s.send(s.change(0))
+	is("a whole state", s.plan.Revision())
+	first := s.plan.Revision()
+	s.next(r.ids[0])
+	one := s.change(first)
+	s.send(one)
+	is("a change", s.plan.Revision())
+	s.send(one) // doubled
+	s.next(r.ids[1])
+	lost := s.change(one.Revision) // never sent
+	s.next(r.ids[2])
+	s.send(s.change(one.Revision)) // all since what was acknowledged
+	is("what was lost comes with the next", s.plan.Revision())
+	if got := counts("late"); got != 1 {
+		t.Errorf("%d were late, want the doubled one", got)
+	}
+	s.send(lost) // late
+	s.acknowledges(2)
+	is("a late one changes nothing", s.plan.Revision())
+	if got := counts("late"); got != 2 {
+		t.Errorf("%d were late", got)
+	}
+	// One is lost, and the planner wrongly counts from it.
+	s.next(r.ids[3])
+	missed := s.plan.Revision()
+	s.next(r.ids[4])
+	s.send(s.change(missed))
+	nothing := func() bool { h := s.acknowledges(1); return h.History == 0 && h.Revision == 0 }
+	eventually(t, "it wants all", nothing)
+	if got := counts("doubt"); got != 1 {
+		t.Errorf("%d doubts", got)
+	}
+	s.send(s.change(0))
+	is("all anew", s.plan.Revision())
+	// What is rebuilt is not what the planner has.
+	from := s.plan.Revision()
+	s.next(r.ids[5])
+	wrong := s.change(from)
+	wrong.Sum++
+	s.send(wrong)
+	eventually(t, "it wants all", nothing)
+	if got := counts("doubt"); got != 2 {
+		t.Errorf("%d doubts", got)
+	}
+	s.send(s.change(0))
+	is("all anew", s.plan.Revision())
+	// Another history, counted from nothing that is held.
+	other := s.change(s.plan.Revision())
+	other.History++
+	s.send(other)
+	eventually(t, "it wants all", nothing)
+	s.send(s.change(0))
+	is("all anew", s.plan.Revision())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.brief[0] || !s.brief[len(s.brief)-1] {
+		t.Errorf("brief: %v", s.brief)
+	}
+}
+
+// Absurd, forged and old messages of a planner: refused with a reason and counted, the connection and what is in force
+// stand; what cannot be read ends the connection, which is made anew.
+func TestAbsurdChanges(t *testing.T) {
+	r := newRig(t, 8)
+	s := r.told("p1")
+	c := r.crowd()
+	n := c.join("n", nil, addrOf(s.scripted))
+	s.acknowledges(1)
+	s.next(r.ids[0])
+	s.send(s.change(0))
+	eventually(t, "it holds the state", func() bool { return s.acknowledges(1).Revision == s.plan.Revision() })
+	status := func() (text string) {
+		c.on(func() { text = n.Status() })
+		return text
+	}
+	factor := func() (f float64) {
+		c.on(func() { f = n.factor(r.ids[0]) })
+		return f
+	}
+	stands := factor()
+	held := s.plan.Revision()
+	for i, spoil := range []func(c *plan.Change){
+		func(c *plan.Change) { c.Grants = []plan.Grant{{ID: r.ids[1], Rate: -1}} },
+		func(c *plan.Change) { c.Grants = []plan.Grant{{ID: r.ids[1], Rate: math.NaN()}} },
+		func(c *plan.Change) { c.Grants = []plan.Grant{{ID: r.ids[1], Rate: 1e300}} },
+		func(c *plan.Change) { c.Servers = []policy.Share{{ID: r.ids[1], Factor: 7}} },
+		func(c *plan.Change) { c.Servers = []policy.Share{{ID: r.ids[1], Factor: -1}} },
+		func(c *plan.Change) { c.History = 0 },
+		func(c *plan.Change) { c.Base = c.Revision + 1 },
+		func(c *plan.Change) { c.Valid = -1 },
+		func(c *plan.Change) { c.Planner = "" },
+		func(c *plan.Change) { c.Count = 1 }, // of eight
+	} {
+		change := s.change(held)
+		spoil(&change)
+		s.send(change)
+		want := "views absurd " + strconv.Itoa(i+1) + "\n"
+		eventually(t, want, func() bool { return strings.Contains(status(), want) })
+		if f := factor(); f != stands {
+			t.Errorf("%d: the factor is %.3f", i, f)
+		}
+		if s.acknowledges(1); s.came() != 1 {
+			t.Fatalf("%d: the connection ended", i)
+		}
+	}
+	if !r.noted("n view_refused", "reason=absurd") {
+		t.Error("nothing said")
+	}
+	// Grants for servers that the list does not have count for nothing, and hurt nothing.
+	s.send(s.change(0))
+	change := s.change(held)
+	change.Grants = []plan.Grant{{ID: "nobody", Rate: 3}}
+	s.send(change)
+	eventually(t, "taken", func() bool {
+		h := s.acknowledges(1)
+		return h.Revision == held && strings.Contains(status(), "nobody")
+	})
+	// What cannot be read.
+	for i, frame := range [][]byte{{0xff, 0xff, 0xff, 0xff}, {0, 0, 0, 1, 0xff}, {0, 0, 0, 0}, frameOf(t, planwire.Message{Digest: &plan.Digest{From: "p1", Start: 1, Seq: 1, Span: 1}})} {
+		eventually(t, "a connection", func() bool { return s.came() == i+1 })
+		s.acknowledges(1)
+		s.raw(frame)
+		eventually(t, "another connection", func() bool { return s.came() == i+2 })
+	}
+	c.on(func() {
+		if n.Errors != 4 {
+			t.Errorf("%d connections ended", n.Errors)
+		}
+	})
+}
+
+// What a forwarder should not send: counted and told with a reason under the name in its certificate; the connection stands
+// while frames can be read, and others are not touched.
+func TestAbsurdDigests(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	n := c.join("good", nil, p.Addr())
+	p.eventually("it is heard", func() bool { return p.plan.Followed() == 1 && p.out.states == 1 })
+	conn := r.dial("evil", p.Addr().String())
+	own := func() (h plan.Hold) {
+		p.on(func() { h = plan.Hold{History: p.cfg.Plan.History, Revision: p.plan.Revision()} })
+		return h
+	}
+	digest := func() *plan.Digest { return &plan.Digest{From: "evil", Start: 5, Seq: 1, Span: time.Second} }
+	change := plan.Change{Planner: "evil", Made: 1, Valid: time.Second, History: 9, Revision: 1, HotSet: true, TenantsSet: true, Count: 8}
+	later := own()
+	later.Revision += 1000
+	for i, m := range []planwire.Message{
+		{Change: &change},
+		{View: &plan.View{Planner: "evil", Made: 1, Valid: time.Second}},
+		{Digest: &plan.Digest{From: "good", Start: 1 << 62, Seq: 1, Span: time.Second}, Hold: &plan.Hold{}},
+		{Digest: digest(), Hold: &plan.Hold{History: 3}},
+		{Digest: digest(), Hold: &plan.Hold{Revision: 3}},
+		{Digest: digest(), Hold: &later},
+		{Digest: &plan.Digest{From: "evil", Start: 5, Seq: 1, Span: time.Second, Asked: -1}},
+		{Digest: &plan.Digest{From: "evil", Start: 5, Seq: 1, Span: -1}},
+		{Digest: &plan.Digest{From: "evil", Start: 5, Seq: 1, Span: time.Second, Brief: true, Rest: plan.Load{Timely: 1 << 40}}},
+		{Digest: &plan.Digest{From: "evil", Start: 5, Seq: 1, Span: time.Second, Bad: []plan.Load{{ID: r.ids[0], Late: 1}}}},
+	} {
+		conn.Write(frameOf(t, m))
+		p.eventually("it is refused", func() bool { return p.refused["evil"] == int64(i+1) })
+	}
+	p.on(func() {
+		if p.plan.Followed() != 1 || p.refused["good"] > 0 || p.broken > 0 || len(p.conns) != 2 {
+			t.Errorf("%d heard, %v refused, %d broken, %d connections", p.plan.Followed(), p.refused, p.broken, len(p.conns))
+		}
+	})
+	if !r.noted("digest_refused", `from="evil" count=1 `, "what planners tell") || !r.noted("digest_refused", `from="evil" count=4 `, "holds revision 0 of history 3") {
+		t.Error("no reason said")
+	}
+	// It can still speak.
+	conn.Write(frameOf(t, planwire.Message{Digest: digest(), Hold: &plan.Hold{}}))
+	p.eventually("it is heard", func() bool { return p.plan.Followed() == 2 })
+	// Frames that cannot be read.
+	for i, frame := range [][]byte{binary.BigEndian.AppendUint32(nil, 1<<30), {0, 0, 0, 1, 0xff}, append(binary.BigEndian.AppendUint32(nil, planwire.MostFrame+1), 1)} {
+		conn := r.dial("worse", p.Addr().String())
+		conn.Write(frame)
+		p.eventually("it is hung up on", func() bool { return p.broken == int64(i+1) })
+		if _, err := conn.Read(make([]byte, 1)); err == nil {
+			t.Error("the connection stands")
+		}
+	}
+	if !r.noted("digest_refused", `from="worse"`, "bytes") {
+		t.Error("no reason said")
+	}
+	c.on(func() {
+		if n.Errors > 0 || n.Views == 0 {
+			t.Error(n.Status())
+		}
+	})
+}
+
+// A planner that starts anew at its address counts in another history: what was held of the one before is replaced as a
+// whole, and no factor of it stays.
+func TestAPlannerStartsAnew(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	at := p.Addr()
+	var bad sync.Map
+	bad.Store(r.ids[0], true)
+	c := r.crowd()
+	c.load = r.reads(&bad)
+	n := c.join("n", nil, at)
+	c.eventually("the bad cache is avoided", func() bool { return n.factor(r.ids[0]) < 0.3 })
+	p.end()
+	bad.Clear()
+	bad.Store(r.ids[5], true)
+	p = r.plans("p1", at.String(), nil)
+	c.eventually("the other one is avoided, and it alone", func() bool { return n.factor(r.ids[5]) < 0.3 && n.factor(r.ids[0]) == 1 })
+	p.on(func() {
+		if p.out.states != 1 {
+			t.Errorf("%d whole states", p.out.states)
+		}
+	})
+}
+
+// A connection that breaks and comes up again costs no whole state: the forwarder says what it holds.
+func TestAConnectionComesBack(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	n := c.join("n", nil, p.Addr())
+	p.eventually("brief digests", func() bool { return p.briefs > 1 })
+	for i := range int64(3) {
+		p.on(func() {
+			for conn := range p.conns {
+				conn.tls.NetConn().Close()
+			}
+		})
+		c.eventually("the connection broke", func() bool { return n.Errors == i+1 })
+		briefs := int64(0)
+		p.on(func() { briefs = p.briefs })
+		p.eventually("brief digests", func() bool { return p.briefs > briefs+2 })
+	}
+	p.on(func() {
+		if p.out.states != 1 || p.out.doubts > 0 {
+			t.Errorf("%d whole states, %d doubts", p.out.states, p.out.doubts)
+		}
+	})
+	c.on(func() {
+		if n.Wholes > 0 {
+			t.Errorf("%d whole digests", n.Wholes)
+		}
+	})
+}
+
+// A forwarder that starts anew under its name holds nothing, and gets all.
+func TestAForwarderStartsAnew(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	var bad sync.Map
+	bad.Store(r.ids[0], true)
+	c := r.crowd()
+	c.load = r.reads(&bad)
+	n := c.join("n", nil, p.Addr())
+	c.eventually("the bad cache is avoided", func() bool { return n.factor(r.ids[0]) < 0.3 })
+	c.on(func() { n.Close() })
+	again := c.join("n", nil, p.Addr())
+	c.eventually("the bad cache is avoided", func() bool { return again.factor(r.ids[0]) < 0.3 })
+	p.on(func() {
+		if p.out.states != 2 || p.refusals() > 0 {
+			t.Errorf("%d whole states, %v refused", p.out.states, p.refused)
+		}
+	})
+}
+
+// A forwarder has lost what the planner takes it to hold: it says so with its next digest, and has the whole state with the
+// planner's next look.
+func TestDoubt(t *testing.T) {
+	r := newRig(t, 8)
+	p := r.plans("p1", "", nil)
+	var bad sync.Map
+	c := r.crowd()
+	c.load = r.reads(&bad)
+	n := c.join("n", nil, p.Addr())
+	c.eventually("it holds the state", func() bool { return strings.Contains(n.Status(), "tells changes") && n.count > 0 })
+	bad.Store(r.ids[0], true)
+	// The planner takes it to hold revisions that never went out.
+	p.eventually("doubt", func() bool {
+		was := p.plan.Revision()
+		if p.plan.Make(p.loop.Now()); p.out.doubts == 0 && p.plan.Revision() > was {
+			for conn := range p.conns {
+				conn.hold.Revision, conn.sent = p.plan.Revision(), p.plan.Revision()
+			}
+		}
+		return p.out.doubts > 0
+	})
+	digests := int64(0)
+	p.on(func() { digests = p.digests })
+	p.eventually("a whole state", func() bool { return p.out.states >= 2 })
+	p.on(func() {
+		if p.digests > digests+3 {
+			t.Errorf("%d digests until then", p.digests-digests)
+		}
+	})
+	c.eventually("the bad cache is avoided", func() bool { return n.factor(r.ids[0]) < 0.3 })
+	c.on(func() {
+		if n.Errors > 0 || !strings.Contains(n.Status(), "views doubt ") || strings.Contains(n.Status(), "views doubt 0") {
+			t.Error(n.Status())
+		}
+	})
+}
