lapislab scale: hollow nodes before real planners and a list service, over sizes

Forwarders and planners count the bytes of their messages for it (BytesIn, BytesOut; bytes_in_total, bytes_out_total in /_vars).

--- a/cmd/lapislab/main.go
+++ b/cmd/lapislab/main.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"lapisshelf/lab/scale"
 )
 
 // Statuses of the program's end.
@@ -35,7 +37,8 @@
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(upCommand(), runCommand(), compareCommand(), listCommand(), planCommand(), modelCommand())
+	root.AddCommand(upCommand(), runCommand(), compareCommand(), listCommand(), planCommand(), modelCommand(), scaleCommand(),
+		scaleChild(scale.NodesRole), scaleChild(scale.ListRole))
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
 	var status errStatus
--- /dev/null
+++ b/cmd/lapislab/scale.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"lapisshelf/lab/experiment"
+	"lapisshelf/lab/scale"
+)
+
+// scaleCommand measures what the control plane costs as the deployment grows.
+func scaleCommand() *cobra.Command {
+	var o scale.Options
+	var node, csvTo, pngTo, files string
+	var quiet, legend bool
+	c := &cobra.Command{Use: "scale FILE", Short: "Measure the control plane over sizes: hollow nodes before real planners and a list service",
+		Long: "Goes through the sizes and variants of a TOML file: planners and the list service are processes, nodes are hollow, hundreds in a process,\n" +
+			"each with a real one's forwarder, list follower and decision module. Tells messages, bytes, processor time, memory, how long changes take\n" +
+			"and how faults settle, and fits their growth. Everything stays on loopback; all that it starts ends with it.",
+		Args: func(c *cobra.Command, args []string) error {
+			if legend {
+				return nil
+			}
+			return cobra.ExactArgs(1)(c, args)
+		},
+		RunE: func(c *cobra.Command, args []string) error {
+			if legend {
+				scale.Legend(c.OutOrStdout())
+				return nil
+			}
+			f, err := scale.Read(args[0], o)
+			if err != nil {
+				return err
+			}
+			dir := files
+			if dir == "" {
+				if dir, err = os.MkdirTemp("", "lapisscale"); err != nil {
+					return err
+				}
+				defer os.RemoveAll(dir)
+			} else if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+			program, err := nodeCommand(c.Context(), node, &experiment.Experiment{}, dir)
+			if err != nil {
+				return err
+			}
+			self, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			opt := scale.RunOptions{Program: program, Self: []string{self}, Dir: dir}
+			if !quiet {
+				opt.Progress = func(line string) { fmt.Fprintln(os.Stderr, line) }
+			}
+			r, err := scale.Run(c.Context(), f, opt)
+			if r != nil && len(r.Rows) > 0 {
+				r.Text(c.OutOrStdout())
+				if csvTo != "" {
+					if err := os.MkdirAll(filepath.Dir(csvTo), 0o755); err != nil {
+						return err
+					}
+					if err := r.CSV(csvTo); err != nil {
+						return err
+					}
+				}
+				if pngTo != "" {
+					if err := r.PNG(pngTo); err != nil {
+						return err
+					}
+				}
+			}
+			if err != nil && errors.Is(err, c.Context().Err()) {
+				return errStatus(statusCut)
+			}
+			return err
+		}}
+	fl := c.Flags()
+	fl.Uint64Var(&o.Seed, "seed", 0, "draw the load from this seed (default: the file's)")
+	fl.BoolVar(&o.Short, "short", false, "the smallest size alone, with phases half as long")
+	fl.StringVar(&o.Size, "size", "", "NODESxSERVERS in place of the file's sizes, at the file's rate for it, else its highest")
+	fl.StringSliceVar(&o.Only, "only", nil, "only these variants, or only the calm and these faults")
+	fl.StringVar(&node, "node", "", "lapisshelf program that runs the planners (default: the one beside lapislab, else one built from this module)")
+	fl.StringVar(&csvTo, "csv", "", "write a row a figure to this file, and one a second of each phase to NAME-seconds.csv beside it")
+	fl.StringVar(&pngTo, "png", "", "write a plot of each slope into this folder")
+	fl.StringVar(&files, "files", "", "folder that keeps keys, configurations and logs")
+	fl.BoolVar(&quiet, "quiet", false, "no progress on standard error")
+	fl.BoolVar(&legend, "legend", false, "tell what each measure is, and end")
+	return c
+}
+
+// scaleChild plays a process of the scale tests' own: it is told what to do on its standard input.
+func scaleChild(role string) *cobra.Command {
+	return &cobra.Command{Use: role, Hidden: true, Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return scale.Child(role, os.Stdin, os.Stdout) }}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -53,6 +53,8 @@
 	timers   []*loop.Timer
 	// Digests and Views are how many went and came; Errors, connections that ended.
 	Digests, Views, Errors int64
+	// BytesIn and BytesOut are those of the messages, without TLS.
+	BytesIn, BytesOut int64
 }
 
 // link is the connection to one planner.
@@ -116,6 +118,7 @@
 			l.End(errors.New("it says nothing"))
 		default:
 			f.Digests++
+			f.BytesOut += int64(len(frame))
 			l.conn.Write(frame)
 		}
 	}
@@ -241,6 +244,7 @@
 // Data implements loop.Handler.
 func (l *link) Data(data []byte) {
 	l.heard = l.f.loop.Now()
+	l.f.BytesIn += int64(len(data))
 	l.input = append(l.input, data...)
 	for !l.f.closed {
 		m, used, err := planwire.Next(l.input)
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -76,6 +76,8 @@
 	refused  map[string]int64 // digests that count for nothing, by why
 	digests  int64
 	views    int64
+	bytesIn  atomic.Int64 // of messages, without TLS; any goroutine's
+	bytesOut atomic.Int64
 }
 
 // conn is a forwarder's connection.
@@ -217,7 +219,9 @@
 	go func() {
 		for frame := range c.out {
 			c.tls.SetWriteDeadline(time.Now().Add(writeWithin))
-			if _, err := c.tls.Write(frame); err != nil {
+			n, err := c.tls.Write(frame)
+			p.bytesOut.Add(int64(n))
+			if err != nil {
 				c.tls.Close()
 			}
 		}
@@ -238,6 +242,7 @@
 	for {
 		c.tls.SetReadDeadline(time.Now().Add(silentFor))
 		n, err := c.tls.Read(buffer)
+		c.p.bytesIn.Add(int64(n))
 		input = append(input, buffer[:n]...)
 		for {
 			m, used, bad := planwire.Next(input)
@@ -408,7 +413,8 @@
 		name, kind string
 		value      int64
 	}{{"forwarders", "gauge", int64(p.plan.Followed())}, {"connections", "gauge", int64(len(p.conns))}, {"digests_total", "counter", p.digests},
-		{"digests_refused_total", "counter", refused}, {"views_total", "counter", p.views}, {"cache_servers_known", "gauge", int64(len(p.plan.Explain()))}} {
+		{"digests_refused_total", "counter", refused}, {"views_total", "counter", p.views}, {"bytes_in_total", "counter", p.bytesIn.Load()},
+		{"bytes_out_total", "counter", p.bytesOut.Load()}, {"cache_servers_known", "gauge", int64(len(p.plan.Explain()))}} {
 		fmt.Fprintf(&b, "# TYPE app_planner_%s %s\napp_planner_%s %d\n", x.name, x.kind, x.name, x.value)
 	}
 	return control.Reply{Status: 200, Type: "text/plain; version=0.0.4; charset=utf-8", Body: []byte(b.String())}
--- /dev/null
+++ b/lab/scale/speak.go
@@ -0,0 +1,6 @@
+package scale
+
+import "lapisshelf/internal/forwarder"
+
+// speak has a forwarder talk as a variant wants it.
+func speak(*forwarder.Config, string) {}
