Scale lab's tests: sums to the byte, jams and faults at a small size, whole talk is a line

A small fleet of processes is checked on identities alone: digests and bytes that nodes sent are those that planners took, a jam is in force at all nodes and with its end at none, nothing wrong stands after any fault. Whole digests and views are a straight line over the servers on a clock moved by hand.

--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -63,7 +63,7 @@
 	ListBytes, ListCalls                      int64
 	Listed                                    int // nodes that know all servers
 	CPU                                       time.Duration
-	Heap, RSS                                 int64
+	Heap, RSS                                 int64         // what the nodes use themselves, in a settled sample alone; all that the process holds
 	Late                                      time.Duration // of the loop's timers, at most since the last sample
 	Seconds                                   []Second      // since the last sample
 	Low                                       map[string]int
@@ -78,6 +78,7 @@
 	nodes   []*hollowNode
 	loads   bool
 	seconds []Second
+	empty   int64  // memory before the nodes' parts were made: what they share
 	watched string // server whose factor or state is waited for
 	cut     sync.Map
 }
@@ -127,9 +128,19 @@
 		}
 		h.nodes = append(h.nodes, n)
 	}
+	h.empty = usedMemory()
 	return h, nil
 }
 
+// usedMemory is the process's heap and stacks without what nobody uses any more.
+func usedMemory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc) + int64(m.StackInuse)
+}
+
 func nodeName(i int) string { return fmt.Sprintf("node-%04d", i+1) }
 
 // begin makes the nodes' lists and decision modules.
@@ -401,12 +412,8 @@
 		}
 	}
 	if settled {
-		runtime.GC()
-		runtime.GC()
+		s.Heap = usedMemory() - h.empty
 	}
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	s.Heap = int64(m.HeapAlloc) + int64(m.StackInuse)
 	s.RSS = residentBytes(unix.Getpid())
 	var u unix.Rusage
 	if unix.Getrusage(unix.RUSAGE_SELF, &u) == nil {
--- /dev/null
+++ b/lab/scale/scale_test.go
@@ -0,0 +1,484 @@
+package scale
+
+import (
+	"encoding/csv"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisshelf/decide/follow"
+	"lapisshelf/decide/plan"
+	"lapisshelf/internal/planwire"
+	"lapisshelf/policy"
+)
+
+// patience is how long a test waits for what must come, however busy the machine is.
+const patience = 45 * time.Second
+
+var program string
+
+// TestMain plays the lab's own processes where it is started as one, and builds the planners' program around the tests.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && (os.Args[1] == NodesRole || os.Args[1] == ListRole) {
+		if err := Child(os.Args[1], os.Stdin, os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	dir, err := os.MkdirTemp("", "lapisscale-test")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "lapisshelf")
+	if out, err := exec.Command("go", "build", "-o", program, "lapisshelf/cmd/lapisshelf").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "building lapisshelf: %v\n%s", err, out)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// small is a file of one small size.
+func small(t *testing.T, more string) *File {
+	t.Helper()
+	f, err := decode("small.toml", []byte(`name = "small"
+seed = 3
+`+more+`
+[planners]
+every = "200ms"
+valid = "10s"
+[nodes]
+processes = 3
+every = "300ms"
+[load]
+keys = 2000
+[phases]
+idle = "1s"
+calm = "2s"
+jam = "3s"
+drain = "2s"
+fault = "1s"
+settle = "60s"
+[[size]]
+nodes = 20
+servers = 12
+rate = 100
+`), Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// startBench starts a small fleet whose nodes all follow a view.
+func startBench(t *testing.T, f *File) *bench {
+	t.Helper()
+	dir := t.TempDir()
+	b := &bench{f: f, size: f.Sizes[0], variant: f.Variants[0], keys: filepath.Join(dir, "keys"), dir: dir, seconds: map[int64]Second{}, result: &Result{},
+		o: RunOptions{Program: program, Self: []string{os.Args[0]}}}
+	if err := makeKeys(b.keys, b.size.Nodes, f.Planners.Count); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.close)
+	if err := b.open(); err != nil {
+		t.Fatal(err)
+	}
+	b.wait(t, "all nodes have the list", func(s *snapshot) bool { return s.Listed == b.size.Nodes })
+	b.do(t, order{Do: "load", On: true})
+	b.do(t, order{Do: "forward"})
+	b.wait(t, "all nodes follow a view and no factor is below 1", b.settled)
+	return b
+}
+
+func (b *bench) do(t *testing.T, o order) {
+	t.Helper()
+	if _, err := b.tell(o); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (b *bench) wait(t *testing.T, what string, holds func(*snapshot) bool) {
+	t.Helper()
+	_, held, s, err := b.until(t.Context(), patience, holds)
+	if err != nil || !held {
+		t.Fatalf("never: %s (%v); %d of %d nodes follow a view, factors below 1: %v", what, err, s.Led, b.size.Nodes, s.Low)
+	}
+}
+
+// total is the sum of a counter over the planners.
+func (s *snapshot) total(name string) (sum float64) {
+	for _, p := range s.planners {
+		sum += p.vars[name]
+	}
+	return sum
+}
+
+// Real planners, a real list and hollow nodes on loopback: what nodes sent, planners took, to the message and the byte, both
+// ways; a jam is in force at every node, and with its end at none; the same after the planner that is followed was killed, cut
+// off and frozen, after nodes restarted and a zone was lost.
+func TestSmallFleet(t *testing.T) {
+	b := startBench(t, small(t, ""))
+	all := b.size.Nodes
+	b.wait(t, "all connections stand", func(s *snapshot) bool { return s.total("connections") == float64(all*len(b.plans)) })
+
+	// Nothing is lost and nothing told twice. What is on its way makes the sums differ for a moment, a lost message for good.
+	books := func(what string, nodes func(*snapshot) int64, counter string) {
+		t.Helper()
+		var a, n, c float64
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(7 * time.Millisecond) {
+			first, err := b.look(false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			second, err := b.look(false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			// The nodes are asked before the planners: twice the same at the planners, and at the nodes in between.
+			if a, n, c = first.total(counter), float64(nodes(second)), second.total(counter); a == n && n == c {
+				return
+			}
+		}
+		t.Errorf("%s: nodes say %.0f, planners %.0f before and %.0f after", what, n, a, c)
+	}
+	books("digests", func(s *snapshot) int64 { return s.Digests }, "digests_total")
+	books("bytes of digests", func(s *snapshot) int64 { return s.BytesOut }, "bytes_in_total")
+	books("bytes of views", func(s *snapshot) int64 { return s.BytesIn }, "bytes_out_total")
+	s, err := b.look(false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.total("digests_refused_total") != 0 {
+		t.Errorf("%.0f digests were refused", s.total("digests_refused_total"))
+	}
+	if s.Attempts < s.Requests || s.Requests == 0 {
+		t.Errorf("%d requests with %d attempts", s.Requests, s.Attempts)
+	}
+
+	jam := func(after string) {
+		t.Helper()
+		b.do(t, order{Do: "late", Servers: []int{0}, On: true})
+		b.wait(t, after+": the jammed server's factor is in force at all nodes", func(s *snapshot) bool { return s.Low[serverID(0)] == all && len(s.Low) == 1 })
+		b.do(t, order{Do: "late", Servers: []int{0}})
+		b.wait(t, after+": and at none, with the jam's end", b.settled)
+	}
+	jam("in the calm")
+	if err := b.watch(1); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.list.ask(order{Do: "drain", Servers: []int{1}, On: true}); err != nil {
+		t.Fatal(err)
+	}
+	b.wait(t, "all nodes know that a server drains", func(*snapshot) bool {
+		replies, err := b.tell(order{Do: "stamps"})
+		return err == nil && !slices.ContainsFunc(replies, func(r reply) bool { return slices.Contains(r.Stamps, 0) })
+	})
+	if _, err := b.list.ask(order{Do: "drain", Servers: []int{1}}); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range Faults() {
+		if err := b.fault(t.Context(), name); err != nil {
+			t.Fatal(name, err)
+		}
+		for _, m := range []string{"wrong_factors", "unled_end"} {
+			if v := b.result.Value(b.size, b.variant.Name, name, m); v != 0 {
+				t.Errorf("%s: %s is %v", name, m, v)
+			}
+		}
+	}
+	b.wait(t, "all connections stand again", func(s *snapshot) bool { return s.total("connections") == float64(all*len(b.plans)) })
+	jam("after all faults")
+}
+
+// A whole run leaves a figure for each phase, in text, CSV and plots, and no process.
+func TestRun(t *testing.T) {
+	f := small(t, `faults = ["nodes_all"]`)
+	f.Sizes = nil
+	for _, k := range []int{1, 2, 3} {
+		f.Sizes = append(f.Sizes, Size{Nodes: 4 * k, Servers: 4 * k, Rate: 20})
+	}
+	f.Phases.Jam = f.Phases.Idle // the time until a jam is in force is the small fleet's
+	dir := t.TempDir()
+	r, err := Run(t.Context(), f, RunOptions{Program: program, Self: []string{os.Args[0]}, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range f.Sizes {
+		for phase, names := range map[string][]string{"idle": {"node_heap_rest", "list_start_bytes"}, "calm": {"node_bytes_out", "node_bytes_in", "digest_bytes", "view_bytes", "planner_rss"},
+			"nodes_all": {"connected_after", "node_fault_bytes"}, "end": {"wrong_factors"}} {
+			for _, name := range names {
+				if v := r.Value(s, Changes, phase, name); math.IsNaN(v) || name != "wrong_factors" && v <= 0 || name == "wrong_factors" && v != 0 {
+					t.Errorf("%s %s: %s is %v", s, phase, name, v)
+				}
+			}
+		}
+	}
+	path := filepath.Join(dir, "out.csv")
+	if err := r.CSV(path); err != nil {
+		t.Fatal(err)
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	rows, err := csv.NewReader(file).ReadAll()
+	if err != nil || len(rows) < len(r.Rows) || slices.ContainsFunc(rows[1:], func(x []string) bool { return x[5] == "" || x[4] == "" }) {
+		t.Errorf("%d rows for %d figures: %v", len(rows), len(r.Rows), err)
+	}
+	if err := r.PNG(filepath.Join(dir, "png")); err != nil {
+		t.Fatal(err)
+	}
+	if plots, _ := filepath.Glob(filepath.Join(dir, "png", "calm-*.png")); len(plots) < 5 {
+		t.Errorf("%d plots of the calm", len(plots))
+	}
+	var text strings.Builder
+	r.Text(&text)
+	if !strings.Contains(text.String(), "fits over 4x4, 8x8, 12x12") {
+		t.Error(text.String())
+	}
+}
+
+// fleet is decisions and wire without sockets, on a clock that the test moves.
+type fleet struct {
+	size      Size
+	now       time.Duration
+	tables    *tables
+	nodes     []*plan.Gather
+	followers []*follow.Follower
+	plan      *plan.Planner
+	ready     []follow.Server
+	sent      []int // bytes of the last digests, by node
+}
+
+func newFleet(s Size) *fleet {
+	x := &fleet{size: s, now: 1e9 * time.Second, tables: newTables(loadConfig{Seed: 1, Servers: s.Servers, Keys: 1000, Zipf: 0.98, Offset: 5, Tenants: 3})}
+	x.plan = plan.New(plan.Config{ID: "p", Mode: policy.Aside, OriginKind: originKind, Weighted: true, ColdFrom: 0.2, WarmUp: 8 * time.Second, FallMultiple: 3, FallWindow: time.Second})
+	var list []policy.Server
+	for i := range s.Servers {
+		list = append(list, policy.Server{ID: serverID(i), Kind: "cache", Weight: 1})
+		x.ready = append(x.ready, follow.Server{ID: serverID(i), Weight: 1})
+	}
+	x.plan.Roster(x.now, list)
+	for i := range s.Nodes {
+		x.nodes, x.followers = append(x.nodes, plan.NewGather(x.now, nodeName(i))), append(x.followers, follow.New(follow.Config{}))
+	}
+	x.sent = make([]int, s.Nodes)
+	return x
+}
+
+// second has each node ask each server so often, one of them late, send its whole digest, and take a whole view.
+func (x *fleet) second(t *testing.T, each int, late int) (views []int) {
+	t.Helper()
+	x.now += time.Second
+	for i, g := range x.nodes {
+		for s := range x.size.Servers {
+			for range each {
+				g.Attempt(serverID(s), false, policy.OK, 2*time.Millisecond, s != late, false)
+			}
+		}
+		frame, err := planwire.Append(nil, planwire.Message{Digest: g.Digest(x.now)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		x.sent[i] = len(frame)
+		m, used, err := planwire.Next(frame)
+		if err != nil || used != len(frame) {
+			t.Fatal(used, err)
+		}
+		if err := x.plan.Digest(x.now, *m.Digest); err != nil {
+			t.Fatal(err)
+		}
+	}
+	x.plan.Make(x.now)
+	for i, f := range x.followers {
+		v := x.plan.View(x.now, x.now, nodeName(i))
+		frame, err := planwire.Append(nil, planwire.Message{View: &v})
+		if err != nil {
+			t.Fatal(err)
+		}
+		views = append(views, len(frame))
+		m, _, err := planwire.Next(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if why, err := f.Take(x.now, *m.View, x.ready); why != follow.Taken {
+			t.Fatal(why, err)
+		}
+	}
+	return views
+}
+
+// What whole talk costs on the wire is a straight line over the servers, to the byte: the figures that the page on capacity
+// multiplies by the size are the protocol's own and not a run's.
+func TestWholeTalkIsALine(t *testing.T) {
+	const each = 3 // a server's counts take the same bytes at each size
+	sizes := []int{105, 210, 420}
+	var digests, views []int
+	for _, servers := range sizes {
+		x := newFleet(Size{Nodes: 4, Servers: servers})
+		var got []int
+		for range 3 {
+			got = x.second(t, each, -1)
+		}
+		for i := range x.nodes {
+			if x.sent[i] != x.sent[0] || got[i] != got[0] {
+				t.Errorf("%d servers: node %d sent %d bytes and got %d, the first %d and %d", servers, i, x.sent[i], got[i], x.sent[0], got[0])
+			}
+		}
+		digests, views = append(digests, x.sent[0]), append(views, got[0])
+	}
+	// A server is a map of its id (22 bytes with its heads), three counts and a sketch; over 255 the array's head grows by a byte.
+	for name, list := range map[string][]int{"digest": digests, "view": views} {
+		per := (list[1] - list[0]) / (sizes[1] - sizes[0])
+		if over := list[1] - list[0] - per*(sizes[1]-sizes[0]); over != 0 {
+			t.Errorf("a %s grows by %d bytes a server and %d over", name, per, over)
+		}
+		if over := list[2] - list[1] - per*(sizes[2]-sizes[1]); over != 1 {
+			t.Errorf("from 210 to 420 servers a %s grows by %d bytes a server and %d over, not 1", name, per, over)
+		}
+		t.Logf("%s: %v bytes at %v servers, %d a server", name, list, sizes, per)
+	}
+}
+
+// The same seed draws the same load; the parts that are asked for come out.
+func TestDraws(t *testing.T) {
+	c := loadConfig{Seed: 7, Servers: 50, Keys: 5000, Zipf: 0.98, Offset: 5, Bad: 0.01, Misses: 0.05, Tenants: 2}
+	a, b := newTables(c), newTables(c)
+	if !slices.Equal(a.draws, b.draws) || a.took != b.took {
+		t.Error("one seed, two loads")
+	}
+	c.Seed++
+	if slices.Equal(a.draws, newTables(c).draws) {
+		t.Error("two seeds, one load")
+	}
+	counts := make([]int, c.Servers)
+	for _, d := range a.draws {
+		counts[d.server]++
+	}
+	if least := slices.Min(counts); least == 0 {
+		t.Error("a server that nobody asks")
+	}
+	for _, mean := range []float64{0.4, 5, 168} {
+		rng, sum, n := stream(1, "poisson"), 0, 20000
+		for range n {
+			sum += poisson(rng, mean)
+		}
+		if got := float64(sum) / float64(n); math.Abs(got-mean) > 5*math.Sqrt(mean/float64(n)) {
+			t.Errorf("poisson of %v has the mean %v", mean, got)
+		}
+	}
+}
+
+// Growth is told by its exponent against what should carry it, and named where it is more than in line.
+func TestFits(t *testing.T) {
+	r := &Result{Variants: []string{"v"}, Sizes: []Size{{400, 80, 6}, {475, 105, 842}, {950, 210, 842}, {1900, 420, 842}}}
+	for _, s := range r.Sizes {
+		n, m := float64(s.Nodes), float64(s.Servers)
+		for name, v := range map[string]float64{"planner_cpu": 1e-6 * n * m, "node_bytes": 30 * m, "digest_bytes": 500, "in_force_last": 2, "planner_rss": 0} {
+			r.Rows = append(r.Rows, Row{Size: s, Variant: "v", Phase: "calm", Measure: name, Value: v})
+		}
+	}
+	got := map[string]Fit{}
+	for _, f := range r.Fits() {
+		got[f.Measure] = f
+	}
+	if len(got) != 3 { // none of what has no driver, or a value of 0
+		t.Errorf("fits: %v", got)
+	}
+	near := func(name string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > 1e-9 {
+			t.Errorf("%s: %v, not %v", name, got, want)
+		}
+	}
+	near("planner_cpu over nodes", got["planner_cpu"].Nodes, 2) // servers grow with the nodes
+	near("planner_cpu over both", got["planner_cpu"].Both, 1)
+	near("node_bytes over servers", got["node_bytes"].Servers, 1)
+	near("digest_bytes over servers", got["digest_bytes"].Servers, 0)
+	if !got["planner_cpu"].Super || got["node_bytes"].Super || got["digest_bytes"].Super {
+		t.Errorf("super-linear: %+v", got)
+	}
+	var text strings.Builder
+	r.Text(&text)
+	if !strings.Contains(text.String(), "1 of 3 figures grow super-linearly") || !strings.Contains(text.String(), "planner_cpu") {
+		t.Error(text.String())
+	}
+}
+
+// A file that makes no sense is refused in one line that names file, line and key.
+func TestBadFiles(t *testing.T) {
+	const good = "name = \"x\"\n[[size]]\nnodes = 4\nservers = 4\nrate = 1\n"
+	for text, want := range map[string]string{
+		"name = \"x\"\n":                                                         "x.toml: size: must be 1 to 16 tables",
+		good + "servrs = 3\n":                                                    "x.toml:6: size.servrs: no such key",
+		good + "[load]\nbad=2\n":                                                 "x.toml:7: load.bad: must be 0 to 1",
+		"faults=[\"flood\"]\n" + good:                                            "x.toml:1: faults[1]: must be one of planner_kill,",
+		good + "[[size]]\nnodes=5000\nservers=4\nrate=1\n":                       "x.toml:7: size[2].nodes: must be 1 to 4000",
+		good + "[[variant]]\nname=\"a\"\ntalk=\"loud\"\n":                        "x.toml:8: variant[1].talk: must be whole or changes",
+		good + "[[variant]]\nname=\"a\"\ntalk=\"whole\"\nplanner=\"/no/such\"\n": "x.toml:9: variant[1].planner: must be a program that is there and runs",
+		good + "[phases]\nidle=\"5\"\n":                                          "x.toml:7: ",
+		good + "[phases]\ncalm=\"1h\"\n":                                         "x.toml:7: phases.calm: must be 1s to 2m0s",
+		good + "[planners]\nvalid=\"500ms\"\n":                                   "x.toml:7: planners.valid: must be twice every to 100s",
+	} {
+		_, err := decode("x.toml", []byte(text), Options{})
+		if err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: %v, not %q", text, err, want)
+		}
+	}
+	for _, o := range []Options{{Size: "3"}, {Size: "3x"}, {Size: "1x1"}, {Size: "9999x9"}, {Size: "4x4 "}, {Only: []string{"flood"}}} {
+		if _, err := decode("x.toml", []byte(good), o); err == nil {
+			t.Errorf("%+v is taken", o)
+		}
+	}
+}
+
+// The files that come with the project are sound.
+func TestFiles(t *testing.T) {
+	files, _ := filepath.Glob("../experiments/capacity/*.toml")
+	if len(files) == 0 {
+		t.Fatal("there are none")
+	}
+	for _, path := range files {
+		f, err := Read(path, Options{})
+		if err != nil {
+			t.Error(err)
+			continue
+		}
+		if len((&Result{Sizes: f.Sizes}).fitted()) < leastSizes {
+			t.Errorf("%s: no %d sizes of one rate", path, leastSizes)
+		}
+	}
+}
+
+// A process that is told nonsense says so and goes on; one that was told nothing ends with its input.
+func TestChild(t *testing.T) {
+	c, r, err := startChild([]string{os.Args[0]}, ListRole, listConfig{Servers: 2, Kind: "discovery"}, filepath.Join(t.TempDir(), "log"))
+	if err != nil || r.Addr == "" {
+		t.Fatal(r, err)
+	}
+	if _, err := c.ask(order{Do: "dance"}); err == nil {
+		t.Error("it dances")
+	}
+	if _, err := c.ask(order{Do: "drain", Servers: []int{1}, On: true}); err != nil {
+		t.Error(err)
+	}
+	c.end()
+	if !c.cmd.ProcessState.Success() {
+		t.Error(c.cmd.ProcessState)
+	}
+	if _, _, err := startChild([]string{os.Args[0]}, NodesRole, hollowConfig{Count: 1, Load: loadConfig{Servers: 2, Keys: 1}, Keys: t.TempDir()}, filepath.Join(t.TempDir(), "log")); err == nil {
+		t.Error("nodes without certificates")
+	}
+	if err := Child("dancer", nil, nil); err == nil {
+		t.Error("there is such a part")
+	}
+}
