--- a/lab/scale/result.go
+++ b/lab/scale/result.go
@@ -62,6 +62,7 @@
 	{"list_start_bytes", "B", byServers, "list at the start, each node"},
 	{"list_change_bytes", "B", byServers, "list for one change, each node"},
 	{"list_change_calls", "", "", "calls in that time, each node"},
+	{"machine_load", "threads", "", "the machine's load in the minute before: of other work, and of the size before"},
 	{"load_share", "of what is due", "", "requests that were drawn"},
 	{"loop_late", "s", "", "a timer of the lab's nodes was late, at most"},
 	{"followed_after", "s", "", "all nodes follow a view after the first start"},
