--- a/lab/scale/file.go
+++ b/lab/scale/file.go
@@ -65,6 +65,7 @@
 	Name    string
 	Talk    string
 	Planner string // the lapisshelf program that runs the planners; empty: as told to Run
+	Nodes   string // the lapislab program that plays the nodes, one of before or after this; empty: as told to Run
 }
 
 // File is what a run is told.
@@ -203,9 +204,11 @@
 		names[v.Name] = true
 		rules = append(rules, rule{v.Name == "" || strings.ContainsAny(v.Name, "/\\, \"\n") || twice, at("variant", i, "name"), "must be a name of its own, without spaces, commas and slashes"},
 			rule{v.Talk != Whole && v.Talk != Changes, at("variant", i, "talk"), "must be whole or changes"})
-		if v.Planner != "" {
-			_, err := exec.LookPath(v.Planner)
-			rules = append(rules, rule{err != nil, at("variant", i, "planner"), "must be a program that is there and runs"})
+		for key, program := range map[string]string{"planner": v.Planner, "nodes": v.Nodes} {
+			if program != "" {
+				_, err := exec.LookPath(program)
+				rules = append(rules, rule{err != nil, at("variant", i, key), "must be a program that is there and runs"})
+			}
 		}
 	}
 	for _, r := range rules {
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -367,14 +367,14 @@
 	wall := time.Now()
 	s := Second{At: wall.Unix() - 1, Nodes: len(h.nodes)}
 	for _, n := range h.nodes {
+		if n.led() { // which brings the bytes up to date
+			s.Led++
+		}
 		c := n.counters()
 		in, out := c.in-n.last.in, c.out-n.last.out
 		s.In, s.Out, s.Digests, s.Views = s.In+in, s.Out+out, s.Digests+c.digests-n.last.digests, s.Views+c.views-n.last.views
 		s.MostIn, s.MostOut, s.MostBoth = max(s.MostIn, in), max(s.MostOut, out), max(s.MostBoth, in+out)
 		n.last = c
-		if n.led() {
-			s.Led++
-		}
 		s.Low += len(n.low)
 	}
 	if h.seconds = append(h.seconds, s); len(h.seconds) > 600 {
@@ -397,6 +397,9 @@
 	s := &sample{Late: h.loop.Late, Seconds: h.seconds, Low: map[string]int{}}
 	h.seconds, h.loop.Late = nil, 0
 	for _, n := range h.nodes {
+		if n.led() {
+			s.Led++
+		}
 		c := n.counters()
 		s.BytesIn, s.BytesOut, s.Digests, s.Views, s.Errors = s.BytesIn+c.in, s.BytesOut+c.out, s.Digests+c.digests, s.Views+c.views, s.Errors+c.errors
 		s.ListBytes, s.ListCalls = s.ListBytes+c.listBytes, s.ListCalls+c.listCalls
@@ -407,9 +410,6 @@
 		for _, i := range n.low {
 			s.Low[h.tables.ids[i]]++
 		}
-		if n.led() {
-			s.Led++
-		}
 	}
 	if settled {
 		s.Heap = usedMemory() - h.empty
--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -181,7 +181,11 @@
 		for _, p := range b.plans {
 			cfg.Planners = append(cfg.Planners, p.addr)
 		}
-		c, _, err := startChild(b.o.Self, NodesRole, cfg, filepath.Join(b.dir, fmt.Sprintf("nodes-%d.log", i+1)))
+		self := b.o.Self
+		if b.variant.Nodes != "" {
+			self = []string{b.variant.Nodes}
+		}
+		c, _, err := startChild(self, NodesRole, cfg, filepath.Join(b.dir, fmt.Sprintf("nodes-%d.log", i+1)))
 		if err != nil {
 			return err
 		}
@@ -487,7 +491,7 @@
 		taken += y.vars["digests_total"] - x.vars["digests_total"]
 		refused += y.vars["digests_refused_total"] - x.vars["digests_refused_total"]
 		rss += float64(y.rss)
-		shared += y.vars["views_total"] - x.vars["views_total"]
+		shared += y.vars["views_total"] + y.vars["changes_total"] - x.vars["views_total"] - x.vars["changes_total"]
 	}
 	k := float64(len(b.plans))
 	b.row(phase, "planner_cpu", cpu/k)
