--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -59,7 +59,7 @@
 	// Digests are how many went, Wholes how many of these named all servers; Views are how many views and changes came;
 	// Errors, connections that ended.
 	Digests, Wholes, Views, Errors int64
-	// BytesIn and BytesOut are what has come and gone over the sockets, TLS included, as of the last message.
+	// BytesIn and BytesOut are what has come and gone over the sockets, TLS included, as of the last message or Status.
 	BytesIn, BytesOut int64
 }
 
@@ -294,6 +294,7 @@
 	}
 	for _, l := range f.links {
 		if l.up {
+			l.count()
 			h := f.follower.Hold(l.planner)
 			fmt.Fprintf(&b, "planner %s up %s, heard %.1f s ago, tells %s, revision %d of %016x is held\n", l.addr, l.planner, (now - l.heard).Seconds(),
 				[]string{unknown: "nothing", views: "views", changes: "changes"}[l.talk], h.Revision, h.History)
