A new node's late watch is opened well inside ask_within

The watch that a new node opens some time within the fleet's turn, after failures, could come 4.5 s after its list with 450 nodes: with ask_within at 4 s past the time in which a node must ask. Half of that bounds it now.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -6,10 +6,11 @@
 // order of the registry's revisions, and each watch is followed by the next at once.
 //
 // The departures: a call that fails is made again at another endpoint after a wait with jitter, which grows with the
-// failures and with the number of nodes, and ends while there is time to be told before a change counts (pause); a watch that says nothing when its wait is over is no failure yet, but
-// what it missed may count as told soon: the list is looked at anew at once (look); a revision that is forgotten ends in
-// one whole reread, of which nothing counts before its last page (forgotten, list); an answer older than the list held is never applied, until all endpoints
-// have told of nothing newer for a stated time (behind); servers that vanish in a mass without having drained are kept for
+// failures and with the number of nodes, and ends while there is time to be told before a change counts (pause); a watch
+// that says nothing when its wait is over is no failure yet, but what it missed may count as told soon: the list is looked
+// at anew at once (look); a revision that is forgotten ends in one whole reread, of which nothing counts before its last
+// page (forgotten, list); an answer older than the list held is never applied, until all endpoints have told of nothing
+// newer for a stated time (behind); servers that vanish in a mass without having drained are kept for
 // a stated time (settle); of two entries with one address the later one stands (standing); an entry that does not parse
 // leaves the last good one in force (take).
 
@@ -353,9 +354,9 @@
 		f.ask()
 	case late && f.known && f.cfg.Pause == 0:
 		// Guards against a registry that turns callers away, and new nodes that have a list but not yet a watch among them:
-		// others have none.
+		// others have none. It goes on well before the node is one that has not asked for long.
 		f.idle, f.call = 0, Call{}
-		f.retry = f.now + time.Duration(f.rng.Float64()*float64(min(f.crowd(), f.longest())))
+		f.retry = f.now + time.Duration(f.rng.Float64()*float64(min(f.crowd(), f.longest(), f.cfg.Within/2)))
 	default:
 		f.idle, f.call = 0, Call{}
 		f.ask() // at once: the watch goes on only if the next call comes soon
