A test for the bound on a new node's late watch

TestALateWatchIsOpenedInTime: 450 nodes, ask_within 4 s, 200 seeds each for streams, polls and whole lists. With the bound of half of ask_within taken out it fails.

--- a/decide/roster/ready_test.go
+++ b/decide/roster/ready_test.go
@@ -172,3 +172,27 @@
 		}
 	})
 }
+
+// The watch that a new node opens late is opened well before it has not asked for too long. Guards against one 4.5 s later,
+// of a fleet of 450, where a node must ask each 4 s.
+func TestALateWatchIsOpenedInTime(t *testing.T) {
+	const within = 4 * time.Second
+	each(t, func(t *testing.T, s style) {
+		for seed := range uint64(200) {
+			m := newModel(t, s, 1, 1, fleet{style: s, nodes: 450}.config(within))
+			m.set("k", entry("s", policy.Ready))
+			m.refuse = 1
+			p := m.followers[0]
+			p.f.rng = rand.New(rand.NewPCG(seed, 9))
+			m.start()
+			for p.first == 0 && m.now < 10*time.Second {
+				m.run(ms)
+			}
+			calls := m.calls
+			m.run(within/2 + ms)
+			if p.first == 0 || m.calls == calls {
+				t.Fatalf("seed %d: a list at %v, and no call until %v", seed, p.first, m.now)
+			}
+		}
+	})
+}
