A client's end comes before all else of a turn, and no attempt begins for one who has left

Need: no attempt may begin for a client more than 0.1 s after it closed, half-closed or reset its connection. Laid in the system while the node stands between two turns, or is stopped, this did not hold. Causes, each forced by a test: - Conn.interest asked for EPOLLRDHUP only while paused: a request and its client's end that came together, on a connection that stands or in the listen queue, were read and sent on; so were those that a reset client had left unread. - Loop.turn took events in the order of their coming, 256 at a time: an answer that makes room, or a connection that comes up, had the held request go out ahead of its client's end, known to the system for as long as the process had stood still. - A stopped process goes on with an interrupted wait (EINTR), and Run then rang the timers that were due before it asked what had come: a further try went out for who had left, and a time-out ran ahead of the answer that had come in its time. - End abandoned a client's requests one by one: the fetch of one passed to the next of the same client, and to the origin; likewise from one client to another that left in the same turn.

Change: connections that heed their end always ask for EPOLLRDHUP and end on it before anything is read; one call of epoll takes all that is ready, ends come behind what is urgent and before the rest; a look older than 20 ms is made anew between two events, between two timers and, for the client concerned, where an attempt begins (Conn.Left in actions.Send); a wait that told nothing is followed by a look without waiting, before timers; a client's calls are nobody's before the module hears of the first. A connection that only waits for its end still reads up to it. Ruled out: internal/policy's own state (held, joined and ended requests are forgotten; policy.go is untouched), uploads' own withdrawal.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -40,7 +40,6 @@
 	failed  bool   // its end has been put off until the owner can be told
 	linger  *Timer // set once it only waits for the other end to finish
 	passed  int    // bytes passed over since
-	leaves  bool   // once the other end has finished, what it sent before is not wanted
 	last    bool   // it closes when out is empty
 	freed   func() // called when the descriptor is given back
 }
@@ -183,13 +182,23 @@
 	}
 }
 
-// HeedEnd has the connection end as soon as the other end has finished, also while reading is paused, whatever it sent
-// before and nobody has read: for clients, who have left then. A reset ends it in any case.
+// HeedEnd has the connection end as soon as the other end has finished or reset it, also while reading is paused, whatever
+// it sent before and nobody has read: for clients, who have left then. Such ends come before all other events of a turn
+// that are not urgent.
 func (c *Conn) HeedEnd() {
-	c.leaves = true
+	c.source.leaves = true
 	c.interest()
 }
 
+// Left reports whether the other end of a connection that heeds its end has left, whether or not the owner has been told
+// yet. What it says is lookAgain old at most, however long the loop has been busy.
+func (c *Conn) Left() bool {
+	if !c.closed {
+		c.loop.again()
+	}
+	return c.closed || c.failed || c.source.left
+}
+
 // interest tells epoll what is waited for.
 func (c *Conn) interest() {
 	if c.closed {
@@ -199,7 +208,7 @@
 	if c.up && !c.paused {
 		events |= unix.EPOLLIN
 	}
-	if c.up && c.paused && c.leaves {
+	if c.up && c.source.leaves {
 		events |= unix.EPOLLRDHUP
 	}
 	if !c.up || len(c.out) > 0 {
@@ -229,6 +238,7 @@
 		return
 	}
 	c.last, c.handler = true, nobody{}
+	c.source.leaves = false // what still comes is passed over, up to the end
 	c.linger = c.loop.After(within, c.release)
 	c.Pause(false)
 	if len(c.out) == 0 && c.up {
@@ -286,13 +296,14 @@
 		c.interest()
 		c.handler.Up()
 	}
-	if !c.closed && len(c.out) > 0 && events&(unix.EPOLLOUT|unix.EPOLLERR) != 0 {
-		c.flush()
-	}
-	if !c.closed && !c.failed && c.paused && c.leaves && events&unix.EPOLLRDHUP != 0 {
+	if c.source.leaves && events&ended != 0 {
+		// Guards against taking what a client had asked for before it left, which may be long ago: it would be sent on.
 		c.end(io.EOF)
 		return
 	}
+	if !c.closed && len(c.out) > 0 && events&(unix.EPOLLOUT|unix.EPOLLERR) != 0 {
+		c.flush()
+	}
 	if !c.closed && !c.failed && (events&unix.EPOLLIN != 0 && !c.paused || events&(unix.EPOLLERR|unix.EPOLLHUP) != 0) {
 		c.read()
 	}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -14,7 +14,21 @@
 
 const (
 	readSize  = 64 << 10 // bytes taken from a connection at a time, so that none keeps the others waiting
-	maxEvents = 256      // taken from epoll at a time
+	maxEvents = 256      // taken from epoll at a time; more where more is watched
+	// lookAgain is how old what epoll has told may be when something is done upon it. Guards against acting for one who
+	// has left while this process stood still or was busy.
+	lookAgain = 20 * time.Millisecond
+	// ended is what epoll tells of a connection whose other end has finished or reset it.
+	ended = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
+)
+
+// rank is a source's place in a turn.
+type rank int
+
+const (
+	first  rank = iota // what is urgent
+	ending             // those whose other end has left
+	others
 )
 
 // Loop owns the epoll descriptor, the timers and the one read buffer.
@@ -29,7 +43,8 @@
 	posts   chan func()
 	buffer  []byte
 	stopped bool
-	open    int // descriptors of connections and listeners now held
+	open    int           // descriptors of connections and listeners now held
+	looked  time.Duration // when epoll was last asked
 
 	// Late is the longest that a timer has been overdue since it was last set to zero.
 	Late time.Duration
@@ -42,9 +57,21 @@
 	serial int32
 	events uint32
 	urgent bool // its events come first in each turn
+	leaves bool // once the other end has finished it has left, see Conn.HeedEnd
+	left   bool // it has
 	ready  func(events uint32)
 }
 
+func (s *source) rank() rank {
+	switch {
+	case s.urgent:
+		return first
+	case s.left:
+		return ending
+	}
+	return others
+}
+
 // New returns a loop that watches nothing yet.
 func New() (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
@@ -106,22 +133,69 @@
 	l.stopped = false
 	events := make([]unix.EpollEvent, maxEvents)
 	for !l.stopped {
-		n, err := unix.EpollWait(l.epoll, events, l.patience())
+		if len(events) < len(l.sources) {
+			events = make([]unix.EpollEvent, 2*len(l.sources))
+		}
+		batch, err := l.look(events, l.patience())
+		if len(batch) == 0 && (err == nil || errors.Is(err, unix.EINTR)) {
+			// Guards against timers that run ahead of what has come before they were due: the process may have been stopped
+			// in its wait, which then ends as interrupted, or behind it.
+			batch, err = l.look(events, 0)
+		}
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return err
 		}
-		l.turn(events[:max(n, 0)], true)
-		l.turn(events[:max(n, 0)], false)
+		for _, r := range []rank{first, ending, others} {
+			l.turn(batch, r)
+		}
 		l.ring()
 	}
 	return nil
 }
 
-// turn handles the events of a batch that are urgent, or those that are not.
-func (l *Loop) turn(events []unix.EpollEvent, urgent bool) {
-	for _, e := range events {
-		// Guards against an event for a descriptor that an earlier event of this batch has closed.
-		if s := l.sources[e.Fd]; s != nil && s.serial == e.Pad && s.urgent == urgent {
+// look asks epoll what has come, waiting so many milliseconds at most, and notes who has left.
+func (l *Loop) look(events []unix.EpollEvent, patience int) ([]unix.EpollEvent, error) {
+	began := l.Now()
+	n, err := unix.EpollWait(l.epoll, events, patience)
+	if err != nil {
+		return nil, err
+	}
+	l.looked = began
+	for _, e := range events[:n] {
+		if s := l.told(e); s != nil && s.leaves && e.Events&ended != 0 {
+			s.left = true
+		}
+	}
+	return events[:n], nil
+}
+
+// told is the source that an event is of; nil when an earlier event of the batch has closed it.
+func (l *Loop) told(e unix.EpollEvent) *source {
+	if s := l.sources[e.Fd]; s != nil && s.serial == e.Pad {
+		return s
+	}
+	return nil
+}
+
+// again looks once more if the last look is old, and returns what that told.
+func (l *Loop) again() []unix.EpollEvent {
+	if l.Now()-l.looked <= lookAgain {
+		return nil
+	}
+	batch, _ := l.look(make([]unix.EpollEvent, max(1, len(l.sources))), 0) // an interrupted one is made up for next time
+	return batch
+}
+
+// heed ends the connections of those who have left since the last look, if that is old.
+func (l *Loop) heed() { l.turn(l.again(), ending) }
+
+// turn handles the events of a batch that are of one rank.
+func (l *Loop) turn(batch []unix.EpollEvent, r rank) {
+	for _, e := range batch {
+		if r == others {
+			l.heed()
+		}
+		if s := l.told(e); s != nil && s.rank() == r {
 			s.ready(e.Events)
 			l.settle()
 		}
@@ -259,7 +333,7 @@
 // ring runs the timers that are due, each once, and what they put off.
 func (l *Loop) ring() {
 	now := l.Now()
-	for len(l.timers.list) > 0 && l.timers.list[0].at <= now {
+	for l.heed(); len(l.timers.list) > 0 && l.timers.list[0].at <= now; l.heed() {
 		t := heap.Pop(&l.timers).(*Timer)
 		l.Late = max(l.Late, now-t.at)
 		t.f()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -666,11 +666,21 @@
 func (c *client) End(error) {
 	calls := c.calls
 	c.drop()
+	// Guards against an attempt for one of its requests as another of them ends, whose fetch it had waited for.
 	for _, k := range calls {
-		if k != nil {
-			k.answer = nil
-			c.node.abandon(k)
-		}
+		k.client = nil
+	}
+	for _, k := range calls {
+		k.answer = nil
+		c.node.abandon(k)
+	}
+}
+
+// away ends the connection of a client that has left, though its end has not come by yet.
+func (c *client) away() {
+	if !c.gone {
+		c.conn.Close()
+		c.End(nil)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -355,6 +355,17 @@
 	t := &try{call: c, n: len(c.tries), pool: n.pools[server], at: n.loop.Now()}
 	c.tries = append(c.tries, t)
 	c.open++
+	if x := c.client; x == nil || x.conn.Left() {
+		// Guards against an attempt for a client that has gone, whose end stands in the system behind what had this one
+		// begin: an answer that gave it room, a time-out, another that was to fetch for it.
+		n.loop.Later(func() {
+			if x != nil {
+				x.away()
+			}
+			n.finished(t, answer{outcome: policy.Moot})
+		})
+		return
+	}
 	left := c.end - n.loop.Now()
 	if wait > 0 {
 		left = min(left, wait)
@@ -379,14 +390,14 @@
 
 // Refuse implements policy.Actions.
 func (a actions) Refuse(id string, comeBack time.Duration) {
-	if c := a.n.calls[id]; c != nil {
+	if c := a.n.calls[id]; c != nil && c.client != nil {
 		a.n.reply(c, meta.AppendBusy(nil, comeBack.Milliseconds()), refused)
 	}
 }
 
 // Fail implements policy.Actions.
 func (a actions) Fail(id string) {
-	if c := a.n.calls[id]; c != nil {
+	if c := a.n.calls[id]; c != nil && c.client != nil {
 		a.n.reply(c, []byte(failure), failed)
 	}
 }
