--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -42,6 +42,10 @@
 		r.Variants = append(r.Variants, v.Name)
 	}
 	most := slices.MaxFunc(f.Sizes, func(a, b Size) int { return a.Nodes - b.Nodes }).Nodes
+	var err error
+	if o.Dir, err = filepath.Abs(o.Dir); err != nil { // planners look for files beside theirs
+		return r, err
+	}
 	dir := filepath.Join(o.Dir, "keys")
 	if err := makeKeys(dir, most, f.Planners.Count); err != nil {
 		return r, err
@@ -227,6 +231,11 @@
 // ready waits until a planner has the list.
 func (b *bench) ready(p *planner) error {
 	for end := time.Now().Add(readyWithin); stage.Call(p.control, "GET", "/_ready") != nil; time.Sleep(20 * time.Millisecond) {
+		select {
+		case <-p.done:
+			return fmt.Errorf("%s ended: %s", p.id, lastLine(p.log))
+		default:
+		}
 		if time.Now().After(end) {
 			return fmt.Errorf("%s is not ready after %v: %s", p.id, readyWithin, lastLine(p.log))
 		}
