--- a/policy/leave_test.go
+++ b/policy/leave_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // Clients that leave while their request waits in the module: nothing is sent for it from then on, whatever ends or comes
 // back, its place is free, and those who waited on its fetch are served. Cancels may be allowed or not.
@@ -55,6 +58,67 @@
 				leave(w)
 				w.answer(first, Miss, NoteMiss, 5*ms)
 			},
+			"held for the origin": func(w *world) {
+				w.b.origin.limit = 1
+				w.request("lead", "read", "other")
+				w.answer(w.last(), Miss, NoteMiss, ms)
+				out := w.last()
+				w.request("gone", "read", "k")
+				w.answer(w.last(), Miss, NoteMiss, ms)
+				if w.b.open["gone"].held != w.b.origin {
+					t.Fatal("it is not held for the origin")
+				}
+				leave(w)
+				w.answer(out, OK, NoteMiss, 5*ms)
+			},
+			"held for the origin, others waiting on it": func(w *world) {
+				w.b.origin.limit = 1
+				w.request("lead", "read", "other")
+				w.answer(w.last(), Miss, NoteMiss, ms)
+				out := w.last()
+				w.request("gone", "read", "k")
+				w.answer(w.last(), Miss, NoteMiss, ms)
+				w.request("w1", "read", "k")
+				leave(w)
+				w.answer(out, OK, NoteMiss, 5*ms)
+				if s := w.last(); s.id != "w1" {
+					t.Errorf("%v, want w1 sent", s)
+				}
+			},
+			"until a cache has told its load": func(w *world) {
+				w.b.set.MayProbe = true
+				w.b.slow.add(w.now, skipSpell) // answers come late
+				w.request("gone", "read", "k")
+				s := w.b.open["gone"].held
+				if len(w.probed) != 1 || s == nil || !s.probing {
+					t.Fatalf("probed %v, held for %v", w.probed, s)
+				}
+				leave(w)
+				w.b.Probed(w.now+ms, w.probed[0], true, Report{})
+				if len(s.queue) != 0 {
+					t.Error("its place is taken")
+				}
+			},
+			"its write half come": func(w *world) {
+				s := w.fill("k")
+				w.b.Request(w.now, Request{ID: "gone", Class: "read", Key: "k", Left: time.Minute, Coming: true})
+				leave(w)
+				w.b.Came(w.now, "gone", time.Second)
+				if len(s.queue) != 0 {
+					t.Error("its place is taken")
+				}
+				w.answer(w.sends[0], OK, NoteHit, 5*ms)
+			},
+			"one of its two attempts fails behind it": func(w *world) {
+				w.request("gone", "read", "k")
+				first := w.last()
+				w.answer(first, TimedOut, NoNote, 200*ms)
+				if w.tries["gone"] != 2 {
+					t.Fatalf("%d attempts", w.tries["gone"])
+				}
+				leave(w)
+				w.answer(w.last(), Reset, NoNote, 5*ms)
+			},
 			"as the leader of a fetch": func(w *world) {
 				w.request("gone", "read", "k")
 				w.answer(w.last(), Miss, NoteMiss, ms)
