--- a/internal/simhost/simhost_test.go
+++ b/internal/simhost/simhost_test.go
@@ -76,6 +76,43 @@
 	}
 }
 
+// The protocol's word for a client that has left or cancelled: what is held for it is never placed, and what has been is not
+// placed again; cancels allowed or not.
+func TestAborted(t *testing.T) {
+	for _, cancel := range []string{"", `"Cancel":true,`} {
+		for _, gone := range []bool{false, true} {
+			in := strings.Replace(setUp, `"Limits":{`, `"Limits":{`+cancel, 1) + order +
+				`{"kind":"Batch","SimTime":3000,"frame":3}
+{"kind":"Order","I":"node_0","Handle":"c:2","Grade":"read","Resource":12,"Grace":800000000}
+{"kind":"Eob"}
+{"kind":"Batch","SimTime":4000,"frame":4}
+`
+			if gone {
+				in += `{"kind":"Aborted","I":"node_0","Handle":"c:1"}
+{"kind":"Aborted","I":"node_0","Handle":"c:2"}
+`
+			}
+			in += `{"kind":"Eob"}
+{"kind":"Batch","SimTime":5002000,"frame":5}
+{"kind":"ClosedAttempt","I":"node_0","Handle":"c:1","Server":"10.0.0.1:80","Ending":304,"Took":5000000}
+{"kind":"Ring","I":"node_0","Ref":"sweep"}
+{"kind":"Eob"}
+`
+			var out bytes.Buffer
+			if err := Run(strings.NewReader(in), &out); err != nil {
+				t.Fatal(err)
+			}
+			want := 2 // that of c:1, and c:2 in its place
+			if gone {
+				want = 1
+			}
+			if got := strings.Count(out.String(), `"kind":"Place"`); got != want {
+				t.Errorf("gone %t: %d placed, want %d:\n%s", gone, got, want, out.String())
+			}
+		}
+	}
+}
+
 var malformed = []struct{ name, input, want string }{
 	{"not JSON", "{\"kind\":\"Batch\",\"SimTime\":2,\"frame\":5}\nhello\n", "batch 5, line 2: not a message"},
 	{"no batch", `{"kind":"Eob"}` + "\n", `"Eob" where a batch should open`},
