A send to a server never listed, for a client that has left, is no fault

Cause: actions.Send looked whether the client had left before it gave a server without a pool a stand-in for one; finished then read the id of none. It now looks behind that. TestAClientLeavesBeforeASendToNobody panics with the order as it was.

--- a/internal/node/leave_turn_test.go
+++ b/internal/node/leave_turn_test.go
@@ -354,3 +354,17 @@
 		}
 	})
 }
+
+// Guards against a fault where both are so: the client has left, and the server is none that was ever listed.
+func TestAClientLeavesBeforeASendToNobody(t *testing.T) {
+	s := newStage(t, false, answering)
+	s.cache.Silence(true)
+	c := s.ask("gone")
+	s.taken(1)
+	gone(t, c, ways["close"])
+	s.node.loop.Later(func() { actions{s.node}.Send("gone", "c-9", 0, 0) })
+	s.run("its place is free", func() bool { return len(s.node.calls) == 0 })
+	if s.node.count.abandoned != 1 || s.outcomes(policy.ConnectFailed) != 1 {
+		t.Errorf("%d abandoned, %v", s.node.count.abandoned, s.node.count.outcomes)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -355,6 +355,15 @@
 	t := &try{call: c, n: len(c.tries), pool: n.pools[server], at: n.loop.Now()}
 	c.tries = append(c.tries, t)
 	c.open++
+	left := c.end - n.loop.Now()
+	if wait > 0 {
+		left = min(left, wait)
+	}
+	if t.pool == nil || t.pool.banned { // never listed here, or kept from it by hand: nothing can have been sent
+		t.pool = &pool{node: n, id: server, banned: true}
+		n.loop.Later(func() { n.finished(t, answer{outcome: policy.ConnectFailed}) })
+		return
+	}
 	if x := c.client; x == nil || x.conn.Left() {
 		// Guards against an attempt for a client that has gone, whose end stands in the system behind what had this one
 		// begin: an answer that gave it room, a time-out, another that was to fetch for it.
@@ -366,15 +375,6 @@
 		})
 		return
 	}
-	left := c.end - n.loop.Now()
-	if wait > 0 {
-		left = min(left, wait)
-	}
-	if t.pool == nil || t.pool.banned { // never listed here, or kept from it by hand: nothing can have been sent
-		t.pool = &pool{node: n, id: server, banned: true}
-		n.loop.Later(func() { n.finished(t, answer{outcome: policy.ConnectFailed}) })
-		return
-	}
 	if left <= 0 || c.answered {
 		n.loop.Later(func() { n.finished(t, answer{outcome: policy.Moot}) })
 		return
