Idle clients that fill all descriptors leave servers, the list and a second process theirs

Need: idle clients may fill the descriptors while discovery is down; the list call, the pools, the operators' address and a hand-over must still get theirs when it returns.

Causes, each traced in the counters: - connect_failed=40 with server_conns=0: clients in the reserve counted against the room that a dial needs, so that with no connection standing none could be made, and the server was skipped. Servers now have linkLeast in any case, and clients leave these and two descriptors for the list call unused. - full_house: clients that are refused and don't close stood in the reserve for as long as they lingered, and the house counted as full of them for as long as others came. The reserve is now counted apart. - an ended connection whose client does not close held a place for 1 s; in a crowded house it is given up 0.1 s after its end, once all has been acknowledged. - half of 64 descriptors, less the reserve and the operators' share, left a second process three, so that it refused all; the reserve is now at most half of what is left. With few places idle connections were kept 2 s, and requests waited unread for over 10 s: idleMost goes by the places there are.

Ruled out: descriptors failing at the system (no dials_failed, no "too many open files"); the list call needs one descriptor, by TLS two for a moment; endpoints are addresses, so no name is looked up.

--- /dev/null
+++ b/cmd/lapisshelf/descriptors_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// crowd are clients that fill all descriptors they get and keep asking for more, until told to stop.
+type crowd struct {
+	stop    atomic.Bool
+	clients sync.WaitGroup
+	opened  atomic.Int64
+}
+
+// fill has so many clients connect, each again and again: it sends something and then stays, until the node has closed the
+// connection and a while beyond it.
+func fill(addr string, clients int, send func(i int64) string, stays time.Duration) *crowd {
+	c := &crowd{}
+	for range clients {
+		c.clients.Add(1)
+		go func() {
+			defer c.clients.Done()
+			for !c.stop.Load() {
+				conn, err := net.DialTimeout("tcp", addr, time.Second)
+				if err != nil {
+					time.Sleep(5 * time.Millisecond)
+					continue
+				}
+				i := c.opened.Add(1)
+				io.WriteString(conn, send(i))
+				buf := make([]byte, 4096)
+				for !c.stop.Load() {
+					conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+					_, err := conn.Read(buf)
+					if e, ok := err.(net.Error); err != nil && !(ok && e.Timeout()) {
+						break
+					}
+				}
+				for end := time.Now().Add(stays); time.Now().Before(end) && !c.stop.Load(); {
+					time.Sleep(10 * time.Millisecond)
+				}
+				conn.Close()
+				time.Sleep(200 * time.Millisecond)
+			}
+		}()
+	}
+	return c
+}
+
+func (c *crowd) end() {
+	c.stop.Store(true)
+	c.clients.Wait()
+}
+
+// Idle clients fill all descriptors they get while discovery is down, refused or hanging, and go on after it. When it is back
+// with a drain and a new server, the list is called and applied, requests go through the pools to the new server, which had
+// no connection yet, operators' calls are answered, and another process takes over and serves. The system gives the process
+// exactly as many descriptors as its settings say.
+func TestIdleClientsFillTheDescriptorsInAnOutage(t *testing.T) {
+	const sockets, clients, asks = 64, 80, 20
+	ask := func(i int64) string { return fmt.Sprintf("mg k%d v Ocrowd%d Pc=read,d=2500\r\n", i%50, i) }
+	for _, kind := range []struct {
+		name  string
+		send  func(i int64) string
+		stays time.Duration
+	}{
+		{"silent", func(int64) string { return "" }, 0},
+		{"half a command", func(int64) string { return "mg k v" }, 0},
+		{"ask once and stay", ask, 0},
+		{"ask once and stay beyond the close", ask, 5 * time.Second},
+	} {
+		for _, outage := range []string{"refused", "hanging"} {
+			t.Run(kind.name+", "+outage, func(t *testing.T) {
+				t.Parallel()
+				one, two := startCache(t, holding("1")), startCache(t, holding("2"))
+				d := startDiscovery(t, serving("s-1", one.Addr(), "m2"))
+				n, control := operated(t, d, func(c map[string]any) {
+					c["limits"] = map[string]any{"memory_mb": 64, "sockets": sockets}
+					c["settings"].(map[string]any)["FamilyInfo"] = map[string]any{"Mode": "through", "OriginKind": -1}
+				})
+				if outage == "refused" {
+					if err := d.Refuse(true); err != nil {
+						t.Fatal(err)
+					}
+					d.Down(true)
+				} else {
+					d.Cut(0, true)
+				}
+				crowd := fill(n.addr, clients, kind.send, kind.stays)
+				defer crowd.end()
+				eventually(t, "all descriptors are taken during the outage", func() bool {
+					return crowd.opened.Load() > sockets && strings.Contains(n.log(), "event=list_failed")
+				})
+				d.Replace(serving("s-2", two.Addr(), "m2"))
+				revision, _ := d.Members()
+				if err := d.Refuse(false); err != nil {
+					t.Fatal(err)
+				}
+				d.Down(false)
+				d.Cut(0, false)
+				eventually(t, "the change is applied", func() bool {
+					n.signal(syscall.SIGUSR1)
+					return strings.Contains(n.log(), fmt.Sprintf(" now_revision=%d ", revision))
+				})
+				for _, path := range []string{"/_ready", "/_vars"} {
+					for range 10 {
+						if status, text := call(t, control, "GET", path); status != 200 {
+							t.Errorf("%s: %d %s", path, status, text)
+						}
+					}
+				}
+				before, asked := len(one.Lines()), 0
+				for served := range asks {
+					eventually(t, fmt.Sprintf("request %d is served", served), func() bool {
+						asked++
+						return once(t, n.addr, fmt.Sprintf("good%d", asked))
+					})
+				}
+				if got := len(one.Lines()) - before; got > 0 {
+					t.Errorf("%d requests went to the server that left", got)
+				}
+				next, nextControl := n.successor(nil)
+				eventually(t, "another process takes over", ready(t, nextControl))
+				for i := range 3 {
+					eventually(t, "it serves beside the old one", func() bool { return once(t, n.addr, fmt.Sprintf("both%d-%d", i, time.Now().UnixNano())) })
+				}
+				n.signal(syscall.SIGTERM)
+				if code := n.wait(); code != 0 {
+					t.Errorf("the old process ended with status %d", code)
+				}
+				eventually(t, "it serves alone", func() bool { return once(t, n.addr, fmt.Sprintf("alone%d", time.Now().UnixNano())) })
+				for _, p := range []*process{n, next} {
+					if strings.Contains(p.log(), "too many open files") || strings.Contains(p.log(), "event=accept_failed") {
+						t.Error("the system had no descriptor left")
+					}
+				}
+				t.Logf("%d of %d requests served, the crowd connected %d times", asks, asked, crowd.opened.Load())
+			})
+		}
+	}
+}
+
+// once asks on a connection of its own and reports whether a value came. A refusal, or an end of the connection before the request
+// was read, is none; no answer at all, or any other, is a fault.
+func once(t *testing.T, addr, id string) bool {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(patience))
+	fmt.Fprintf(conn, "mg key-%s v O%s Pc=read,d=2500\r\n", id, id)
+	buf := make([]byte, 256)
+	n, err := conn.Read(buf)
+	line := string(buf[:n])
+	if unheard := line == "" && (errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)); unheard {
+		return false // closed in a full house before it had asked
+	}
+	if !strings.HasPrefix(line, "VA ") && line != "SERVER_ERROR busy\r\n" {
+		t.Errorf("request %s: %q, %v", id, line, err)
+	}
+	return strings.HasPrefix(line, "VA ")
+}
--- a/cmd/lapisshelf/harness_test.go
+++ b/cmd/lapisshelf/harness_test.go
@@ -219,8 +219,14 @@
 // launchIn starts it with a directory for temporary files, which another process may share.
 func launchIn(t *testing.T, tmp, config, listen string, to *os.File, args ...string) *process {
 	t.Helper()
+	var told struct{ Limits struct{ Sockets int } }
+	json.Unmarshal([]byte(config), &told)
+	sockets := 1024 // also where the configuration is bad
+	if told.Limits.Sockets >= 64 {
+		sockets = told.Limits.Sockets
+	}
 	n := &process{t: t, addr: listen, tmp: tmp, Node: stage.NewNode(stage.NodeOptions{Log: seen.NewLog(), Command: strings.Join(append([]string{binary}, args...), " "),
-		Dir: t.TempDir(), Listen: listen, MemoryMB: 1 << 10, Sockets: 1024, Text: config, Output: to, Env: []string{"TMPDIR=" + tmp}})}
+		Dir: t.TempDir(), Listen: listen, MemoryMB: 1 << 10, Sockets: sockets, Text: config, Output: to, Env: []string{"TMPDIR=" + tmp}})}
 	if err := n.Start(0, nil); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -18,6 +18,7 @@
 	mostUnsent    = 256 << 10 // bytes of answers that a connection may leave unread before it is not read either
 	slowFor       = 5 * time.Second
 	lingerFor     = time.Second
+	partShort     = 100 * time.Millisecond // and with no room left, of which the answers have all been acknowledged
 	restFor       = 700 * time.Millisecond // idle for so long, a connection has no request on its way
 	lookEvery     = 50 * time.Millisecond  // how often a full house and a leaving node look for what can be closed
 	owesFor       = 2 * time.Second        // how long a connection may owe the rest of a command, its first included
@@ -39,8 +40,10 @@
 	all      map[*client]bool
 	idle     *list.List  // those with nothing open, longest unused first
 	owing    *list.List  // those that owe the rest of a command, longest first
+	parted   *list.List  // those that only wait for the other end to finish, longest first
 	seen     ids         // of requests lately
 	closing  bool        // connections close between requests
+	reserved int         // descriptors held in the reserve, by those too that only wait for the other end
 	drained  *loop.Timer // the next step of sending clients away
 	retry    *loop.Timer
 }
@@ -55,6 +58,7 @@
 	calls   []*call       // in the order in which they came; the first unanswered one holds up the others
 	place   *list.Element // among the idle or the owing
 	list    *list.List    // the one of them that place is in
+	parts   *list.Element // among those that wait for the other end
 	used    time.Duration // when bytes last went either way
 	since   time.Duration // when it came to owe the rest of a command
 	bad     int           // commands that were none
@@ -75,7 +79,7 @@
 
 func (s *clients) init() {
 	s.seen = newIDs(s.node.cfg.MemoryMB)
-	s.all, s.idle, s.owing = map[*client]bool{}, list.New(), list.New()
+	s.all, s.idle, s.owing, s.parted = map[*client]bool{}, list.New(), list.New(), list.New()
 	s.node.loop.After(tidyEvery, s.tidy)
 }
 
@@ -102,17 +106,23 @@
 }
 
 // full reports whether there is no room for one more client: they may have all that servers don't hold or must have.
+// Guards against clients who are refused and stay, each for as long as its connection lingers: with those counted the house
+// was full of them for as long as others came, and nobody was served.
 func (s *clients) full() bool {
 	n := s.node
-	return n.open()-n.links >= n.room()-max(n.links, n.linkLeast())
+	return n.open()-s.reserved-n.links >= n.room()-max(n.links, n.linkLeast())
 }
 
-// brimful reports whether not even the reserve has a descriptor left.
+// brimful reports whether not even the reserve has a descriptor left for a client: what servers must have and a call for
+// the list are none of theirs.
 func (s *clients) brimful() bool {
 	n := s.node
-	return n.open() >= n.room()+n.reserve()-min(ownSockets, n.sockets()/4)
+	return n.open()-n.links >= n.brim()-max(n.links, n.linkLeast())-listSockets
 }
 
+// crowded reports whether one more client would find no room, or no descriptor at all.
+func (s *clients) crowded() bool { return s.full() || s.brimful() }
+
 // accept takes a connection. In a full house it stands in the reserve, to have its request refused: one that waits
 // unread in the system's queue is lost.
 func (s *clients) accept(fd int) {
@@ -131,7 +141,24 @@
 	c.rest(s.owing)
 	s.node.count.clientsIn++
 	s.thin()
-	c.excess = s.full()
+	c.seat(s.full())
+	conn.OnRelease(func() {
+		c.seat(false)
+		if c.parts != nil {
+			s.parted.Remove(c.parts)
+		}
+	})
+}
+
+// seat has a connection stand in the reserve, or no more.
+func (c *client) seat(reserve bool) {
+	switch s := &c.node.clients; {
+	case reserve && !c.excess:
+		s.reserved++
+	case !reserve && c.excess:
+		s.reserved--
+	}
+	c.excess = reserve
 }
 
 // thin keeps the number of connections, those included that are closing, within the room.
@@ -141,7 +168,7 @@
 	}
 	// Guards against requests that wait unread for a descriptor, and are lost by it, while others are idle. First go
 	// those who connect and say nothing, or half of something: clients send as soon as they are connected.
-	for s.full() && s.evict(owesShort) {
+	for s.crowded() && (s.evict(owesShort) || s.part()) {
 	}
 	if s.full() {
 		// One used a moment ago is not idle: clients open another when all they have are busy, so its next request is
@@ -154,7 +181,7 @@
 		}
 	}
 	s.listener.Pause(s.brimful())
-	if s.full() && s.retry == nil {
+	if s.crowded() && s.retry == nil {
 		s.retry = s.node.loop.After(lookEvery, func() {
 			s.retry = nil
 			s.thin()
@@ -182,6 +209,17 @@
 	return true
 }
 
+// part gives up the connection that has waited longest for its client to finish, if that is over partShort and the client
+// has acknowledged all that it was sent.
+func (s *clients) part() bool {
+	c := front(s.parted)
+	if c == nil || s.node.loop.Now()-c.used < partShort || c.conn.Taken() < c.conn.Queued() {
+		return false
+	}
+	c.conn.Close()
+	return true
+}
+
 // tidy closes connections that have owed the rest of a command or been idle for too long, so that neither those who say
 // nothing nor those who ask once and stay take the descriptors of others.
 func (s *clients) tidy() {
@@ -206,7 +244,11 @@
 // node has room (launceston-platform rfa7819: three in four, at 128 idle connections closed after 2 s each).
 func (s *clients) idleMost() time.Duration {
 	n := s.node
-	used := float64(len(s.all)-s.owing.Len()) * heldByClients / float64(max(1, n.sockets()))
+	// With few descriptors servers, the reserve and the operators' address leave clients less than their part: a second
+	// process with places for two to five kept each idle for 2 s, and requests waited unread for over 10 s.
+	places := min(n.room(), n.brim()-listSockets) - max(n.links, n.linkLeast()) - listenSockets
+	most := max(1, min(n.sockets()/heldByClients, places))
+	used := float64(len(s.all)-s.owing.Len()) / float64(most)
 	switch {
 	case used > 0.5:
 		return max(idleLeast, time.Duration(float64(idleShort)*(0.875-used)/0.375))
@@ -384,7 +426,7 @@
 		n.register(m.ID)
 	}
 	// Whoever asks goes before those who may be about to.
-	if c.excess = c.excess && n.clients.full() && !n.clients.evict(0); c.excess {
+	if c.seat(c.excess && n.clients.full() && !n.clients.evict(0)); c.excess {
 		c.refuse(kind)
 		c.parting = true // its descriptor is wanted
 		return
@@ -688,6 +730,7 @@
 			linger /= 4
 		}
 		c.conn.Finish(linger)
+		c.used, c.parts = c.node.loop.Now(), c.node.clients.parted.PushBack(c)
 		c.drop()
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,10 @@
 	reserve = 32
 	// ownSockets of these are the loop's, the runtime's and the standard ones.
 	ownSockets = 14
+	// listSockets are left by clients for a call for the list: by TLS one may still be closing as the next is made.
+	listSockets = 2
+	// listenSockets of the room are the listener's, the call's for the list and the watch's over other processes.
+	listenSockets = 3
 	// heldPart bounds the values of writes and of answers that are kept, as a part of the memory limit.
 	heldPart = 4
 	// valuePart bounds one value, as a part of the memory limit.
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -141,7 +141,7 @@
 	l := p.fresh()
 	switch {
 	case l != nil:
-	case n.links < n.linkMost() && n.open() < n.room() || n.shed():
+	case n.mayDial() || n.shed():
 		l = p.dial()
 	case t.call.upload == nil: // a long value has a connection to itself: to give it up is to close that
 		l = p.shared()
@@ -254,9 +254,20 @@
 func (n *Node) room() int { return n.sockets() - n.reserve() - n.control.Share() }
 func (n *Node) open() int { return n.loop.Open() - n.control.Open() }
 
+// brim is how many the node may have in all, with the reserve.
+func (n *Node) brim() int { return n.room() + n.reserve() - min(ownSockets, n.sockets()/4) }
+
 // linkMost is how many of them may be to servers, linkLeast how many clients must leave to servers.
-func (n *Node) linkMost() int  { return n.room() * 2 / 5 }
-func (n *Node) linkLeast() int { return n.room() / 8 }
+func (n *Node) linkMost() int  { return max(n.linkLeast(), n.room()*2/5) }
+func (n *Node) linkLeast() int { return max(1, n.room()/8) }
+
+// mayDial reports whether there is room for one more connection to a server. Clients in the reserve take none of it.
+func (n *Node) mayDial() bool {
+	// Guards against clients who fill the room and the reserve: with no connection to any server left, as after a quiet
+	// time or a change of servers, each request was failed and each server skipped, for as long as they came.
+	most := n.links < n.linkMost() && n.open()-n.clients.reserved < n.room()
+	return n.open() < n.brim() && (most || n.links < n.linkLeast())
+}
 
 // shed closes the idle connection that has stood longest.
 func (n *Node) shed() bool {
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -313,5 +313,7 @@
 	if n.leaving && len(n.succession.others()) > 0 {
 		return 0 // no new client comes
 	}
-	return min(reserve, n.sockets()/2)
+	// Guards against a half of few descriptors of which the operators' address and the reserve took all: with 64 in all no
+	// request was served while two processes ran.
+	return max(0, min(reserve, (n.sockets()-n.control.Share())/2))
 }
--- a/lab/standin/list.go
+++ b/lab/standin/list.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"errors"
 	"io"
 	"log"
 	"net"
@@ -143,6 +144,15 @@
 // Down takes the service down, or up again.
 func (l *List) Down(on bool) { l.change(func() { l.down = on }) }
 
+// Refuse has connections refused, or taken again. Those that stand are not touched: Down has their calls turned away.
+func (l *List) Refuse(on bool) error {
+	var errs []error
+	for _, p := range l.ports {
+		errs = append(errs, p.refuse(on))
+	}
+	return errors.Join(errs...)
+}
+
 // Garble makes it talk nonsense.
 func (l *List) Garble(on bool) { l.change(func() { l.garble = on }) }
 
