--- a/decide/plan/brief_test.go
+++ b/decide/plan/brief_test.go
@@ -160,6 +160,9 @@
 		}
 		for _, s := range []int{2, 4, 6} {
 			whole, brief := c.shares(s)
+			if got := c.brief.serving[s].pull(); math.Abs(got-c.pull(s)) > c.pull(s)/4 || math.Abs(whole-brief) > 0.06 {
+				t.Errorf("%v: asked %.1f times its part, taken for %.2f; %.3f bad, taken for %.3f", x, c.pull(s), got, whole, brief)
+			}
 			t.Logf("%v: asked %.1f times its part: whole %.3f brief %.3f, taken for %.2f", x, c.pull(s), whole, brief, c.brief.serving[s].pull())
 		}
 		for _, s := range c.brief.serving {
