Tests of a liar's memory, of hot keys that stay told, of shares and of the talk key

What a forwarder with more than twice the middle's answers remembers is scaled as a whole, not its sum alone.

--- a/decide/plan/brief_test.go
+++ b/decide/plan/brief_test.go
@@ -84,6 +84,11 @@
 		c.now += sec / 2
 	}
 	c.now -= sec
+	for _, r := range c.brief.Explain() {
+		if !(r.Bad >= 0 && r.Bad <= 1 && r.Answers >= 0) {
+			t.Fatalf("%s: %v of %v answers bad", r.ID, r.Bad, r.Answers)
+		}
+	}
 }
 
 // shares are the parts of bad answers that both planners know of.
@@ -263,6 +268,27 @@
 	}
 }
 
+// What a forwarder says that it remembers counts for no more than a server could get: with others heard it is soon outweighed.
+func TestALiarsMemory(t *testing.T) {
+	c := newCrowd(7, 30, 40, 200)
+	c.bad = func(int) float64 { return 0.05 }
+	lies := true
+	c.twist = func(node int, d *Digest) {
+		if lies && node == 0 && d.Brief {
+			d.Servers, d.Bad, d.Past = nil, []Load{{ID: "c01", Sends: MostCount, Late: 1}}, 100
+		}
+	}
+	for range 5 {
+		c.second(t)
+	}
+	for lies = false; c.now < 120*sec; {
+		c.second(t)
+	}
+	if got := c.brief.servers["c01"].skew(); math.Abs(got-1) > 0.3 {
+		t.Errorf("taken for %.2f times its part, ten seconds after the last lie", got)
+	}
+}
+
 // A liar that is heard before all others, when there is no other to hold it against, is held against them once they are.
 func TestALiarThatIsFirst(t *testing.T) {
 	for name, lie := range map[string]Digest{
@@ -323,6 +349,15 @@
 	}
 }
 
+// Bad answers are told by name and all answers may be inferred: there are never more bad ones than all.
+func TestNoMoreBadThanAll(t *testing.T) {
+	for _, x := range []struct{ bad, total, want float64 }{{9, 5, 1}, {2, 5, 0.4}, {1, 0, 0}, {0, -1e-12, 0}} {
+		if got := (&tallied{bad: x.bad, total: x.total}).badShare(); got != x.want {
+			t.Errorf("%v of %v: %v", x.bad, x.total, got)
+		}
+	}
+}
+
 // What is kept of each forwarder is what it named of late, whatever the number of servers.
 // Guards against sums over forwarders times servers.
 func TestWhatIsKeptOfAForwarder(t *testing.T) {
@@ -399,20 +434,23 @@
 // The same events give the same digest, to the last bit: the fleet model plays a seed again by it.
 func TestTheSameEventsGiveTheSameDigest(t *testing.T) {
 	var first []*Digest
+	var before []float64
 	for range 20 {
 		rng := rand.New(rand.NewPCG(3, 4))
 		g := NewGather(100*sec, "f")
 		var list []*Digest
+		var sums []float64
 		for i := range 5 {
 			for range 1500 {
 				g.Attempt(fmt.Sprintf("c%02d", rng.IntN(200)), false, policy.OK, time.Millisecond, rng.IntN(5) > 0, false)
 			}
 			list = append(list, g.Brief(g.Digest(100*sec+time.Duration(i+1)*sec)))
+			sums = append(sums, g.before)
 		}
 		if first == nil {
-			first = list
+			first, before = list, sums
 		}
-		if diff := cmp.Diff(first, list); diff != "" {
+		if diff := cmp.Diff(first, list) + cmp.Diff(before, sums); diff != "" {
 			t.Fatal(diff)
 		}
 	}
@@ -479,6 +517,37 @@
 	}
 }
 
+// A key that was told stays told until it has cooled well below what makes one hot, and its load is told anew only when it is
+// off by more than chance.
+func TestHotKeysStayTold(t *testing.T) {
+	heat := func(list ...float64) (hot []policy.Heat) {
+		for i, x := range list {
+			hot = append(hot, policy.Heat{Key: uint32(i), Load: x})
+		}
+		return hot
+	}
+	for i, c := range []struct {
+		old, now []policy.Heat
+		mean     float64
+		told     int
+		news     bool
+	}{
+		{nil, heat(0.6), 1e6, 1, true},
+		{nil, heat(0.45), 1e6, 0, false},
+		{heat(0.6), heat(0.45), 1e6, 1, true}, // off by a quarter
+		{heat(0.5), heat(0.45), 1e6, 1, false},
+		{heat(0.5), heat(), 1e6, 0, true},
+		{heat(4), heat(4.4), 1e6, 1, false},
+		{heat(4), heat(5), 1e6, 1, true},
+		{heat(4), heat(5), 10, 1, false}, // ten requests are a cache's load: chance
+		{heat(1), heat(1, 1), 1e6, 2, true},
+	} {
+		if got, news := nextHot(c.old, c.now, c.mean); news != c.news || len(got) != c.told {
+			t.Errorf("%d: %+v, %v", i, got, news)
+		}
+	}
+}
+
 // The log of changes is bounded: from a revision older than what it holds all is told.
 func TestOldRevisionsAreForgotten(t *testing.T) {
 	p := New(config())
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -26,7 +26,7 @@
 	slack      = 1.5 // by which it may be over that while what is in the middle falls
 	leastSkew  = 0.5 // of the requests that a server gets, against what it should; a liar moves it no further
 	mostSkew   = 4.0
-	unknown    = 5.0         // answers by which it is taken to get what it should
+	unknown    = 5.0         // answers that count as if it got what it should, beside what is known
 	longer     = 4           // times the memory in which that fades: what a server gets changes slowly
 	leastPart  = 0.5         // of all servers' parts, over which a digest's rest is spread at least
 	keysHeld   = 1 << 14     // that are counted at once
@@ -269,13 +269,15 @@
 		rest.bad = bad * cut
 		f.rest += rest.total
 		f.restBad += rest.bad
-		past := min(float64(d.Past)/tenths, p.middle) / p.bases
+		past := float64(d.Past) / tenths
+		keep := fits(past, p.middle)
 		for i := range d.Bad {
 			if s := p.servers[d.Bad[i].ID]; s != nil {
 				s.named = p.serial
 				s.skip.bad += rest.bad
-				s.due += past * s.base
-				s.known += min(float64(d.Bad[i].Sends)/tenths, 2*mostSkew*past*s.base)
+				due := keep * past * s.base / p.bases
+				s.due += due
+				s.known += min(keep*float64(d.Bad[i].Sends)/tenths, 2*mostSkew*due) // what lies beyond is a lie
 			}
 		}
 		if rest.bad > 0 {
--- a/lab/experiment/experiment_test.go
+++ b/lab/experiment/experiment_test.go
@@ -159,6 +159,8 @@
 		{`broken = ["cold"]`, `broken = ["hot"]`, "x.toml:39: expect.broken: \"hot\" is no rule"},
 		{"rate = 50", "rate = 50\n[clients]\nrate = 0", "x.toml:8: clients.rate: must be above 0"},
 		{"rate = 50", "rate = 50\n[nodes]\ncount = 2\nlisten = [\"127.0.0.1:1\"]", "x.toml:9: nodes.listen: wants an address for each node"},
+		{"rate = 50", "rate = 50\n[planners]\ncount = 1\ntalk = \"loud\"", "x.toml:9: planners.talk: \"loud\" is neither changes nor whole"},
+		{"rate = 50", "rate = 50\n[planners]\ncount = 1\ntalk = \"whole\"", "x.toml:9: planners.talk: lapislab model alone can choose it"},
 		{"[expect]", "[expect", "x.toml:3"},
 	} {
 		if !strings.Contains(small, c.from) {
