A grant that lay in a buffer while a node or planner was frozen counts for nothing

Need: a planner counts a grant as running for its validity and a second for the way; a forwarder counts it from when it comes. Beside grants a planner tells which digest they answer and for how long it has had that; a forwarder takes them if the rest of the time since that digest is a second at most. No clocks are compared. The state beside them is taken as before.

--- a/decide/follow/change_test.go
+++ b/decide/follow/change_test.go
@@ -239,7 +239,9 @@
 		"back to before its base":                       {with(part(5, 4, 51*sec, 0.75), func(c *plan.Change) {}), Absurd, 0.5, 5},
 		"no factor":                                     {part(5, 6, 51*sec, 0), Absurd, 0.5, 5},
 		"whole, but parts left out":                     {with(whole(6, 51*sec, 0.75), func(c *plan.Change) { c.HotSet = false }), Absurd, 0.5, 5},
-		"a grant of nothing":                            {with(part(5, 6, 51*sec, 0.75), func(c *plan.Change) { c.Grants = []plan.Grant{{ID: "c1"}} }), Absurd, 0.5, 5},
+		"a grant of nothing":                            {with(part(5, 6, 51*sec, 0.75), func(c *plan.Change) { c.Grants, c.Answers = []plan.Grant{{ID: "c1"}}, 1 }), Absurd, 0.5, 5},
+		"a grant that answers nothing":                  {with(part(5, 6, 51*sec, 0.75), func(c *plan.Change) { c.Grants = []plan.Grant{{ID: "c1", Rate: 1}} }), Absurd, 0.5, 5},
+		"a grant that answers a digest to come":         {with(part(5, 6, 51*sec, 0.75), func(c *plan.Change) { c.Grants, c.Answers, c.After = []plan.Grant{{ID: "c1", Rate: 1}}, 1, -1 }), Absurd, 0.5, 5},
 		"more than three quarters cut": {with(whole(6, 51*sec, 0.1), func(c *plan.Change) {
 			factors := map[string]float64{}
 			c.Servers = nil
@@ -274,8 +276,9 @@
 func TestGrantsBind(t *testing.T) {
 	f := New(Config{Fade: 10 * sec})
 	c := plan.Change{Planner: "a", Made: 1, Valid: 3 * sec, History: 1, Revision: 1, Count: 4, HotSet: true, TenantsSet: true,
-		Servers: []policy.Share{{ID: "c1", Factor: 0.5}}, Grants: []plan.Grant{{ID: "c1", Rate: 2}, {ID: "c0", Rate: 8}}}
+		Servers: []policy.Share{{ID: "c1", Factor: 0.5}}, Grants: []plan.Grant{{ID: "c1", Rate: 2}, {ID: "c0", Rate: 8}}, Answers: 7}
 	c.Sum = plan.Sum(map[string]float64{"c1": 0.5}, 0, nil, nil)
+	f.Sent(100*sec, 7)
 	f.TakeChange(100*sec, c, ready(4))
 	v, _ := f.Now(102 * sec)
 	if want := []policy.Share{{ID: "c0", Factor: 1, Allow: 8}, {ID: "c1", Factor: 0.5, Allow: 2}}; !slices.Equal(v.Servers, want) {
@@ -283,13 +286,14 @@
 	}
 	turns := f.Turns()
 	c.Made, c.Base, c.Servers, c.HotSet, c.TenantsSet = 2, 1, nil, false, false
+	c.After = 2 * sec
 	if why, err := f.TakeChange(102*sec, c, ready(4)); why != Taken || f.Turns() != turns {
 		t.Errorf("%s, %v; turn %d after %d", why, err, f.Turns(), turns)
 	}
 	if v, trust := f.Now(105 * sec); trust != 1 || len(v.Servers) != 2 {
 		t.Errorf("%+v, trusted %v, though it was told again", v, trust)
 	}
-	c.Made, c.Grants = 3, c.Grants[:1]
+	c.Made, c.Grants, c.After = 3, c.Grants[:1], 3*sec
 	if f.TakeChange(103*sec, c, ready(4)); f.Turns() == turns {
 		t.Error("another grant is no news")
 	}
@@ -319,8 +323,9 @@
 }
 
 // What nodes may send a second to a cold server, by the views that are valid there, is never over the largest budget of the
-// time for which one may be valid, whatever is lost, late by up to a second or doubled, and whoever falls silent or restarts.
-// Guards against a cold server that all nodes are let loose on.
+// time for which one may be valid, whatever is lost, late or doubled, and whoever falls silent or restarts.
+// Guards against a cold server that all nodes are let loose on, and against grants that lay in a buffer while a node or the
+// planner was frozen.
 func TestGrantsAtNodes(t *testing.T) {
 	limited := 0
 	rapid.Check(t, func(r *rapid.T) {
@@ -344,6 +349,11 @@
 		var budgets []spell
 		followers := make([]*Follower, nodes)
 		holds := make([]plan.Hold, nodes)
+		thaws := make([]time.Duration, nodes) // a frozen one takes nothing until then
+		heard := make([]struct {
+			seq uint64
+			at  time.Duration
+		}, nodes)
 		for i := range followers {
 			followers[i] = New(Config{})
 		}
@@ -351,18 +361,33 @@
 		for range rapid.IntRange(30, 150).Draw(r, "steps") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(r, "ms")) * time.Millisecond
 			node := rapid.IntRange(0, nodes-1).Draw(r, "node")
-			switch rapid.IntRange(0, 9).Draw(r, "what") {
-			case 0, 1, 2: // digests, of nodes that are busy at one time and idle at another
+			switch rapid.IntRange(0, 12).Draw(r, "what") {
+			case 0, 1, 2, 8: // digests, of nodes that are busy at one time and idle at another
+				if now < thaws[node] {
+					break
+				}
 				seq++
 				asked := rapid.SampledFrom([]int{0, 5, 50, 500}).Draw(r, "asked")
 				p.Digest(now, plan.Digest{From: fmt.Sprint(node), Seq: seq, Span: sec, Asked: asked, Answered: asked})
 				holds[node] = followers[node].Hold("a")
+				followers[node].Sent(now, seq)
+				heard[node].seq, heard[node].at = seq, now
 			case 3, 4:
 				p.Make(now)
 			case 5:
+				heard[node].seq = 0
 				followers[node] = New(Config{}) // a process that starts anew has another connection
 				way = slices.DeleteFunc(way, func(m message) bool { return m.to == node })
-			case 6: // the server starts anew, or another is cold too
+			case 6: // what is on its way waits until it goes on
+				if now > thaws[node]+10*sec {
+					thaws[node] = now + time.Duration(rapid.IntRange(1, 10).Draw(r, "frozen"))*sec
+					for i := range way {
+						if m := &way[i]; m.to == node && now <= m.until {
+							m.until = thaws[node] + travels
+						}
+					}
+				}
+			case 7: // the server starts anew, or another is cold too
 				at := rapid.IntRange(0, 1).Draw(r, "server")
 				list[at].Started = now
 				p.Roster(now, list)
@@ -371,8 +396,13 @@
 					break
 				}
 				c, _ := p.Change(now, holds[node])
+				if heard[node].seq == 0 { // of this process the planner has heard nothing
+					way = append(way, message{to: node, c: c, until: max(now, thaws[node]) + travels})
+					break
+				}
+				c.Answers, c.After = heard[node].seq, now-heard[node].at
 				if c.Grants = p.Grants(now, fmt.Sprint(node)); rapid.Bool().Draw(r, "arrives") {
-					way = append(way, message{to: node, c: c, until: now + travels})
+					way = append(way, message{to: node, c: c, until: max(now, thaws[node]) + travels})
 				}
 			}
 			for _, x := range p.Explain() {
@@ -380,8 +410,8 @@
 					budgets = append(budgets, spell{now, x.Allow})
 				}
 			}
-			for i := range way { // within a second; a second copy of what came may come later
-				if m := &way[i]; (now <= m.until || m.came) && rapid.Bool().Draw(r, "now") {
+			for i := range way { // mostly within a second; a second copy of what came may come later
+				if m := &way[i]; now >= thaws[m.to] && (now <= m.until || m.came) && rapid.Bool().Draw(r, "now") {
 					m.came = true
 					followers[m.to].TakeChange(now, m.c, ready(6))
 				}
--- a/decide/follow/follow.go
+++ b/decide/follow/follow.go
@@ -62,6 +62,8 @@
 	lasts  map[string]last // of planners
 	states map[string]*state
 	Counts map[Reason]int64 // of views, by what became of them
+	Stale  int64            // changes whose grants were too long on their way
+	sent   []sending        // of digests, the oldest first
 }
 
 // last is the last view taken of a planner.
@@ -130,6 +132,10 @@
 	why, err := f.bring(now, &c)
 	if why == Taken {
 		st := f.states[c.Planner]
+		if len(c.Grants) > 0 && !f.fresh(now, c.Answers, c.After) {
+			c.Grants = nil
+			f.Stale++
+		}
 		v := plan.View{Epoch: c.Epoch, Planner: c.Planner, Made: c.Made, Valid: c.Valid, View: st.view(c.Grants)}
 		if why, err = f.judge(now, &v, c.Count, ready); why == Taken {
 			f.hold(now, v, st.place)
--- a/decide/plan/change.go
+++ b/decide/plan/change.go
@@ -43,6 +43,10 @@
 	TenantsSet bool           // always with Base 0
 	Sum        uint32         // of the state at Revision, see Sum
 	Grants     []Grant        // for this forwarder alone
+	// With grants: the number of the last digest of this forwarder that the planner has had, and how long it has had that.
+	// By them a forwarder knows how long the grants may have been on their way, see MostTravel.
+	Answers uint64
+	After   time.Duration
 }
 
 // Grant is how many sends a second a forwarder may make to a cold server, for as long as the change is valid.
@@ -69,6 +73,8 @@
 		return errors.New("parts that are not set")
 	case c.Count < 0 || c.Count > MostServers:
 		return fmt.Errorf("%d servers", c.Count)
+	case len(c.Grants) > 0 && (c.Answers == 0 || c.After < 0):
+		return errors.New("grants that answer no digest")
 	case len(c.Grants) > MostServers:
 		return errors.New("too many entries")
 	}
--- a/decide/plan/hello.go
+++ b/decide/plan/hello.go
@@ -8,3 +8,7 @@
 	g.seq++
 	return &Digest{From: g.name, Start: g.start, Seq: g.seq, Span: time.Millisecond}
 }
+
+// MostTravel is for how long a grant may be on its way. A planner counts a grant as running for so long beyond its validity,
+// which counts from when it comes; a forwarder takes none that may have been longer.
+const MostTravel = time.Second
--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -19,14 +19,14 @@
 	backASec   = 1.25 // what it grows by in a second of being well
 	coldSafety = 0.5  // as the module's: part of the fall budget that is used
 	strained   = 1.0 / 3
-	admitCut   = 0.8         // of the part of the reads that may go to a strained origin
-	admitBack  = 0.2         // more of them in a second of its being well
-	hotLeast   = 0.5         // caches' mean loads that make a key worth naming
-	mostTimes  = 2.0         // what one forwarder counts for, against the middle one
-	slack      = 1.5         // by which it may be over that while what is in the middle falls
-	leastPart  = 0.5         // of all servers' parts, over which a digest's rest is spread at least
-	mostAsked  = 1 << 14     // that are counted at once
-	travels    = time.Second // for which a view is on its way at most; it counts from when it comes, and so do grants
+	admitCut   = 0.8     // of the part of the reads that may go to a strained origin
+	admitBack  = 0.2     // more of them in a second of its being well
+	hotLeast   = 0.5     // caches' mean loads that make a key worth naming
+	mostTimes  = 2.0     // what one forwarder counts for, against the middle one
+	slack      = 1.5     // by which it may be over that while what is in the middle falls
+	leastPart  = 0.5     // of all servers' parts, over which a digest's rest is spread at least
+	mostAsked  = 1 << 14 // that are counted at once
+	travels    = MostTravel
 )
 
 // Planner makes views. It is not safe for concurrent use.
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -128,6 +128,7 @@
 	}
 	now := f.loop.Now()
 	whole := f.gather.Digest(now)
+	f.follower.Sent(now, whole.Seq)
 	brief := f.gather.Brief(whole)
 	frames := map[kind][]byte{} // planners that are alike get the same
 	for _, l := range f.links {
@@ -149,6 +150,7 @@
 			}
 			if k.hello {
 				d = f.gather.Hello()
+				f.follower.Sent(now, d.Seq)
 			}
 			var err error
 			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err != nil {
@@ -315,6 +317,7 @@
 	for _, r := range []follow.Reason{follow.Taken, follow.Absurd, follow.Epoch, follow.Late, follow.Another, follow.Doubt} {
 		fmt.Fprintf(&b, "views %s %d\n", r, f.follower.Counts[r])
 	}
+	fmt.Fprintf(&b, "grants too late %d\n", f.follower.Stale)
 	fmt.Fprintf(&b, "digests %d, %d of them whole; bytes in %d, out %d\n", f.Digests, f.Wholes, f.BytesIn, f.BytesOut)
 	return b.String()
 }
@@ -337,8 +340,9 @@
 	if l.f.cfg.Whole {
 		return
 	}
-	k := l.kind(now)
-	if frame, err := planwire.Append(nil, planwire.Message{Digest: l.f.gather.Hello(), Hold: k.told()}); err == nil {
+	k, d := l.kind(now), l.f.gather.Hello()
+	l.f.follower.Sent(now, d.Seq)
+	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err == nil {
 		l.send(k, frame)
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -100,6 +100,8 @@
 	waits  bool          // for a whole state
 	last   time.Duration // it was sent a change
 	sent   uint64        // the revision of that
+	seq    uint64        // of the last digest taken
+	heard  time.Duration // it came
 }
 
 // New makes a planner that listens; Run runs it.
@@ -298,7 +300,10 @@
 			c.speech = older
 		}
 		if err == nil {
-			err = p.plan.Digest(p.loop.Now(), *d)
+			now := p.loop.Now()
+			if err = p.plan.Digest(now, *d); err == nil {
+				c.seq, c.heard = d.Seq, now
+			}
 		}
 		if d.Brief {
 			p.briefs++
--- a/internal/planner/talk.go
+++ b/internal/planner/talk.go
@@ -155,7 +155,7 @@
 	p.out.encoded++
 	var err error
 	if m.raw, err = planwire.EncodeChange(c); err == nil {
-		m.frame, err = planwire.AppendChange(nil, m.raw, nil)
+		m.frame, err = planwire.AppendChange(nil, m.raw)
 	}
 	if err != nil {
 		p.note("change_failed", fmt.Sprintf("why=%q", err))
@@ -166,14 +166,14 @@
 // changeTo is the frame that one forwarder gets: what goes to all alike, and its own grants; nil: there is none.
 func (p *Planner) changeTo(now time.Duration, c *conn, cold bool) []byte {
 	m := p.change(now, c.hold)
-	if !cold || m.frame == nil {
+	if !cold || m.frame == nil || c.seq == 0 {
 		return m.frame
 	}
 	grants := p.plan.Grants(now, c.name)
 	if len(grants) == 0 {
 		return m.frame
 	}
-	frame, err := planwire.AppendChange(nil, m.raw, grants)
+	frame, err := planwire.AppendGrants(nil, m.raw, grants, c.seq, now-c.heard)
 	if err != nil {
 		return nil
 	}
--- a/internal/planwire/planwire.go
+++ b/internal/planwire/planwire.go
@@ -37,6 +37,11 @@
 		Hold    *hold           `cbor:"3,keyasint,omitempty"`
 		Change  cbor.RawMessage `cbor:"4,keyasint,omitempty"`
 		Grants  []grant         `cbor:"5,keyasint,omitempty"` // beside a change
+		Answers *answers        `cbor:"6,keyasint,omitempty"` // beside grants
+	}
+	answers struct {
+		Seq   uint64 `cbor:"1,keyasint"`
+		After int64  `cbor:"2,keyasint"`
 	}
 	hold struct {
 		History  uint64 `cbor:"1,keyasint,omitempty"`
@@ -179,7 +184,7 @@
 		if err != nil {
 			return buf, err
 		}
-		return AppendChange(buf, raw, c.Grants)
+		return AppendGrants(buf, raw, c.Grants, c.Answers, c.After)
 	}
 	return appendMessage(buf, out)
 }
@@ -209,12 +214,20 @@
 	return uint16(math.Round(part * thousand))
 }
 
-// AppendChange writes a message with a change behind buf, and one forwarder's grants beside it.
-func AppendChange(buf []byte, raw cbor.RawMessage, grants []plan.Grant) ([]byte, error) {
+// AppendChange writes a message with a change behind buf.
+func AppendChange(buf []byte, raw cbor.RawMessage) ([]byte, error) {
+	return appendMessage(buf, message{Version: Version, Change: raw})
+}
+
+// AppendGrants writes one with a forwarder's grants beside it, which answer its digest of that number so long after it came.
+func AppendGrants(buf []byte, raw cbor.RawMessage, grants []plan.Grant, seq uint64, after time.Duration) ([]byte, error) {
 	out := message{Version: Version, Change: raw}
 	for _, g := range grants {
 		out.Grants = append(out.Grants, grant(g))
 	}
+	if len(grants) > 0 {
+		out.Answers = &answers{seq, int64(after)}
+	}
 	return appendMessage(buf, out)
 }
 
@@ -260,6 +273,9 @@
 	}
 	if in.Change != nil {
 		c, err := readChange(in.Change, in.Grants)
+		if a := in.Answers; err == nil && a != nil {
+			c.Answers, c.After = a.Seq, time.Duration(a.After)
+		}
 		return Message{Change: c}, used, err
 	}
 	if x := in.Digest; x != nil {
--- a/internal/planwire/planwire_test.go
+++ b/internal/planwire/planwire_test.go
@@ -27,7 +27,7 @@
 			Hold: &plan.Hold{History: 1 << 63, Revision: 4, Follows: true}},
 		{Digest: &plan.Digest{From: "f", Start: 5, Seq: 9, Span: time.Second}, Hold: &plan.Hold{}},
 		{Change: &plan.Change{Epoch: 3, Planner: "p", Made: 9 * time.Second, Valid: time.Second, History: 1 << 63, Base: 4, Revision: 6, Count: 20, Servers: []policy.Share{{ID: "c1", Factor: 0.537}, {ID: "c2", Factor: 1}},
-			Admit: 0.8, Hot: []policy.Heat{{Key: 8, Load: 1.5}}, HotSet: true, TenantsSet: true, Sum: 77, Grants: []plan.Grant{{ID: "c3", Rate: 0.25}}}},
+			Admit: 0.8, Hot: []policy.Heat{{Key: 8, Load: 1.5}}, HotSet: true, TenantsSet: true, Sum: 77, Grants: []plan.Grant{{ID: "c3", Rate: 0.25}}, Answers: 8, After: time.Second}},
 		{Change: &plan.Change{Planner: "p", History: 1, Revision: 1, Tenants: []policy.Use{{Name: "a", Asked: 20}}, TenantsSet: true, HotSet: true}},
 	}
 }
@@ -82,10 +82,10 @@
 		// {0: 1, 3: {}} beside the digest: nothing is held
 		"nothing held": {Message{Digest: &plan.Digest{From: "f", Start: 1, Seq: 2, Span: 3}, Hold: &plan.Hold{}},
 			"00000012" + "a3" + "0001" + "01a5" + "016166" + "0201" + "0302" + "0403" + "08a0" + "03a0"},
-		// {0: 1, 4: {2: "p", 3: 9, 4: 10, 5: 7, 6: 5, 7: 6, 8: 4, 9: [{1: "c", 2: 500}], 10: 800, 15: 1}, 5: [{1: "d", 2: 0.5}]}
+		// {0: 1, 4: {2: "p", 3: 9, 4: 10, 5: 7, 6: 5, 7: 6, 8: 4, 9: [{1: "c", 2: 500}], 10: 800, 15: 1}, 5: [{1: "d", 2: 0.5}], 6: {1: 9, 2: 2}}
 		"change": {Message{Change: &plan.Change{Planner: "p", Made: 9, Valid: 10, History: 7, Base: 5, Revision: 6, Count: 4, Servers: []policy.Share{{ID: "c", Factor: 0.5}}, Admit: 0.8, Sum: 1,
-			Grants: []plan.Grant{{ID: "d", Rate: 0.5}}}},
-			"0000002e" + "a3" + "0001" + "04aa" + "026170" + "0309" + "040a" + "0507" + "0605" + "0706" + "0804" + "0981a20161630219" + "01f4" + "0a190320" + "0f01" + "0581a2016164" + "02f93800"},
+			Grants: []plan.Grant{{ID: "d", Rate: 0.5}}, Answers: 9, After: 2}},
+			"00000034" + "a4" + "0001" + "04aa" + "026170" + "0309" + "040a" + "0507" + "0605" + "0706" + "0804" + "0981a20161630219" + "01f4" + "0a190320" + "0f01" + "0581a2016164" + "02f93800" + "06a2" + "0109" + "0202"},
 	} {
 		got, err := Append(nil, c.m)
 		if err != nil || hex.EncodeToString(got) != c.want {
@@ -102,8 +102,10 @@
 		t.Fatal(err)
 	}
 	for _, grants := range [][]plan.Grant{nil, {{ID: "x", Rate: 3}}} {
-		got, err := AppendChange([]byte("before"), raw, grants)
-		c.Grants = grants
+		got, err := AppendGrants([]byte("before"), raw, grants, 8, 9)
+		if c.Grants, c.Answers, c.After = grants, 8, 9; grants == nil {
+			got, err = AppendChange([]byte("before"), raw)
+		}
 		want, wrong := Append([]byte("before"), Message{Change: &c})
 		if err != nil || wrong != nil || !bytes.Equal(got, want) {
 			t.Errorf("%x, %v, want %x, %v", got, err, want, wrong)
--- a/lab/fleet/planners.go
+++ b/lab/fleet/planners.go
@@ -29,6 +29,7 @@
 	members map[string]world.Member
 	holds   map[*node]plan.Hold     // of those that take changes
 	sent    map[*node]time.Duration // when each was told last
+	heard   map[*node]heard         // the last digest of each
 }
 
 // forwarder is a node's side of the planners.
@@ -59,7 +60,7 @@
 		c.Mode, c.OriginKind = policy.Aside, "origin"
 	}
 	p.plan, p.up, p.frozen, p.members = plan.New(c), true, false, map[string]world.Member{}
-	p.holds, p.sent = map[*node]plan.Hold{}, map[*node]time.Duration{}
+	p.holds, p.sent, p.heard = map[*node]plan.Hold{}, map[*node]time.Duration{}, map[*node]heard{}
 	rev, members := p.sim.roster.Whole(p.sim.now)
 	p.rev = rev
 	p.take(members)
@@ -122,11 +123,19 @@
 			continue // it holds all that there is to tell
 		}
 		p.sent[n] = s.now
-		c.Grants = p.plan.Grants(s.clock(), n.name())
+		if d := p.heard[n]; d.seq > 0 {
+			c.Grants, c.Answers, c.After = p.plan.Grants(s.clock(), n.name()), d.seq, s.now-d.at
+		}
 		s.hop(func() { n.change(c) })
 	}
 }
 
+// heard is a digest, and when it came.
+type heard struct {
+	seq uint64
+	at  time.Duration
+}
+
 func (s *sim) clock() time.Duration { return zero + s.now }
 
 func (n *node) name() string { return fmt.Sprintf("n%d", n.number+1) }
@@ -150,6 +159,7 @@
 			if changes {
 				d = n.forwarder.gather.Brief(d)
 			}
+			n.forwarder.follower.Sent(n.clock(), d.Seq)
 			for _, p := range s.planners {
 				if !n.parted[p.id] {
 					to, hold := p.life, n.forwarder.follower.Hold(p.id)
@@ -157,9 +167,11 @@
 						if !p.runs(to) {
 							return
 						}
-						p.plan.Digest(s.clock(), *d)
+						err := p.plan.Digest(s.clock(), *d)
 						if changes {
-							p.holds[n] = hold
+							if p.holds[n] = hold; err == nil {
+								p.heard[n] = heard{d.Seq, s.now}
+							}
 						}
 					})
 				}
