--- a/decide/follow/follow.go
+++ b/decide/follow/follow.go
@@ -80,7 +80,8 @@
 	hot     []policy.Heat
 	tenants []policy.Use
 	last
-	valid time.Duration
+	valid  time.Duration
+	grants []plan.Grant // the last, which run for as long as the state is valid
 }
 
 // New makes a follower that holds no view.
@@ -136,9 +137,13 @@
 			c.Grants = nil
 			f.Stale++
 		}
-		v := plan.View{Epoch: c.Epoch, Planner: c.Planner, Made: c.Made, Valid: c.Valid, View: st.view(c.Grants)}
-		if why, err = f.judge(now, &v, c.Count, ready); why == Taken {
+		st.grants = c.Grants
+		v := plan.View{Epoch: c.Epoch, Planner: c.Planner, Made: c.Made, Valid: c.Valid, View: st.view(f.least(now, st))}
+		switch why, err = f.judge(now, &v, c.Count, ready); why {
+		case Taken:
 			f.hold(now, v, st.place)
+		case Another:
+			f.limit(now)
 		}
 	}
 	f.Counts[why]++
--- a/decide/follow/fresh.go
+++ b/decide/follow/fresh.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"slices"
 	"time"
 
 	"lapisshelf/decide/plan"
@@ -35,3 +36,38 @@
 	}
 	return false
 }
+
+// least are the grants of the planner that a state is of, each no larger than what the others that are heard grant now.
+// Guards against planners that hear all and each share out the whole budget, while some nodes follow the one and some the
+// other: by their own counts they give one node more and another less, and together, in the first seconds of a cold server,
+// up to 1.9 of the budget (two planners). With the least, all nodes stay within what any one planner has given out to them.
+func (f *Follower) least(now time.Duration, st *state) []plan.Grant {
+	list := append([]plan.Grant(nil), st.grants...)
+	for _, o := range f.states {
+		if o == st || now-o.came > o.valid {
+			continue
+		}
+		for _, g := range o.grants {
+			for i := range list {
+				if list[i].ID == g.ID {
+					list[i].Rate = min(list[i].Rate, g.Rate)
+				}
+			}
+		}
+	}
+	return list
+}
+
+// limit brings what is granted by the view in force in line with what another planner has granted now.
+func (f *Follower) limit(now time.Duration) {
+	st := f.states[f.held.Planner]
+	if st == nil || st.place != f.at || len(st.grants) == 0 || now-f.came > f.held.Valid {
+		return
+	}
+	if v := st.view(f.least(now, st)); !slices.Equal(v.Servers, f.held.Servers) {
+		h := *f.held
+		h.View = v
+		f.held = &h
+		f.turns++
+	}
+}
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -240,6 +240,15 @@
 		}
 		why, err = f.follower.Take(now, *m.View, f.ready())
 	}
+	v, _ := f.follower.Held()
+	turns := f.follower.Turns()
+	news := turns != f.turns // also by what a planner grants that is not followed
+	if why == follow.Taken && f.trust != 1 {
+		f.trust, news = 1, true
+	}
+	if f.turns = turns; news {
+		f.apply(v.View)
+	}
 	if why != follow.Taken {
 		if why != follow.Another && (f.noted == 0 || now-f.noted > noteEvery) {
 			f.noted = now
@@ -247,14 +256,9 @@
 		}
 		return
 	}
-	v, _ := f.follower.Held()
 	if held == nil || held.Planner != v.Planner || held.Epoch != v.Epoch {
 		f.note("follows", fmt.Sprintf("planner=%q epoch=%d", v.Planner, v.Epoch))
 	}
-	if turns := f.follower.Turns(); f.trust != 1 || turns != f.turns {
-		f.trust, f.turns = 1, turns
-		f.apply(v.View)
-	}
 }
 
 // Reload has connections that are made from now on use other certificates.
--- a/internal/planner/rig_test.go
+++ b/internal/planner/rig_test.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -177,7 +176,6 @@
 	list []*node
 	// load draws what a node saw since its last digest; it runs on the loop.
 	load func(n *node)
-	gone atomic.Bool
 }
 
 // node is a forwarder and the view that it acts on.
@@ -186,6 +184,7 @@
 	name  string
 	view  policy.View
 	count int // views put in force
+	gone  bool
 }
 
 func (r *rig) crowd() *crowd {
@@ -247,6 +246,9 @@
 
 // every has a node see its load.
 func (c *crowd) every(d time.Duration, n *node) {
+	if n.gone {
+		return
+	}
 	if c.load != nil {
 		c.load(n)
 	}
