--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -128,6 +128,7 @@
 	}
 	now := f.loop.Now()
 	whole := f.gather.Digest(now)
+	f.follower.Sent(now, whole.Seq)
 	brief := f.gather.Brief(whole)
 	frames := map[kind][]byte{} // planners that are alike get the same
 	for _, l := range f.links {
@@ -149,6 +150,7 @@
 			}
 			if k.hello {
 				d = f.gather.Hello()
+				f.follower.Sent(now, d.Seq)
 			}
 			var err error
 			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err != nil {
@@ -238,6 +240,15 @@
 		}
 		why, err = f.follower.Take(now, *m.View, f.ready())
 	}
+	v, _ := f.follower.Held()
+	turns := f.follower.Turns()
+	news := turns != f.turns // also by what a planner grants that is not followed
+	if why == follow.Taken && f.trust != 1 {
+		f.trust, news = 1, true
+	}
+	if f.turns = turns; news {
+		f.apply(v.View)
+	}
 	if why != follow.Taken {
 		if why != follow.Another && (f.noted == 0 || now-f.noted > noteEvery) {
 			f.noted = now
@@ -245,14 +256,9 @@
 		}
 		return
 	}
-	v, _ := f.follower.Held()
 	if held == nil || held.Planner != v.Planner || held.Epoch != v.Epoch {
 		f.note("follows", fmt.Sprintf("planner=%q epoch=%d", v.Planner, v.Epoch))
 	}
-	if turns := f.follower.Turns(); f.trust != 1 || turns != f.turns {
-		f.trust, f.turns = 1, turns
-		f.apply(v.View)
-	}
 }
 
 // Reload has connections that are made from now on use other certificates.
@@ -316,6 +322,7 @@
 	for _, r := range []follow.Reason{follow.Taken, follow.Absurd, follow.Epoch, follow.Late, follow.Another, follow.Doubt} {
 		fmt.Fprintf(&b, "views %s %d\n", r, f.follower.Counts[r])
 	}
+	fmt.Fprintf(&b, "grants too late %d\n", f.follower.Stale)
 	fmt.Fprintf(&b, "digests %d, %d of them whole; bytes in %d, out %d\n", f.Digests, f.Wholes, f.BytesIn, f.BytesOut)
 	return b.String()
 }
@@ -338,8 +345,9 @@
 	if l.f.cfg.Whole {
 		return
 	}
-	k := l.kind(now)
-	if frame, err := planwire.Append(nil, planwire.Message{Digest: l.f.gather.Hello(), Hold: k.told()}); err == nil {
+	k, d := l.kind(now), l.f.gather.Hello()
+	l.f.follower.Sent(now, d.Seq)
+	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err == nil {
 		l.send(k, frame)
 	}
 }
