--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -46,7 +46,10 @@
 	if o.Dir, err = filepath.Abs(o.Dir); err != nil { // planners look for files beside theirs
 		return r, err
 	}
-	dir := filepath.Join(o.Dir, "keys")
+	dir, err := os.MkdirTemp(o.Dir, "keys-") // a folder that keeps runs may hold older ones
+	if err != nil {
+		return r, err
+	}
 	if err := makeKeys(dir, most, f.Planners.Count); err != nil {
 		return r, err
 	}
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -258,7 +258,7 @@
 
 func newFleet(s Size) *fleet {
 	x := &fleet{size: s, now: 1e9 * time.Second, tables: newTables(loadConfig{Seed: 1, Servers: s.Servers, Keys: 1000, Zipf: 0.98, Offset: 5, Tenants: 3})}
-	x.plan = plan.New(plan.Config{ID: "p", Mode: policy.Aside, OriginKind: originKind, Weighted: true, ColdFrom: 0.2, WarmUp: 8 * time.Second, FallMultiple: 3, FallWindow: time.Second})
+	x.plan = plan.New(plan.Config{ID: "p", History: 1 << 63, Mode: policy.Aside, OriginKind: originKind, Weighted: true, ColdFrom: 0.2, WarmUp: 8 * time.Second, FallMultiple: 3, FallWindow: time.Second})
 	var list []policy.Server
 	for i := range s.Servers {
 		list = append(list, policy.Server{ID: serverID(i), Kind: "cache", Weight: 1})
@@ -346,6 +346,120 @@
 	}
 }
 
+// brief has each node ask so many requests a second, the same number at each server, one of them late, and takes changes: what
+// each node sent and got, in bytes.
+func (x *fleet) brief(t *testing.T, requests, late int) (digests, changes []int) {
+	t.Helper()
+	x.now += time.Second
+	holds := make([]plan.Hold, len(x.nodes))
+	for i, g := range x.nodes {
+		for s := range x.size.Servers {
+			for range requests / x.size.Servers {
+				g.Attempt(serverID(s), false, policy.OK, 2*time.Millisecond, s != late, false)
+			}
+		}
+		hold := x.followers[i].Hold("p")
+		frame, err := planwire.Append(nil, planwire.Message{Digest: g.Brief(g.Digest(x.now)), Hold: &hold})
+		if err != nil {
+			t.Fatal(err)
+		}
+		digests = append(digests, len(frame))
+		m, used, err := planwire.Next(frame)
+		if err != nil || used != len(frame) {
+			t.Fatal(used, err)
+		}
+		if err := x.plan.Digest(x.now, *m.Digest); err != nil {
+			t.Fatal(err)
+		}
+		holds[i] = *m.Hold
+	}
+	x.plan.Make(x.now)
+	for i, f := range x.followers {
+		c, _ := x.plan.Change(x.now, holds[i])
+		raw, err := planwire.EncodeChange(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		frame, err := planwire.AppendChange(nil, raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		changes = append(changes, len(frame))
+		m, used, err := planwire.Next(frame)
+		if err != nil || used != len(frame) {
+			t.Fatal(used, err)
+		}
+		if why, err := f.TakeChange(x.now, *m.Change, x.ready); why != follow.Taken {
+			t.Fatal(why, err)
+		}
+	}
+	return digests, changes
+}
+
+// What changes cost on the wire has nothing to do with how many servers there are: in the calm, and while one of them is jammed,
+// a node at 840 requests a second sends and takes the same bytes before 105, 210 and 420 of them, but for the longer numbers;
+// and all nodes hold the same factors at each moment, to the last of them when the jam is over.
+func TestChangesDoNotGrow(t *testing.T) {
+	const requests, longer = 840, 2 // bytes of the count of servers and of the sums' numbers
+	type talk struct{ digest, change int }
+	calm, jam := map[int]talk{}, map[int]talk{}
+	sizes := []int{105, 210, 420}
+	for _, servers := range sizes {
+		x := newFleet(Size{Nodes: 5, Servers: servers})
+		same := func(when string) {
+			t.Helper()
+			first, trust := x.followers[0].Now(x.now)
+			if trust != 1 {
+				t.Errorf("%d servers, %s: trust %v", servers, when, trust)
+			}
+			for i, f := range x.followers {
+				if v, _ := f.Now(x.now); !slices.Equal(v.Servers, first.Servers) {
+					t.Errorf("%d servers, %s: node %d holds %v, the first %v", servers, when, i, v.Servers, first.Servers)
+				}
+			}
+		}
+		step := func(late int) (most talk) {
+			t.Helper()
+			digests, changes := x.brief(t, requests, late)
+			for i := range digests {
+				most.digest, most.change = max(most.digest, digests[i]), max(most.change, changes[i])
+			}
+			same(fmt.Sprintf("server %d late", late))
+			return most
+		}
+		for range 5 {
+			calm[servers] = step(-1)
+		}
+		if v, _ := x.followers[0].Now(x.now); slices.ContainsFunc(v.Servers, func(s policy.Share) bool { return s.Factor < 1 }) {
+			t.Errorf("%d servers in the calm: %v", servers, v.Servers)
+		}
+		told := func() bool {
+			v, _ := x.followers[0].Now(x.now)
+			return slices.ContainsFunc(v.Servers, func(s policy.Share) bool { return s.ID == serverID(0) && s.Factor < 1 })
+		}
+		for k := 0; k < 10 && !told(); k++ {
+			jam[servers] = step(0)
+		}
+		if !told() {
+			t.Errorf("%d servers: a jam of 10 s is in force nowhere", servers)
+		}
+		for k := 0; k < 60 && told(); k++ {
+			step(-1)
+		}
+		if v, _ := x.followers[0].Now(x.now); slices.ContainsFunc(v.Servers, func(s policy.Share) bool { return s.Factor < 1 }) {
+			t.Errorf("%d servers, a minute after the jam: %v", servers, v.Servers)
+		}
+	}
+	t.Logf("calm %v, jam %v", calm, jam)
+	for what, of := range map[string]map[int]talk{"calm": calm, "jam": jam} {
+		for _, servers := range sizes[1:] {
+			if d, c := of[servers].digest-of[sizes[0]].digest, of[servers].change-of[sizes[0]].change; d > longer || c > longer {
+				t.Errorf("%s: from %d to %d servers a digest grows by %d bytes and a change by %d", what, sizes[0], servers, d, c)
+			}
+		}
+	}
+}
+
 // The same seed draws the same load; the parts that are asked for come out.
 func TestDraws(t *testing.T) {
 	c := loadConfig{Seed: 7, Servers: 50, Keys: 5000, Zipf: 0.98, Offset: 5, Bad: 0.01, Misses: 0.05, Tenants: 2}
