--- a/lab/scale/result.go
+++ b/lab/scale/result.go
@@ -78,6 +78,11 @@
 	{"unled_end", "nodes", "", "without a valid view when the time to settle was over"},
 	{"wrong_factors", "", "", "factors below 1 standing when all was well again, over nodes and servers"},
 	{"node_fault_bytes", "KB", byServers, "talk from the fault to the end of settling, each node"},
+	{"list_fault_bytes", "KB", byServers, "list in the same time, each node"},
+	{"states_sent", "", byNodes, "whole states that planners sent in that time, in all"},
+	{"states_paced", "", "", "times that one had to wait for its turn"},
+	{"doubts", "", "", "states that nodes said they don't have, though sent"},
+	{"fault_seconds", "s", "", "from the fault to the end of settling"},
 }
 
 var units = func() map[string]string {
--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -111,7 +111,8 @@
 	hollows []*child
 	plans   []*planner
 	seconds map[int64]Second
-	stands  bool // all nodes followed a view at the start
+	stands  bool        // all nodes followed a view at the start
+	rest    idleFigures // what all but the forwarders costs
 }
 
 // snapshot is what all processes say at a moment.
@@ -380,6 +381,7 @@
 	if err != nil {
 		return err
 	}
+	b.rest = idle
 	if err := b.calm(ctx, idle); err != nil {
 		return err
 	}
@@ -746,6 +748,30 @@
 	}
 	n := float64(b.size.Nodes)
 	b.row(name, "node_fault_bytes", float64(after.BytesIn+after.BytesOut-before.BytesIn-before.BytesOut)/n/1024)
+	b.row(name, "list_fault_bytes", float64(after.ListBytes-before.ListBytes)/n/1024)
+	sec := after.at.Sub(before.at).Seconds()
+	b.row(name, "fault_seconds", sec)
+	b.row(name, "node_cpu", 100*((after.CPU-before.CPU).Seconds()/sec-b.rest.cpu)/n)
+	cpu := 0.0
+	for i := range b.plans {
+		cpu += (after.planners[i].cpu - before.planners[i].cpu).Seconds() / sec
+	}
+	b.row(name, "planner_cpu", cpu/float64(len(b.plans)))
+	for _, pair := range [][2]string{{"states_sent", "states_total"}, {"states_paced", "states_paced_total"}, {"doubts", "doubts_total"}} {
+		measure, counter := pair[0], pair[1]
+		sum, known := 0.0, false
+		for i := range b.plans {
+			x, y := before.planners[i].vars[counter], after.planners[i].vars[counter]
+			if y < x {
+				x = 0 // a new process
+			}
+			_, is := after.planners[i].vars[counter]
+			sum, known = sum+y-x, known || is
+		}
+		if known {
+			b.row(name, measure, sum)
+		}
+	}
 	b.worst(name, since, time.Now())
 	return nil
 }
