--- /dev/null
+++ b/internal/keys/handshake_test.go
@@ -0,0 +1,74 @@
+package keys
+
+import (
+	"crypto/tls"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// BenchmarkHandshake tells what both ends of a forwarder's connection to a planner spend on its handshake, and how many bytes go
+// each way. docs/CAPACITY.md multiplies it by the fleet that comes back at once.
+func BenchmarkHandshake(b *testing.B) {
+	dir := b.TempDir()
+	now := time.Now()
+	if err := MakeAuthority(dir, now, time.Hour); err != nil {
+		b.Fatal(err)
+	}
+	pair := func(name string, role Role) *Pair {
+		if err := Make(dir, name, role, now, time.Minute, false); err != nil {
+			b.Fatal(err)
+		}
+		p, err := Load(filepath.Join(dir, caFile), filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		return p
+	}
+	server, client := pair("p1", Planner).Server(Forwarder), pair("n1", Forwarder).Client(Planner)
+	var in, out int
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		x, y := net.Pipe()
+		counted := &counting{Conn: x}
+		done := make(chan error, 1)
+		go func() {
+			s := tls.Server(y, server)
+			err := s.Handshake()
+			if err == nil {
+				_, err = s.Write([]byte{1})
+			}
+			done <- err
+		}()
+		c := tls.Client(counted, client)
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			b.Fatal(err)
+		}
+		if err := <-done; err != nil {
+			b.Fatal(err)
+		}
+		in, out = in+counted.in, out+counted.out
+		x.Close()
+	}
+	b.ReportMetric(float64(out)/float64(b.N), "bytes-to-planner")
+	b.ReportMetric(float64(in)/float64(b.N), "bytes-to-forwarder")
+}
+
+type counting struct {
+	net.Conn
+	in, out int
+}
+
+func (c *counting) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in += n
+	return n, err
+}
+
+func (c *counting) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out += n
+	return n, err
+}
--- /dev/null
+++ b/internal/node/size_test.go
@@ -0,0 +1,148 @@
+package node
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"lapisshelf/internal/loop"
+	"lapisshelf/internal/registry"
+	"lapisshelf/internal/settings"
+	"lapisshelf/policy"
+)
+
+// The slopes of a node by itself that docs/CAPACITY.md multiplies.
+
+func sized(b *testing.B, caches int) *Node {
+	l, err := loop.New()
+	if err != nil {
+		b.Fatal(err)
+	}
+	set := policy.Settings{MaxAttempts: 3, Balancers: 1900}
+	longest := map[string]time.Duration{}
+	for _, name := range []string{"price-read", "price-pin", "object-read", "object-write", "purge"} {
+		set.Classes = append(set.Classes, policy.Class{Name: name, Aim: time.Second})
+		longest[name] = 2 * time.Second
+	}
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	n, err := New(Config{Listen: local, Registry: registry.Config{Endpoints: []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:1")}}, MemoryMB: 192, Sockets: 4096,
+		Settings: set, Transport: settings.Transport{PerConn: 8, ConnIdle: 30 * time.Second, ConnectTimeout: 10 * time.Second, Deadlines: longest}}, l)
+	if err != nil {
+		b.Fatal(err)
+	}
+	n.registry.Close()
+	var list []policy.Server
+	for i := range caches {
+		list = append(list, policy.Server{ID: fmt.Sprintf("s-%05d", i), Weight: 1})
+	}
+	n.policy.Members(l.Now(), policy.ListWhole, list)
+	b.Cleanup(func() {
+		n.clients.listener.Close()
+		for _, p := range n.pools {
+			p.leave()
+		}
+	})
+	return n
+}
+
+// BenchmarkVarsBySize tells what a scrape of the operators' address costs the node, and its body, with five classes.
+func BenchmarkVarsBySize(b *testing.B) {
+	for _, caches := range []int{80, 420} {
+		b.Run(fmt.Sprintf("caches=%d", caches), func(b *testing.B) {
+			n := sized(b, caches)
+			b.ReportAllocs()
+			size := 0
+			for range b.N {
+				size = len(n.vars().Body)
+			}
+			b.ReportMetric(float64(size), "bytes/scrape")
+		})
+	}
+}
+
+// BenchmarkConnectionMemory tells what a connection holds of the node's heap, idle: a client's that has just come, and one to a
+// server. The system's buffers for it are not in it.
+func BenchmarkConnectionMemory(b *testing.B) {
+	const many = 800
+	b.Run("client", func(b *testing.B) {
+		for range b.N {
+			n := sized(b, 8)
+			at := n.clients.listener.Addr()
+			var fds []int
+			before := heap()
+			for range many {
+				fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK, 0)
+				if err != nil {
+					b.Fatal(err)
+				}
+				fds = append(fds, fd)
+				unix.Connect(fd, &unix.SockaddrInet4{Port: int(at.Port()), Addr: at.Addr().As4()})
+			}
+			until(b, n, func() bool { return len(n.clients.all) == many })
+			b.ReportMetric((heap()-before)/many, "heap-bytes/conn")
+			for _, fd := range fds {
+				unix.Close(fd)
+			}
+			until(b, n, func() bool { return len(n.clients.all) == 0 })
+		}
+	})
+	b.Run("server", func(b *testing.B) {
+		for range b.N {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			n := sized(b, 0)
+			addr := netip.MustParseAddrPort(ln.Addr().String())
+			before := heap()
+			for i := range many {
+				n.pool(policy.Server{ID: fmt.Sprint("s", i), State: policy.Ready}, addr)
+				if n.pools[fmt.Sprint("s", i)].dial() == nil {
+					b.Fatal("not dialled")
+				}
+			}
+			up := func() (all int) {
+				for _, p := range n.pools {
+					all += len(p.idle)
+				}
+				return all
+			}
+			until(b, n, func() bool { return up() == many })
+			b.ReportMetric((heap()-before)/many, "heap-bytes/conn")
+			ln.Close()
+		}
+	})
+}
+
+func until(b *testing.B, n *Node, holds func() bool) {
+	end := time.Now().Add(20 * time.Second)
+	var look func()
+	look = func() {
+		switch {
+		case holds():
+			n.loop.Stop()
+		case time.Now().After(end):
+			b.Error("never")
+			n.loop.Stop()
+		default:
+			n.loop.After(time.Millisecond, look)
+		}
+	}
+	n.loop.Later(look)
+	if err := n.loop.Run(); err != nil {
+		b.Fatal(err)
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- a/internal/registry/bench_test.go
+++ b/internal/registry/bench_test.go
@@ -16,7 +16,7 @@
 // it, the stand-in's part included, with lists of some lengths.
 func BenchmarkChange(b *testing.B) {
 	for _, k := range []Kind{Etcd, Consul} {
-		for _, entries := range []int{100, 1000, 10000} {
+		for _, entries := range []int{100, 420, 1000, 10000} {
 			b.Run(fmt.Sprintf("%s/%d", k, entries), func(b *testing.B) {
 				var t testing.T
 				r := start(&t, k, standin.RegistryOptions{}, func(c *Config) { c.Roster.Page, c.Roster.Watch = 500, time.Minute })
--- /dev/null
+++ b/internal/registry/size_test.go
@@ -0,0 +1,104 @@
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"lapisshelf/decide/roster"
+	"lapisshelf/internal/httpc"
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/standin"
+	"lapisshelf/lab/world"
+)
+
+// BenchmarkListBySize tells how many bytes a whole list is on the wire, the stand-in's head included, in each form, and what it
+// costs to parse, as the list grows. docs/CAPACITY.md multiplies the figures; bytes are the same in each run.
+func BenchmarkListBySize(b *testing.B) {
+	for _, kind := range []Kind{Discovery, Etcd, Consul} {
+		for _, entries := range []int{80, 105, 210, 420} {
+			b.Run(fmt.Sprintf("%s/%d", kind, entries), func(b *testing.B) {
+				var members []world.Member
+				for i := range entries {
+					m := server(i, world.Serving)
+					m.Started = -time.Duration(i) * time.Hour
+					members = append(members, m)
+				}
+				common := standin.NewCommon(seen.NewLog(), 1, nil)
+				var proto protocol
+				var addr string
+				switch kind {
+				case Discovery:
+					l, err := standin.NewList(common, standin.ListOptions{Addr: "127.0.0.1:0", Nodes: 1}, members...)
+					if err != nil {
+						b.Fatal(err)
+					}
+					defer l.Close()
+					proto, addr = discovery{}, l.Addr(0)
+				default:
+					reg, err := standin.NewRegistry(common, standin.RegistryOptions{Addr: "127.0.0.1:0", Nodes: 1, Endpoints: 1, Prefix: prefix})
+					if err != nil {
+						b.Fatal(err)
+					}
+					defer reg.Close()
+					for _, m := range members {
+						reg.Set(m)
+					}
+					addr = reg.Addrs(0)[0]
+					if proto = (etcd{prefix: prefix}); kind == Consul {
+						proto = consul{prefix: prefix}
+					}
+				}
+				call := roster.Call{Whole: true}
+				answer := fetch(b, proto, call, addr)
+				a, used, err := httpc.Next(answer, 16<<20, true)
+				if err != nil || used != len(answer) {
+					b.Fatal(err, used, len(answer))
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for range b.N {
+					if got, err := proto.answer(call, &a, a.Body); err != nil || len(got.Changes) != entries {
+						b.Fatal(err, len(got.Changes))
+					}
+				}
+				b.ReportMetric(float64(len(answer)), "bytes/list")
+			})
+		}
+	}
+}
+
+// fetch makes a call on a connection of its own and gives all that comes.
+func fetch(b *testing.B, p protocol, call roster.Call, addr string) []byte {
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	method, target, headers, body := p.request(call)
+	headers = append(headers, httpc.Header{Name: "Connection", Value: "close"})
+	conn.Write(httpc.AppendRequest(nil, method, target, addr, headers, body))
+	conn.SetReadDeadline(time.Now().Add(patience))
+	answer, err := io.ReadAll(conn)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return answer
+}
+
+// BenchmarkDiscoveryChange tells how many bytes a change of one server is in discovery's form, without a head.
+func BenchmarkDiscoveryChange(b *testing.B) {
+	text, err := json.Marshal(standin.Wire(time.Now(), 1<<20, false, []world.Member{server(7, world.Draining)}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	for range b.N {
+		if _, whole, list, err := ParseList(text); err != nil || whole || len(list) != 1 {
+			b.Fatal(err, whole, len(list))
+		}
+	}
+	b.ReportMetric(float64(len(text)), "bytes/change")
+}
--- /dev/null
+++ b/policy/size_test.go
@@ -0,0 +1,141 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// The slopes that docs/CAPACITY.md multiplies: what a request, a change of the list and a balancer itself cost as the list
+// grows. Counts of allocations are the same on a busy machine, times are not.
+
+var sizes = []int{80, 105, 210, 420}
+
+// prompt answers each attempt in its turn, 2 ms later.
+type prompt struct {
+	b   *Balancer
+	now time.Duration
+	out []sent
+	n   map[string]int
+}
+
+func (p *prompt) Send(id, server string, wait, by time.Duration) {
+	p.out = append(p.out, sent{id: id, server: server, n: p.n[id]})
+	p.n[id]++
+}
+func (p *prompt) Refuse(string, time.Duration) {}
+func (p *prompt) Fail(string)                  {}
+func (p *prompt) Cancel(string, int)           {}
+func (p *prompt) Timer(time.Duration, string)  {}
+func (p *prompt) Subscribe()                   {}
+func (p *prompt) Probe(string)                 {}
+func (p *prompt) Log(string)                   {}
+
+func newPrompt(caches int) *prompt {
+	set := settings()
+	set.Balancers = 1900
+	p := &prompt{now: time.Hour, n: map[string]int{}}
+	p.b = New(p.now, set, 1, p)
+	p.b.Members(p.now, ListSaved, fleet(set, caches))
+	return p
+}
+
+// serve takes one request through to its answer, at 842 requests a second.
+func (p *prompt) serve(i int, key string) {
+	p.now += time.Second / 842
+	id := fmt.Sprint("r", i)
+	p.b.Request(p.now, Request{ID: id, Class: "read", Key: key, Left: time.Second})
+	for _, s := range p.out {
+		p.b.Result(p.now+2*ms, Result{ID: s.id, N: s.n, Server: s.server, Outcome: OK, Final: true})
+	}
+	p.out = p.out[:0]
+	delete(p.n, id)
+	if i%4 == 0 {
+		p.b.Timer(p.now, "sweep")
+	}
+}
+
+// keys draws keys: all new ones, or from as many as there are, by a popularity that falls as rank^-1.1.
+func keys(kind string) func(i int) string {
+	if kind == "new" {
+		return func(i int) string { return fmt.Sprint("object/", i) }
+	}
+	z := rand.NewZipf(rand.New(rand.NewSource(1)), 1.1, 5, 1<<40)
+	return func(int) string { return fmt.Sprint("object/", z.Uint64()) }
+}
+
+func BenchmarkRequestBySize(b *testing.B) {
+	for _, kind := range []string{"new", "zipf"} {
+		for _, n := range sizes {
+			b.Run(fmt.Sprintf("keys=%s/caches=%d", kind, n), func(b *testing.B) {
+				p, next := newPrompt(n), keys(kind)
+				for i := range 2000 {
+					p.serve(i, next(i))
+				}
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := range b.N {
+					p.serve(2000+i, next(2000+i))
+				}
+			})
+		}
+	}
+}
+
+// One server's weight changes: the list is sorted anew, and what was kept of keys is lost.
+func BenchmarkListChangeBySize(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("caches=%d", n), func(b *testing.B) {
+			p := newPrompt(n)
+			b.ReportAllocs()
+			for i := range b.N {
+				p.b.Members(p.now, ListChanges, []Server{{ID: "c07", Zone: "z1", Cell: 3, Weight: float64(1 + i%2)}})
+			}
+		})
+	}
+}
+
+// A view that tells a factor for each server, as a planner of protocol 1 without changes sends twice a second.
+func BenchmarkViewBySize(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("caches=%d", n), func(b *testing.B) {
+			p := newPrompt(n)
+			var v View
+			for _, s := range p.b.caches {
+				v.Servers = append(v.Servers, Share{ID: s.ID, Factor: 1})
+			}
+			b.ReportAllocs()
+			for range b.N {
+				p.b.View(p.now, v)
+			}
+		})
+	}
+}
+
+// What a balancer holds once it has served four new keys for each cache, with nothing open.
+func BenchmarkMemoryBySize(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("caches=%d", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			var held [4]*prompt
+			for range b.N {
+				clear(held[:])
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				for k := range held {
+					held[k] = newPrompt(n)
+					next := keys("new")
+					for i := range 4 * n {
+						held[k].serve(i, next(i))
+					}
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(held)), "bytes-held")
+			runtime.KeepAlive(held)
+		})
+	}
+}
