--- a/internal/registry/size_test.go
+++ b/internal/registry/size_test.go
@@ -1,7 +1,6 @@
 package registry
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -73,32 +72,50 @@
 
 // fetch makes a call on a connection of its own and gives all that comes.
 func fetch(b *testing.B, p protocol, call roster.Call, addr string) []byte {
+	_, answer := exchange(b, p, call, addr)
+	return answer
+}
+
+func exchange(b *testing.B, p protocol, call roster.Call, addr string) (request, answer []byte) {
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		b.Fatal(err)
 	}
 	defer conn.Close()
 	method, target, headers, body := p.request(call)
-	headers = append(headers, httpc.Header{Name: "Connection", Value: "close"})
-	conn.Write(httpc.AppendRequest(nil, method, target, addr, headers, body))
+	request = httpc.AppendRequest(nil, method, target, addr, headers, body)
+	conn.Write(httpc.AppendRequest(nil, method, target, addr, append(headers, httpc.Header{Name: "Connection", Value: "close"}), body))
 	conn.SetReadDeadline(time.Now().Add(patience))
-	answer, err := io.ReadAll(conn)
-	if err != nil {
+	if answer, err = io.ReadAll(conn); err != nil {
 		b.Fatal(err)
 	}
-	return answer
+	return request, answer
 }
 
-// BenchmarkDiscoveryChange tells how many bytes a change of one server is in discovery's form, without a head.
-func BenchmarkDiscoveryChange(b *testing.B) {
-	text, err := json.Marshal(standin.Wire(time.Now(), 1<<20, false, []world.Member{server(7, world.Draining)}))
+// BenchmarkDiscoveryWatch tells how many bytes a watch at discovery is, its request and the stand-in's head included, that ends with
+// nothing and with a change of one server, and what the latter costs to parse.
+func BenchmarkDiscoveryWatch(b *testing.B) {
+	l, err := standin.NewList(standin.NewCommon(seen.NewLog(), 1, nil), standin.ListOptions{Addr: "127.0.0.1:0", Nodes: 1}, server(7, world.Serving))
 	if err != nil {
 		b.Fatal(err)
 	}
+	defer l.Close()
+	old, _ := l.Members()
+	l.Set(server(7, world.Draining))
+	now, _ := l.Members()
+	asked, quiet := exchange(b, discovery{}, roster.Call{Revision: now, Wait: time.Millisecond}, l.Addr(0))
+	_, change := exchange(b, discovery{}, roster.Call{Revision: old, Wait: time.Second}, l.Addr(0))
+	a, used, err := httpc.Next(change, 1<<20, true)
+	if err != nil || used != len(change) {
+		b.Fatal(err, used)
+	}
+	b.ResetTimer()
 	for range b.N {
-		if _, whole, list, err := ParseList(text); err != nil || whole || len(list) != 1 {
+		if _, whole, list, err := ParseList(a.Body); err != nil || whole || len(list) != 1 {
 			b.Fatal(err, whole, len(list))
 		}
 	}
-	b.ReportMetric(float64(len(text)), "bytes/change")
+	b.ReportMetric(float64(len(asked)), "bytes/request")
+	b.ReportMetric(float64(len(quiet)), "bytes/nothing")
+	b.ReportMetric(float64(len(change)), "bytes/change")
 }
