The time of an attempt's end is when its answer came, not when its client had been answered

Traced (a trial that logged the module at the refusal): the first answer counted as 5.2 s late, mean 150 to 229 ms, so that the only cache was spared by chance. Node.finished wrote the answer to the client and only then took the time for policy.Result; the test stops the process as soon as it has its answer, between the two. Ruled out: the aim (patientReads changed nothing), a stale connection (none was tried), the list.

No test forces the moment; this one fails without the change, about one time in nine.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -315,6 +315,8 @@
 	if t.done {
 		return
 	}
+	// Guards against counting against the server what this process takes to answer the client, stopped in the midst of it.
+	now := n.loop.Now()
 	t.done = true
 	t.timer.Stop()
 	t.late.Stop()
@@ -338,7 +340,7 @@
 	}
 	res := policy.Result{ID: c.id, N: t.n, Server: t.pool.id, Outcome: a.outcome, Note: a.note, Final: c.answered,
 		Kept: a.kept, Spent: c.upload != nil && c.upload.spent}
-	n.guard("result", func() { n.policy.Result(n.loop.Now(), res) })
+	n.guard("result", func() { n.policy.Result(now, res) })
 	n.settle(c)
 }
 
