One call of a small part of a cold budget is the last until its count has faded

A module that had sent nothing for a window, started just now or seldom asked, passed each key that a cold server tops (0 <= 0).

Now its own calls at the server must have faded to its part.

Test, untouched module: beyond on 1, 8, 7, 13, 18 of 1,600 days with 1, 2, 5, 20, 30 modules and parts of 0.05 calls, 53 of 208 with 300 and 0.02; 4 and 3 of 1,600 with 1 and 2 modules and parts of 0.8; largest 2.93 of 2 sqrt N + 2. Now: none, largest 0.76. Parts of 3: none before or after.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -188,8 +188,8 @@
 	modules int
 	part    float64 // a module's mean part of half the budget at the start, in calls
 	starts  int     // servers that start cold, beside three warm ones
-	jam     string  // what becomes of the others: "" nothing, "late", "full", or "crowded" by a surge of requests
-	surge   float64 // then: times the requests that all of them can answer
+	jam     string  // what becomes of the others: "" nothing, "late", "full", or no more than they can, "crowded"
+	surge   float64 // then: times the requests that all caches could answer when warm; 0: no more than before
 	ease    float64 // times the work of its present capacity that a cold server answers; the multiple at most
 	restart bool    // of half of the modules, which remember nothing
 }
@@ -236,10 +236,13 @@
 		for _, c := range d.caches[:warm] {
 			switch x.jam {
 			case "crowded":
-				c.slow, d.rate = 1, x.surge*rate*float64(len(d.caches))
+				c.slow = 1
 			case "late", "full":
 				c.slow, c.late = 10, x.jam == "late"
 			}
+			if x.surge > 0 {
+				d.rate = x.surge * rate * float64(len(d.caches))
+			}
 		}
 	})
 	if x.restart {
@@ -258,8 +261,8 @@
 
 // A cold server falls under the sum of what all processes send: beyond its budget of N calls in the window only 2 x
 // root of N + 2 are chance, however many modules share it. Guards against a chance for small parts that is told from
-// what was sent: in a surge most is turned away unsent, and each of many modules let its cold servers' keys pass. A
-// module that has just started, and has sent nothing, let them all pass.
+// what was sent before: modules that had sent nothing for a window let each of a cold server's keys pass, and when eight
+// times as much was asked as usual, all of them did; and against a small part that is spent twice within the window.
 func TestColdServersBearTheSumOfAllModules(t *testing.T) {
 	cases := []coldCase{
 		{starts: 1, ease: 1},
@@ -268,6 +271,8 @@
 		{starts: 1, ease: 1, jam: "crowded", surge: 4},
 		{starts: 1, ease: 2.5, jam: "crowded", surge: 8, restart: true},
 		{starts: 2, ease: 2.5, jam: "crowded", surge: 8, restart: true},
+		{starts: 2, ease: 2.5, jam: "late", surge: 8, restart: true},
+		{starts: 1, ease: 2.5, jam: "full", surge: 8},
 	}
 	for _, modules := range []int{1, 2, 5, 20, 30, 300} {
 		parts := []float64{0.05, 0.8, 3}
@@ -277,8 +282,8 @@
 		for _, part := range parts {
 			t.Run(fmt.Sprintf("%d modules, parts of %v calls", modules, part), func(t *testing.T) {
 				seeds := 200 * len(cases)
-				if float64(modules)*part > 5 {
-					seeds = 204 // for all cases together: the larger the budget, the smaller the part of chance
+				if float64(modules)*part >= 4 {
+					seeds = 200 // for all cases together: the larger the budget, the smaller the part of chance
 				}
 				worst, beyond := math.Inf(-1), 0
 				calm, asked := 0, 0
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -186,8 +186,9 @@
 // says nothing of what servers can do (burnie-super overload). A part under one attempt cannot be counted
 // out: it is kept in the mean, by chance, for the keys that the ranking gives it and no others, whose number
 // nobody knows (docs-commons-bc h15b7c5: all else jammed, all nodes turned to it), and not for what may be
-// many nodes' hot key or a further try. The chance goes by what is asked: in a surge most is not even sent.
-// The part that planners have shared out, if there are any, binds too.
+// many nodes' hot key or a further try. It goes by what is asked, this request among it (what was sent is
+// nothing at a new module), and one call is the last until its count has faded to the part. The part that
+// planners have shared out, if there are any, binds too.
 func (b *Balancer) coldRoom(r *request, s *server) bool {
 	if b.warmth(s) == 1 {
 		return true
@@ -197,7 +198,8 @@
 	if s.allow > 0 {
 		budget = min(budget, s.allow*b.set.FallWindow.Seconds()/share)
 	}
-	if part := budget * share; part >= 1 {
+	part := budget * share
+	if part >= 1 {
 		return s.sends.at(b.now, b.set.FallWindow)+1 <= part
 	}
 	// A key new here may be hot at all nodes (launceston-platform-later he67fa9): the multiple is left for
@@ -205,8 +207,8 @@
 	if b.set.Mode == Aside {
 		budget /= max(1, b.set.FallMultiple)
 	}
-	return len(r.tries) == 0 && s == b.ranked[0] && b.recent.count[noteOf(r.Key)] <= 1 &&
-		b.rng.Float64()*b.asked.at(b.now, b.set.FallWindow) <= budget
+	return len(r.tries) == 0 && s == b.ranked[0] && s.sends.at(b.now, b.set.FallWindow) <= part &&
+		b.recent.count[noteOf(r.Key)] <= 1 && b.rng.Float64()*b.asked.at(b.now, b.set.FallWindow) <= budget
 }
 
 // tried reports whether the request was sent to s and s has not been given what it lacked since.
