--- a/internal/planner/grants_test.go
+++ b/internal/planner/grants_test.go
@@ -28,20 +28,25 @@
 	budget float64
 }
 
-// watch notes a planner's budget for a cache. Its timer comes between any two looks: both are set anew after each.
-func (b *budgets) watch(p *running, id string) {
-	var look func()
-	look = func() {
-		for _, x := range p.plan.Explain() {
-			if x.ID == id && x.Allow > 0 {
-				b.mu.Lock()
-				b.list = append(b.list, spell{time.Now(), x.Allow})
-				b.mu.Unlock()
-			}
+// look notes a planner's budget for a cache; on its loop.
+func (b *budgets) look(p *running, id string) {
+	for _, x := range p.plan.Explain() {
+		if x.ID == id && x.Allow > 0 {
+			b.mu.Lock()
+			b.list = append(b.list, spell{time.Now(), x.Allow})
+			b.mu.Unlock()
 		}
-		p.loop.After(p.cfg.Every/5, look)
 	}
-	p.on(look)
+}
+
+// watch looks again and again. Its timer comes between any two of the planner's ticks: both are set anew after each.
+func (b *budgets) watch(p *running, id string) {
+	var again func()
+	again = func() {
+		b.look(p, id)
+		p.loop.After(p.cfg.Every/5, again)
+	}
+	p.on(again)
 }
 
 // most is the largest that any planner had in that time.
@@ -103,10 +108,16 @@
 		return sum, limited
 	}
 	worst := 0.0
+	var dead *running
 	until := func(what string, is func(limited int) bool) {
 		t.Helper()
 		eventually(t, what, func() bool {
 			s, limited := sum()
+			for _, p := range planners { // what was granted before that has a budget noted
+				if p != dead {
+					p.on(func() { b.look(p, r.ids[0]) })
+				}
+			}
 			most := b.most(time.Now().Add(-valid - 2*time.Second))
 			if s > 0 && most > 0 {
 				worst = max(worst, s/most)
@@ -125,7 +136,12 @@
 	until("all are limited", func(limited int) bool { return limited == nodes })
 	for round := range 4 {
 		i := round % 2
-		planners[i].end()
+		planners[i].on(func() { // no more is granted from here on
+			b.look(planners[i], r.ids[0])
+			clear(planners[i].entries)
+		})
+		dead = planners[i]
+		dead.end()
 		until("all are limited by the other", func(limited int) bool {
 			yes := limited == nodes
 			c.on(func() {
