--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -181,17 +181,13 @@
 
 // kind is what a planner is to be told now.
 func (l *link) kind(now time.Duration) kind {
-	switch {
-	case l.f.cfg.Whole:
+	if l.f.cfg.Whole {
 		return kind{mute: true}
-	case l.talk == views: // which passes the hold over
-		return kind{}
-	default:
-		// Guards against brief digests at a planner that would take them for whole ones: only changes prove it a new one.
-		// And against a fleet that tells whole digests, thirty times as long, to a planner that has come back.
-		hello := l.talk == unknown && now-l.began < helloFor
-		return kind{hello: hello, brief: !hello && l.talk == changes, hold: l.f.follower.Hold(l.planner)}
 	}
+	// Guards against a fleet that tells whole digests, much longer ones, to a planner that has come back.
+	hello := l.talk == unknown && now-l.began < helloFor
+	// Guards against brief digests at a planner that would take them for whole ones: only changes prove it a new one.
+	return kind{hello: hello, brief: l.talk == changes, hold: l.f.follower.Hold(l.planner)}
 }
 
 func (l *link) send(k kind, frame []byte) {
