--- a/cmd/lapisshelf/planners_test.go
+++ b/cmd/lapisshelf/planners_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"lapisshelf/decide/follow"
 	"lapisshelf/decide/plan"
 	"lapisshelf/internal/keys"
 	"lapisshelf/internal/planwire"
@@ -238,7 +239,8 @@
 	eventually(t, "certificates are reread", func() bool { return strings.Contains(p.log(), "event=reload certificates=true") })
 }
 
-// Four hundred forwarders join one planner at once, some of them dumb or nonsense: each gets views, and the figures tell.
+// Four hundred forwarders join one planner at once, some of them dumb or nonsense, every other one of before there were
+// changes: each gets views or changes, and the figures tell.
 func TestManyForwardersJoinAtOnce(t *testing.T) {
 	const forwarders, caches = 400, 80
 	var list []world.Member
@@ -252,7 +254,11 @@
 	}
 	dir := certified(t, holders)
 	p, addr, control := startPlanner(t, d, dir, "p1", "")
-	var heard, bytes atomic.Int64
+	var heard, bytes, changed atomic.Int64
+	var ready []follow.Server
+	for _, m := range list {
+		ready = append(ready, follow.Server{ID: m.ID, Weight: 1})
+	}
 	var frame atomic.Int64
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
@@ -268,6 +274,8 @@
 				t.Errorf("%s: %v", name, err)
 				return
 			}
+			var mu sync.Mutex
+			follower, old := follow.New(follow.Config{}), i%2 == 0
 			clients.Go(func() {
 				g := plan.NewGather(time.Duration(time.Now().UnixNano()), name)
 				for {
@@ -275,7 +283,14 @@
 						g.Request(fmt.Sprint("k", j), "acme")
 						g.Attempt(fmt.Sprintf("s-%d", j), false, policy.OK, time.Duration(j)*time.Millisecond, true, false)
 					}
-					text, _ := planwire.Append(nil, planwire.Message{Digest: g.Digest(time.Duration(time.Now().UnixNano()))})
+					m := planwire.Message{Digest: g.Digest(time.Duration(time.Now().UnixNano()))}
+					if !old {
+						mu.Lock()
+						h := follower.Hold("p1")
+						mu.Unlock()
+						m.Digest, m.Hold = g.Brief(m.Digest), &h
+					}
+					text, _ := planwire.Append(nil, m)
 					if frame.Store(int64(len(text))); i%100 == 99 {
 						text = []byte("nonsense")
 					}
@@ -298,13 +313,25 @@
 				if err != nil {
 					return
 				}
-				bytes.Add(int64(n))
+				if old {
+					bytes.Add(int64(n))
+				} else {
+					changed.Add(int64(n))
+				}
 				for input = append(input, buffer[:n]...); ; {
 					m, used, err := planwire.Next(input)
-					if err != nil || used > 0 && (m.View == nil || len(m.View.Servers) != caches) {
+					if err != nil || used > 0 && old && (m.View == nil || len(m.View.Servers) != caches) || used > 0 && !old && m.Change == nil {
 						t.Errorf("%s: %v %+v", name, err, m)
 						return
 					}
+					if used > 0 && !old {
+						mu.Lock()
+						why, err := follower.TakeChange(time.Duration(time.Now().UnixNano()), *m.Change, ready)
+						mu.Unlock()
+						if why != follow.Taken {
+							t.Errorf("%s: %s, %v", name, why, err)
+						}
+					}
 					if used == 0 {
 						break
 					}
@@ -318,11 +345,12 @@
 	}
 	eventually(t, "each has a view", func() bool { return heard.Load() >= forwarders*98/100 })
 	eventually(t, "all are heard", func() bool { return figures(t, control)["app_planner_forwarders"] == forwarders-forwarders/100 })
-	before, start := bytes.Load(), time.Now()
+	before, few, start := bytes.Load(), changed.Load(), time.Now()
 	time.Sleep(2 * time.Second)
-	perView := float64(bytes.Load()-before) / time.Since(start).Seconds() / forwarders / 10
-	t.Logf("a digest %d bytes, a view some %.0f, %d MB of memory at most", frame.Load(), perView, p.peak())
-	if perView > 8<<10 || p.peak() > 200 {
+	took := time.Since(start).Seconds()
+	perView, change := float64(bytes.Load()-before)/took/forwarders*2/10, float64(changed.Load()-few)/took/forwarders*2
+	t.Logf("a digest %d bytes, a view some %.0f, changes %.0f a second, %d MB of memory at most", frame.Load(), perView, change, p.peak())
+	if perView > 8<<10 || change > 1<<10 || p.peak() > 200 {
 		t.Error("that is too much")
 	}
 	close(stop)
