--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -26,7 +26,7 @@
 	redialMin  = 500 * time.Millisecond
 	redialMost = 5 * time.Second
 	silentFor  = 10 * time.Second // a planner that says nothing for so long is dialled anew
-	helloFor   = 5 * time.Second  // a planner that has not said what it speaks gets no counts for so long, then whole ones
+	mostHellos = 5                // digests without counts to a planner that has not said what it speaks; then they are whole
 	keepInput  = 16 << 10         // bytes of room for what comes that a connection keeps
 	noteEvery  = 10 * time.Second // of refused views
 )
@@ -85,8 +85,8 @@
 	why     string // it ended last
 	planner string // its id, also while it is away: what is held of it is told as soon as it is back
 	talk    talk
-	began   time.Duration // the connection came up
-	in, out int64         // bytes counted so far
+	hellos  int   // since the connection came up
+	in, out int64 // bytes counted so far
 }
 
 // New begins to talk to the planners. Ready tells which servers serve by the node's list, apply is given the view in
@@ -141,7 +141,7 @@
 			l.End(errors.New("it says nothing"))
 			continue
 		}
-		k := l.kind(now)
+		k := l.kind()
 		frame, made := frames[k]
 		if !made {
 			d := whole
@@ -180,19 +180,22 @@
 }
 
 // kind is what a planner is to be told now.
-func (l *link) kind(now time.Duration) kind {
+func (l *link) kind() kind {
 	if l.f.cfg.Whole {
 		return kind{mute: true}
 	}
 	// Guards against a fleet that tells whole digests, much longer ones, to a planner that has come back.
-	hello := l.talk == unknown && now-l.began < helloFor
+	hello := l.talk == unknown && l.hellos < mostHellos
 	// Guards against brief digests at a planner that would take them for whole ones: only changes prove it a new one.
 	return kind{hello: hello, brief: l.talk == changes, hold: l.f.follower.Hold(l.planner)}
 }
 
 func (l *link) send(k kind, frame []byte) {
 	l.f.Digests++
-	if !k.hello && !k.brief {
+	switch {
+	case k.hello:
+		l.hellos++
+	case !k.brief:
 		l.f.Wholes++
 	}
 	l.conn.Write(frame)
@@ -335,12 +338,12 @@
 // Up implements loop.Handler.
 func (l *link) Up() {
 	now := l.f.loop.Now()
-	l.up, l.wait, l.heard, l.began, l.talk = true, redialMin, now, now, unknown
+	l.up, l.wait, l.heard, l.hellos, l.talk = true, redialMin, now, 0, unknown
 	l.f.note("planner_up", "addr="+l.addr.String())
 	if l.f.cfg.Whole {
 		return
 	}
-	k, d := l.kind(now), l.f.gather.Hello()
+	k, d := l.kind(), l.f.gather.Hello()
 	l.f.follower.Sent(now, d.Seq)
 	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err == nil {
 		l.send(k, frame)
