--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,10 @@
 	reserve = 32
 	// ownSockets of these are the loop's, the runtime's and the standard ones.
 	ownSockets = 14
+	// listSockets are left by clients for a call for the list: by TLS one may still be closing as the next is made.
+	listSockets = 2
+	// listenSockets of the room are the listener's, the call's for the list and the watch's over other processes.
+	listenSockets = 3
 	// heldPart bounds the values of writes and of answers that are kept, as a part of the memory limit.
 	heldPart = 4
 	// valuePart bounds one value, as a part of the memory limit.
@@ -315,6 +319,8 @@
 	if t.done {
 		return
 	}
+	// Guards against counting against the server what this process takes to answer the client, stopped in the midst of it.
+	now := n.loop.Now()
 	t.done = true
 	t.timer.Stop()
 	t.late.Stop()
@@ -338,7 +344,7 @@
 	}
 	res := policy.Result{ID: c.id, N: t.n, Server: t.pool.id, Outcome: a.outcome, Note: a.note, Final: c.answered,
 		Kept: a.kept, Spent: c.upload != nil && c.upload.spent}
-	n.guard("result", func() { n.policy.Result(n.loop.Now(), res) })
+	n.guard("result", func() { n.policy.Result(now, res) })
 	n.settle(c)
 }
 
@@ -355,6 +361,15 @@
 	t := &try{call: c, n: len(c.tries), pool: n.pools[server], at: n.loop.Now()}
 	c.tries = append(c.tries, t)
 	c.open++
+	left := c.end - n.loop.Now()
+	if wait > 0 {
+		left = min(left, wait)
+	}
+	if t.pool == nil || t.pool.banned { // never listed here, or kept from it by hand: nothing can have been sent
+		t.pool = &pool{node: n, id: server, banned: true}
+		n.loop.Later(func() { n.finished(t, answer{outcome: policy.ConnectFailed}) })
+		return
+	}
 	if x := c.client; x == nil || x.conn.Left() {
 		// Guards against an attempt for a client that has gone, whose end stands in the system behind what had this one
 		// begin: an answer that gave it room, a time-out, another that was to fetch for it.
@@ -366,15 +381,6 @@
 		})
 		return
 	}
-	left := c.end - n.loop.Now()
-	if wait > 0 {
-		left = min(left, wait)
-	}
-	if t.pool == nil || t.pool.banned { // never listed here, or kept from it by hand: nothing can have been sent
-		t.pool = &pool{node: n, id: server, banned: true}
-		n.loop.Later(func() { n.finished(t, answer{outcome: policy.ConnectFailed}) })
-		return
-	}
 	if left <= 0 || c.answered {
 		n.loop.Later(func() { n.finished(t, answer{outcome: policy.Moot}) })
 		return
