--- a/internal/planner/grants_test.go
+++ b/internal/planner/grants_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"lapisshelf/decide/plan"
 	"lapisshelf/internal/forwarder"
 	"lapisshelf/lab/world"
 	"lapisshelf/policy"
@@ -169,3 +170,28 @@
 		t.Errorf("the largest sum was %.3f of the largest budget of its time", worst)
 	}
 }
+
+// What a planner grants that is not followed counts at once, if it is less.
+func TestTheOtherPlannersGrants(t *testing.T) {
+	r := newRig(t, 8)
+	a, b := r.told("a"), r.told("b")
+	c := r.crowd()
+	n := c.join("n", nil, addrOf(a.scripted), addrOf(b.scripted))
+	a.acknowledges(1)
+	b.acknowledges(1)
+	allow := func(s *told, rate, want float64) func() bool {
+		return func() (is bool) {
+			change := s.change(0)
+			change.Valid, change.Grants, change.Answers = 90*time.Second, []plan.Grant{{ID: r.ids[0], Rate: rate}}, s.lastDigest()
+			s.send(change)
+			s.acknowledges(1)
+			c.on(func() {
+				is = len(n.view.Servers) == 1 && n.view.Servers[0].Allow == want && strings.Contains(n.Status(), "view of a")
+			})
+			return is
+		}
+	}
+	eventually(t, "a's grant", allow(a, 8, 8))
+	eventually(t, "b's, which is less", allow(b, 3, 3))
+	eventually(t, "a's again", allow(b, 9, 8))
+}
--- a/internal/planner/send_test.go
+++ b/internal/planner/send_test.go
@@ -335,6 +335,9 @@
 				t.Fatalf("%s: %+v", c.name, list)
 			}
 			m := list[0].Change
+			if c.seq == 0 && len(m.Grants) > 0 {
+				t.Errorf("%s: grants that answer no digest", c.name)
+			}
 			if g := m.Grants; len(g) == 1 && g[0].ID == s.ids[0] && m.Answers == seq && m.After == s.cfg.Every {
 				rates = append(rates, g[0].Rate)
 			}
