--- a/internal/planner/bench_test.go
+++ b/internal/planner/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/netip"
 	"runtime"
 	"testing"
 	"time"
@@ -12,12 +11,14 @@
 	"lapisshelf/policy"
 )
 
-// BenchmarkTalk has forwarders and planners talk over loopback in one process for some seconds, at the default paces:
-// what it costs a second and a forwarder, both ends together. Take a profile for who spends it.
+// BenchmarkTalk has forwarders and a planner talk over loopback in one process for some seconds, at the default paces, by
+// whole digests and views and by changes: what it costs a second and a forwarder, both ends and the made-up load together.
+// Take a profile for who spends it.
 func BenchmarkTalk(b *testing.B) {
-	for _, c := range []struct{ forwarders, caches int }{{300, 420}} {
-		b.Run(fmt.Sprintf("%dx%d", c.forwarders, c.caches), func(b *testing.B) {
-			r := newRig(b, c.caches)
+	const forwarders, caches = 300, 420
+	for name, whole := range map[string]bool{"whole": true, "changes": false} {
+		b.Run(fmt.Sprintf("%s/%dx%d", name, forwarders, caches), func(b *testing.B) {
+			r := newRig(b, caches)
 			p := r.plans("p1", "", func(cfg *Config) { cfg.Every = 500 * ms })
 			rng := rand.New(rand.NewPCG(1, 1))
 			crowd := r.crowd()
@@ -32,29 +33,26 @@
 					n.Attempt(r.ids[rng.IntN(len(r.ids))], false, o, time.Duration(rng.IntN(20))*ms, o == policy.OK, false)
 				}
 			}
-			for i := range c.forwarders {
-				crowd.join(fmt.Sprintf("f%d", i), func(cfg *forwarder.Config) { cfg.Every = time.Second }, []netip.AddrPort{p.Addr()}...)
+			for i := range forwarders {
+				crowd.join(fmt.Sprintf("f%d", i), func(cfg *forwarder.Config) { cfg.Every, cfg.Whole = time.Second, whole }, p.Addr())
 			}
-			p.eventually("all are heard", func() bool { return p.plan.Followed() == c.forwarders })
-			time.Sleep(3 * time.Second)
+			p.eventually("all are heard", func() bool { return p.plan.Followed() == forwarders })
+			time.Sleep(5 * time.Second)
 			b.ResetTimer()
 			cpu, start := used(), time.Now()
-			digests := int64(0)
-			p.on(func() { digests = p.digests })
+			var digests, in, out int64
+			p.on(func() { digests, in, out = p.digests, p.in.Load(), p.sent.Load() })
 			for range b.N {
 				time.Sleep(10 * time.Second)
 			}
-			took := time.Since(start).Seconds()
-			b.ReportMetric((used()-cpu).Seconds()/took*1e6/float64(c.forwarders), "cpu-us/forwarder/s")
-			p.on(func() { b.ReportMetric(float64(p.digests-digests)/took/float64(c.forwarders), "digests/forwarder/s") })
-			crowd.on(func() {
-				n := crowd.list[0]
-				b.Logf("late %v %s %d", crowd.loop.Late, n.Status(), n.Digests)
-			})
+			took := time.Since(start).Seconds() * forwarders
+			b.ReportMetric((used()-cpu).Seconds()/took*1e6, "cpu-us/forwarder/s")
 			p.on(func() {
-				b.Logf("late %v conns %d digests %d refused %v", p.loop.Late, len(p.conns), p.digests, p.refused)
+				b.ReportMetric(float64(p.digests-digests)/took, "digests/forwarder/s")
+				b.ReportMetric(float64(p.in.Load()-in)/took, "B-in/forwarder/s")
+				b.ReportMetric(float64(p.sent.Load()-out)/took, "B-out/forwarder/s")
 			})
-			b.ReportMetric((memory()-before)/float64(c.forwarders)/1024, "KiB/forwarder")
+			b.ReportMetric((memory()-before)/forwarders/1024, "KiB/forwarder")
 		})
 	}
 }
