The two tests of a request held for the origin share their set-up

Read again: the two cases of TestNothingIsSentForWhoHasLeft that wait for room at the origin wrote the same six lines. heldForOrigin does it once, and checks for both that the request is held, which one of them left out. No other assertion changes. go test ./policy -run TestNothingIsSentForWhoHasLeft, go vet: green.

--- a/policy/leave_test.go
+++ b/policy/leave_test.go
@@ -59,25 +59,12 @@
 				w.answer(first, Miss, NoteMiss, 5*ms)
 			},
 			"held for the origin": func(w *world) {
-				w.b.origin.limit = 1
-				w.request("lead", "read", "other")
-				w.answer(w.last(), Miss, NoteMiss, ms)
-				out := w.last()
-				w.request("gone", "read", "k")
-				w.answer(w.last(), Miss, NoteMiss, ms)
-				if w.b.open["gone"].held != w.b.origin {
-					t.Fatal("it is not held for the origin")
-				}
+				out := heldForOrigin(t, w)
 				leave(w)
 				w.answer(out, OK, NoteMiss, 5*ms)
 			},
 			"held for the origin, others waiting on it": func(w *world) {
-				w.b.origin.limit = 1
-				w.request("lead", "read", "other")
-				w.answer(w.last(), Miss, NoteMiss, ms)
-				out := w.last()
-				w.request("gone", "read", "k")
-				w.answer(w.last(), Miss, NoteMiss, ms)
+				out := heldForOrigin(t, w)
 				w.request("w1", "read", "k")
 				leave(w)
 				w.answer(out, OK, NoteMiss, 5*ms)
@@ -177,3 +164,18 @@
 	}
 	return s
 }
+
+// heldForOrigin has the request "gone" wait for room at the origin, behind an attempt, which it returns.
+func heldForOrigin(t *testing.T, w *world) sent {
+	t.Helper()
+	w.b.origin.limit = 1
+	w.request("lead", "read", "other")
+	w.answer(w.last(), Miss, NoteMiss, ms)
+	out := w.last()
+	w.request("gone", "read", "k")
+	w.answer(w.last(), Miss, NoteMiss, ms)
+	if w.b.open["gone"].held != w.b.origin {
+		t.Fatal("it is not held for the origin")
+	}
+	return out
+}
