Timers run only if due at the look whose events were handled; answers go before time-outs

Cause, in internal/loop: ring read the clock after the events of the turn. A process that is stopped (or busy) between its look at epoll and ring has, when it goes on, time-outs that are due and answers that have come meanwhile, and the time-outs ran first, since the answers were not in the batch. Run's second look guards only a process that was stopped in its wait. Ruled out: the test (the request is out before the stop, its first try's time ends a second later, and the process's log has no other event) and the module (each attempt's time-out is a timer of its own).

Change: ring runs what was due when epoll was asked; what has come due since waits for the next turn, which looks at once. A timer that a turn sets for now runs one look later. late_max counts the clock as before.

--- a/internal/loop/leave_test.go
+++ b/internal/loop/leave_test.go
@@ -197,3 +197,24 @@
 		})
 	}
 }
+
+// Guards against a timer that runs ahead of what came before it was due, in a process that was stopped (or busy) behind its look:
+// an answer came while the turn lasted, and the time for it ended meanwhile too.
+func TestATimerThatComesDueInTheMidstOfATurn(t *testing.T) {
+	l, list := newLoop(t), []string{}
+	_, answer := scribed(t, l, scribe{"answer", &list, nil})
+	timeOut := func() { list = append(list, "time-out") }
+	_, far := scribed(t, l, scribe{"busy", &list, func() {
+		answer.Write([]byte("x"))
+		time.Sleep(20 * time.Millisecond) // it has come
+		for at := l.After(5*time.Millisecond, timeOut).at; l.Now() <= at; {
+			time.Sleep(time.Millisecond) // the process is stopped
+		}
+	}})
+	rests(t, l)
+	far.Write([]byte("x"))
+	until(t, l, "all", func() bool { return len(list) == 3 })
+	if want := []string{"busy data", "answer data", "time-out"}; !slices.Equal(list, want) {
+		t.Errorf("%q, want %q", list, want)
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -139,16 +139,17 @@
 		batch, err := l.look(events, l.patience())
 		if len(batch) == 0 && (err == nil || errors.Is(err, unix.EINTR)) {
 			// Guards against timers that run ahead of what has come before they were due: the process may have been stopped
-			// in its wait, which then ends as interrupted, or behind it.
+			// in its wait, which then ends as interrupted, or behind it. See ring for one that was stopped later.
 			batch, err = l.look(events, 0)
 		}
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return err
 		}
+		looked := l.looked
 		for _, r := range []rank{first, ending, others} {
 			l.turn(batch, r)
 		}
-		l.ring()
+		l.ring(looked)
 	}
 	return nil
 }
@@ -330,12 +331,12 @@
 	return int(min(max(0, (left+time.Millisecond-1)/time.Millisecond), time.Hour/time.Millisecond))
 }
 
-// ring runs the timers that are due, each once, and what they put off.
-func (l *Loop) ring() {
-	now := l.Now()
-	for l.heed(); len(l.timers.list) > 0 && l.timers.list[0].at <= now; l.heed() {
+// ring runs the timers that were due when epoll was asked, each once, and what they put off. Those that have come due since
+// wait for the next look: what came before them goes first, also where the process was stopped or busy in its turn.
+func (l *Loop) ring(looked time.Duration) {
+	for l.heed(); len(l.timers.list) > 0 && l.timers.list[0].at <= looked; l.heed() {
 		t := heap.Pop(&l.timers).(*Timer)
-		l.Late = max(l.Late, now-t.at)
+		l.Late = max(l.Late, l.Now()-t.at)
 		t.f()
 		l.settle()
 	}
