--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -133,10 +133,6 @@
 // longest is the most that may pass from the beginning of a call that fails to that of the next, so that what the registry
 // has to tell is known before it counts: at the next call a single endpoint is there, if it is at all; of several, more
 // than half, or the registry has no change to tell.
-func (f *Follower) longest() time.Duration {
-	return f.cfg.longest()
-}
-
 func (c Config) longest() time.Duration {
 	return (counted - callRoom) / time.Duration(min(tries, (c.Endpoints+1)/2))
 }
@@ -159,7 +155,7 @@
 	if f.slow && f.cfg.Pause == 0 || !f.known {
 		limit = max(limit, slowCall)
 	}
-	return min(limit, f.longest()-soonest)
+	return min(limit, f.cfg.longest()-soonest)
 }
 
 // waits reports whether the call that is out is a watch that may wait for its one answer.
@@ -258,7 +254,7 @@
 		return draw(half(f.cfg.Pause), f.cfg.Pause)
 	}
 	crowd, first, took := f.crowd(), f.cfg.Within/16, f.now-since // the time that the call itself took is part of the wait
-	room := max(f.longest(), time.Duration(float64(crowd)/(1-unsynced/2)))
+	room := max(f.cfg.longest(), time.Duration(float64(crowd)/(1-unsynced/2)))
 	if f.missed && f.fails == 1 {
 		wait := min(lookAgain, first) // looks are spread already, as the waits before them were
 		least := half(wait)
@@ -356,7 +352,7 @@
 		// Guards against a registry that turns callers away, and new nodes that have a list but not yet a watch among them:
 		// others have none. It goes on well before the node is one that has not asked for long.
 		f.idle, f.call = 0, Call{}
-		f.retry = f.now + time.Duration(f.rng.Float64()*float64(min(f.crowd(), f.longest(), f.cfg.Within/2)))
+		f.retry = f.now + time.Duration(f.rng.Float64()*float64(min(f.crowd(), f.cfg.longest(), f.cfg.Within/2)))
 	default:
 		f.idle, f.call = 0, Call{}
 		f.ask() // at once: the watch goes on only if the next call comes soon
--- a/internal/node/leave_turn_test.go
+++ b/internal/node/leave_turn_test.go
@@ -68,6 +68,31 @@
 	eventually(s.t, "the answer of "+id+" waits", l.conn.Stale)
 }
 
+// reached waits until a connection to the cache is up, which the node has not seen yet.
+func (s *stage) reached() {
+	s.t.Helper()
+	_, port, _ := net.SplitHostPort(s.cache.Addr())
+	var at int
+	fmt.Sscan(port, &at)
+	eventually(s.t, "the connection is up", func() bool { return established(s.t, 0, at) })
+}
+
+// held is a stage whose one place at the cache the request "first" has until the gate opens, while "gone", whose connection it
+// gives, waits for it.
+func held(t *testing.T, cancel bool) (s *stage, gone *net.TCPConn, gate chan struct{}) {
+	t.Helper()
+	gate = make(chan struct{})
+	s = newStage(t, cancel, func(line string, v []byte) string { <-gate; return answering(line, v) })
+	s.ask("first")
+	s.taken(1)
+	gone = s.ask("gone")
+	s.taken(2)
+	if len(s.node.calls["gone"].tries) > 0 {
+		t.Fatal("it is not held")
+	}
+	return s, gone, gate
+}
+
 // served lets the loop run until a further request is served, by which time all that came before has been handled.
 func (s *stage) served() {
 	s.t.Helper()
@@ -135,15 +160,7 @@
 // Guards against a held request that is sent on as an answer makes room, its client's end behind that in the same turn.
 func TestAClientLeavesInTheTurnOfTheAnswerItWaitsFor(t *testing.T) {
 	eachWay(t, func(t *testing.T, leave func(*net.TCPConn), cancel bool) {
-		gate := make(chan struct{})
-		s := newStage(t, cancel, func(line string, v []byte) string { <-gate; return answering(line, v) })
-		s.ask("first")
-		s.taken(1)
-		c := s.ask("gone")
-		s.taken(2)
-		if len(s.node.calls["gone"].tries) > 0 {
-			t.Fatal("it is not held")
-		}
+		s, c, gate := held(t, cancel)
 		s.rests()
 		close(gate)
 		s.answered("first")
@@ -163,10 +180,7 @@
 		c := s.ask("gone")
 		s.taken(1)
 		s.cache.Silence(false)
-		_, port, _ := net.SplitHostPort(s.cache.Addr())
-		var at int
-		fmt.Sscan(port, &at)
-		eventually(t, "the connection is up", func() bool { return established(t, 0, at) })
+		s.reached()
 		if s.pool.links[0].up {
 			t.Fatal("the node knows")
 		}
@@ -290,10 +304,7 @@
 				s.answered("first")
 			} else {
 				s.cache.Silence(false)
-				_, port, _ := net.SplitHostPort(s.cache.Addr())
-				var at int
-				fmt.Sscan(port, &at)
-				eventually(t, "the connection is up", func() bool { return established(t, 0, at) })
+				s.reached()
 			}
 			gone(t, c, leave)
 			s.served()
@@ -308,12 +319,7 @@
 // Guards against a client that leaves unseen while it takes nothing of what it is owed, with more asked than is read.
 func TestASlowReaderLeaves(t *testing.T) {
 	eachWay(t, func(t *testing.T, leave func(*net.TCPConn), cancel bool) {
-		gate := make(chan struct{})
-		s := newStage(t, cancel, func(line string, v []byte) string { <-gate; return answering(line, v) })
-		s.ask("first")
-		s.taken(1)
-		far := s.ask("gone")
-		s.taken(2)
+		s, far, gate := held(t, cancel)
 		c := s.node.calls["gone"].client
 		c.conn.Write(make([]byte, 12<<20)) // more than the system takes
 		c.flush()
@@ -335,12 +341,7 @@
 // Guards against a client that leaves unseen while connections close with their next answer, when nothing more is read.
 func TestAClientLeavesDuringADrain(t *testing.T) {
 	eachWay(t, func(t *testing.T, leave func(*net.TCPConn), cancel bool) {
-		gate := make(chan struct{})
-		s := newStage(t, cancel, func(line string, v []byte) string { <-gate; return answering(line, v) })
-		s.ask("first")
-		s.taken(1)
-		c := s.ask("gone")
-		s.taken(2)
+		s, c, gate := held(t, cancel)
 		s.node.clients.empty()
 		s.node.calls["gone"].client.flush() // from here on it is not read
 		fmt.Fprintf(c, "mg key v Ounread Pc=read,d=25000\r\n")
