A process's connections alone are no news to the other processes of its node

Need: beside another process a node wrote its state file anew every 50 ms, on the loop, since what it holds changes with each connection. Each write creates and renames a file; on a directory on a busy disk one took 64, 74, 109 and 153 ms (a trial of upgrade+hand with a watch, beside heavy work of others). Nothing reads what another process holds: Share goes by what it takes, its stage and whom it made room for.

Change: a process whose figures differ in what it holds alone tells nothing; the rest is told as before, with what it holds then.

Ruled out: telling less often as the old process empties, which gives the new one its descriptors later.

This is not shown to be the cause of the stand-stills of upgrade+hand: there whole processes stood, not the loop alone.

--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -182,6 +182,12 @@
 	n := s.node
 	x := s.member.Self()
 	was := x
+	// Guards against a file written anew every 50 ms, on the loop, for what no other process decides upon. Where the directory
+	// lies on a disk that others keep busy, one such write took up to 0.15 s.
+	held := self.Open
+	if self.Open = was.Process.Open; self != was.Process {
+		self.Open = held
+	}
 	x.Process, x.Hands, x.List = self, n.policy.Hands(), s.list()
 	x.Lame = handover.Lame{On: n.lame, At: n.lameAt}
 	if now := n.loop.Now(); now-s.told < tellEvery && self.Stage == was.Process.Stage && self.Made == was.Process.Made &&
