Cold servers' answers no longer raise their own budgets past what the warm ones show

A server may start at more than the stated part and be warm earlier; N is worked out from the settings all the same.

Cause: coldRoom takes the part of all answers by weight, those of cold servers among them. What these answer beyond their part raises the whole, and so their own budgets: with a multiple of 4 twice the answers times their share comes back, 0.75 of it late in the ramp.

Change: in the budget cold servers' answers count at most in proportion to the warm ones', and one more for chance. Without a warm server there is nothing else to go by, as before.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -432,6 +432,20 @@
 	})
 }
 
+// Cold servers may be able to do far more than is stated of them: two of five that answered eight times as much raised
+// their own budgets by their answers, past the bound, where the others could do no more than usual.
+func TestColdServersDoNotRaiseTheirOwnBudgets(t *testing.T) {
+	cases := []coldCase{
+		{starts: 2, ease: 8, jam: "crowded", surge: 8},
+		{starts: 2, ease: 8, jam: "crowded", surge: 8, restart: true},
+		{starts: 2, ease: 8, jam: "late", surge: 8},
+		{starts: 1, ease: 8, jam: "full", surge: 8},
+	}
+	coldCells(t, func(t *testing.T, modules int, part float64) {
+		playAll(t, cases, modules, part, cmp.Or(*coldDays, max(2, 24/modules)))
+	})
+}
+
 // Modules that have just started know nothing of what others sent, and those that stood still for a second get all that
 // waited at once; a server may start again before it is warm, and its start may be told late or with a time ahead.
 func TestColdServersBearModulesThatStartOrStop(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -130,12 +130,12 @@
 
 // rank orders the ready caches for a key, best first. The slice is good until the next call.
 func (b *Balancer) rank(key string) []*server {
-	b.ranked, b.weights = b.ranked[:0], 0
+	b.ranked, b.weights, b.steady = b.ranked[:0], 0, 0
 	scores := b.scores(key)
 	for i, s := range b.caches {
 		if w := s.weight * b.warmth(s); w > 0 {
 			s.score = race(scores[i], w)
-			b.weights += w
+			b.weigh(s, w)
 			b.ranked = append(b.ranked, s)
 		}
 	}
@@ -193,7 +193,7 @@
 	if b.warmth(s) == 1 {
 		return true
 	}
-	budget := coldSafety * b.set.FallMultiple * b.answers.at(b.now, b.set.FallWindow)
+	budget := coldSafety * b.set.FallMultiple * b.borne()
 	share := s.weight * b.warmth(s) / b.weights
 	if s.allow > 0 {
 		budget = min(budget, s.allow*b.set.FallWindow.Seconds()/share)
--- a/policy/state.go
+++ b/policy/state.go
@@ -97,6 +97,7 @@
 	hands   map[string]Hand // by id, listed or not
 	caches  []*server       // ready, by id
 	weights float64         // the sum of their weights as ranked last
+	steady  float64         // and of those that are warm
 	origin  *server
 	open    map[string]*request
 	order   []*request     // open requests by arrival
@@ -108,6 +109,7 @@
 	recent  recent  // keys asked for last
 	asked   fading  // requests for caches taken lately
 	answers fading  // reads answered lately
+	chilly  fading  // those of them by cold caches
 	lost    fading  // attempts at caches that timed out lately
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
@@ -305,6 +307,13 @@
 	}
 	if o == OK && !(a.origin && a.req.Write) {
 		b.answers.add(b.now, b.set.FallWindow)
+		by := a.srv
+		if a.origin && a.n > 0 { // for the cache that missed
+			by = a.req.tries[a.n-1].srv
+		}
+		if b.warmth(by) < 1 {
+			b.chilly.add(b.now, b.set.FallWindow)
+		}
 	}
 	if o == OK && !a.origin {
 		b.timed(float64(a.took(b.now)))
@@ -314,6 +323,25 @@
 	}
 }
 
+// weigh adds a ranked cache's weight to the sums.
+func (b *Balancer) weigh(s *server, w float64) {
+	b.weights += w
+	if b.warmth(s) == 1 {
+		b.steady += w
+	}
+}
+
+// borne is how many reads the caches are seen to answer in the window. What cold ones answer counts at most in proportion
+// to the answers of the warm ones, and one more for chance: it raised their own budgets, also past the load that they are
+// stated to bear, where they happened to answer more. With none warm there is nothing else to go by.
+func (b *Balancer) borne() float64 {
+	all, span := b.answers.at(b.now, b.set.FallWindow), b.set.FallWindow
+	if b.steady == 0 {
+		return all
+	}
+	return min(all, (all-b.chilly.at(b.now, span)+1)*b.weights/b.steady)
+}
+
 // occupy has an attempt take room at its server, and free gives it back.
 func (b *Balancer) occupy(a *attempt) {
 	a.counts = true
