Reads that the origin answers past the caches no longer raise the cold budget

The test of the cold servers played through mode alone.

Cause: tally counts each read that the origin answered as answered, also one that no cache had room for (pass) or whose cache turned it away or timed out. In a surge before an idle origin these are most of the answers, and coldRoom took a cold server's part of them for a load that it could bear.

Change: the budget counts an answer of the origin only after a miss, which a cache has borne, and for that cache. The count that bounds time-outs (send) is as before.

--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -26,6 +26,7 @@
 	nodes  []*coldNode
 	rate   float64 // requests a second that all nodes together get
 	asked  int
+	origin *Server // in aside mode; it answers all that it gets, and cold caches miss
 	cold   int     // attempts that reached a server while it was cold
 	excess float64 // the largest, over the budget, as part of what is chance
 }
@@ -132,8 +133,15 @@
 func (n *coldNode) Send(id, server string, wait, _ time.Duration) {
 	k := len(n.out[id])
 	n.out[id] = append(n.out[id], true)
+	if n.day.origin != nil && server == n.day.origin.ID {
+		n.day.after(10*ms, func() { n.result(id, server, k, OK) })
+		return
+	}
 	at := slices.IndexFunc(n.day.list, func(s Server) bool { return s.ID == server })
 	o, after := n.day.call(n.day.caches[at], n.told)
+	if n.day.origin != nil && o == OK && (n.day.caches[at].began > 0 || n.day.rng.Intn(10) == 0) {
+		o = Miss
+	}
 	most := n.ends[id] - n.day.now
 	if wait > 0 {
 		most = min(most, wait)
@@ -201,7 +209,11 @@
 	n := &coldNode{day: d, part: part, out: map[string][]bool{}, ends: map[string]time.Duration{}}
 	n.b = New(d.now, d.set, d.rng.Uint64(), n)
 	n.told = slices.ContainsFunc(d.list, func(s Server) bool { return s.Started > 0 })
-	n.b.Members(d.now, ListWhole, d.list)
+	list := d.list
+	if d.origin != nil {
+		list = append(slices.Clone(list), *d.origin)
+	}
+	n.b.Members(d.now, ListWhole, list)
 	return n
 }
 
@@ -242,6 +254,7 @@
 	again   bool    // the cold servers start twice more within a second
 	late    bool    // the start is told up to a window late
 	ahead   bool    // and said to lie half a second ahead
+	aside   bool    // the origin takes what the caches miss or have no room for
 }
 
 // starts has the caches beyond the first warm ones start now.
@@ -283,6 +296,10 @@
 	const warm = 3
 	rate := x.part * float64(x.modules) / (coldSafety * set.FallMultiple * set.ColdFrom * set.FallWindow.Seconds())
 	d := &coldDay{set: set, rng: rand.New(rand.NewSource(seed)), now: time.Hour, rate: warm * rate, excess: math.Inf(-1)}
+	if x.aside {
+		d.set.Mode, d.set.OriginKind = Aside, "origin"
+		d.origin = &Server{ID: "origin", Kind: "origin", Weight: 1}
+	}
 	for i := range warm {
 		d.list = append(d.list, Server{ID: fmt.Sprint("c", i), Weight: 1})
 		d.caches = append(d.caches, &coldCache{rate: rate, slow: 0.1}) // they could do more than is asked
@@ -446,6 +463,20 @@
 	})
 }
 
+// In aside mode an idle origin answers what no cache has room for. These answers raised the cold servers' budgets, though no
+// cache had borne them.
+func TestColdServersBearWhatAnOriginTakesPastThem(t *testing.T) {
+	cases := []coldCase{
+		{starts: 1, ease: 1, aside: true},
+		{starts: 1, ease: 2.5, jam: "crowded", surge: 8, aside: true},
+		{starts: 2, ease: 2.5, jam: "late", surge: 8, aside: true},
+		{starts: 1, ease: 2.5, jam: "full", surge: 8, aside: true, restart: true},
+	}
+	coldCells(t, func(t *testing.T, modules int, part float64) {
+		playAll(t, cases, modules, part, cmp.Or(*coldDays, max(2, 24/modules)))
+	})
+}
+
 // Modules that have just started know nothing of what others sent, and those that stood still for a second get all that
 // waited at once; a server may start again before it is warm, and its start may be told late or with a time ahead.
 func TestColdServersBearModulesThatStartOrStop(t *testing.T) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -55,6 +55,7 @@
 	done   bool
 	judged bool // known to be late before its end
 	clean  bool // proven never to have run
+	missed bool
 	filled bool // what it missed has been stored there since
 	origin bool
 }
@@ -110,6 +111,7 @@
 	asked   fading  // requests for caches taken lately
 	answers fading  // reads answered lately
 	chilly  fading  // those of them by cold caches
+	past    fading  // and by the origin, with no miss before
 	lost    fading  // attempts at caches that timed out lately
 	out     int     // attempts out at caches
 	late    float64 // quantile lateQuant of answer times, ns
@@ -299,6 +301,7 @@
 
 // tally counts how an attempt ended. A miss counts as answered when the origin has answered it.
 func (b *Balancer) tally(a *attempt, o Outcome) {
+	a.missed = o == Miss
 	if o == OK || o == Miss || o == Errored || o == Full {
 		a.srv.heard = b.now
 	}
@@ -307,11 +310,15 @@
 	}
 	if o == OK && !(a.origin && a.req.Write) {
 		b.answers.add(b.now, b.set.FallWindow)
-		by := a.srv
-		if a.origin && a.n > 0 { // for the cache that missed
-			by = a.req.tries[a.n-1].srv
+		by := a.srv // or the cache that missed
+		for _, t := range a.req.tries[:a.n] {
+			if a.origin && t.missed {
+				by = t.srv
+			}
 		}
-		if b.warmth(by) < 1 {
+		if a.origin && by == a.srv {
+			b.past.add(b.now, b.set.FallWindow)
+		} else if b.warmth(by) < 1 {
 			b.chilly.add(b.now, b.set.FallWindow)
 		}
 	}
@@ -331,15 +338,17 @@
 	}
 }
 
-// borne is how many reads the caches are seen to answer in the window. What cold ones answer counts at most in proportion
-// to the answers of the warm ones, and one more for chance: it raised their own budgets, also past the load that they are
-// stated to bear, where they happened to answer more. With none warm there is nothing else to go by.
+// borne is how many reads the caches are seen to bear in the window. What the origin answers past them says nothing of
+// what they can do. What cold ones answer counts at most in proportion to the answers of the warm ones, and one more for
+// chance: it raised their own budgets, past the load that they are stated to bear, where they happened to answer more.
+// With none warm there is nothing else to go by.
 func (b *Balancer) borne() float64 {
-	all, span := b.answers.at(b.now, b.set.FallWindow), b.set.FallWindow
+	span := b.set.FallWindow
+	all := max(0, b.answers.at(b.now, span)-b.past.at(b.now, span))
 	if b.steady == 0 {
 		return all
 	}
-	return min(all, (all-b.chilly.at(b.now, span)+1)*b.weights/b.steady)
+	return min(all, (max(0, all-b.chilly.at(b.now, span))+1)*b.weights/b.steady)
 }
 
 // occupy has an attempt take room at its server, and free gives it back.
