--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -455,6 +455,7 @@
 	cases := []coldCase{
 		{starts: 2, ease: 8, jam: "crowded", surge: 8},
 		{starts: 2, ease: 8, jam: "crowded", surge: 8, restart: true},
+		{starts: 5, ease: 8, jam: "crowded", surge: 8},
 		{starts: 2, ease: 8, jam: "late", surge: 8},
 		{starts: 1, ease: 8, jam: "full", surge: 8},
 	}
