A watch whose answer stops in its midst is asked anew soon, not at the wait's end

Cause: a call that may wait had one time, its wait and a quarter of a second. Once a part of its answer had come the rest was waited for as long as for the whole, up to 60 s with 60 nodes, also where it came byte by byte for ever; and one that broke off in its midst was counted from the break, not from the first byte, when what it told was there.

Ruled out: calls that are due at once (their limit counts from the call, whatever comes of them), and the parsers, which bound what they keep. A head alone may come at once and its body with the news; it owes nothing, nor does a stream between two objects.

Change: `Follower.Begun` is told when a part of something has come and when it is whole; the rest has the limit of any call, and the pause behind a break counts from the first byte.

Measured: TestAnAnswerThatStopsInItsMidstIsAskedForAgain fails without the mend in decide/roster (on a hand-moved clock, 2 to 450 nodes, asked, pushed, streamed) and in internal/registry (over sockets, eight kinds); TestAWatchThatOwesNothingIsLeftToWait and TestAWatchWhoseHeadComesFirstIsLeftToWait fail where a whole head is taken for a debt. Whole packages pass, internal/registry with the race detector but for TestManyEntries, which fails with it on this loaded machine without the change too.

--- a/decide/roster/roster.go
+++ b/decide/roster/roster.go
@@ -116,7 +116,7 @@
 			c.Wait = glance
 		}
 	}
-	f.call, f.asked, f.heard = c, f.now, false
+	f.call, f.asked, f.heard, f.begun = c, f.now, false, 0
 	switch f.by = f.now + f.limit(); {
 	case f.cfg.Stream:
 	case f.looking && f.fails == 0 && f.Counts.Answers > 0 && !c.Whole:
@@ -167,6 +167,21 @@
 	return f.call.ID != 0 && !f.call.Whole && !f.cfg.Stream && f.call.Wait > glance
 }
 
+// Begun notes that a part of an answer to a watch, or of an object of a stream, has come, and the rest is due as that of any
+// call; or, with on false, that nothing is owed but what may come as late as the watch allows. Guards against an answer that
+// stops in its midst or trickles for ever: what it was to tell was there when it began, and the watch was held for all of its
+// wait, 60 s with 60 nodes.
+func (f *Follower) Begun(now time.Duration, call uint64, on bool) {
+	f.now = now
+	switch may := call == f.call.ID && (f.waits() || f.cfg.Stream && f.heard); {
+	case may && on && f.begun == 0:
+		f.begun, f.rest, f.by = f.now, f.by, min(f.by, f.now+f.limit())
+	case may && !on && f.begun > 0:
+		f.begun, f.by = 0, f.rest
+	}
+	f.wake()
+}
+
 // look asks anew, for what there is at once, after a watch that has said nothing though its wait is over. Guards against
 // taking the silence for a failure: with the time that a call may take besides and the pause behind a failure, nodes
 // learned of drains up to 2.75 s after the wait's end, where what a silent watch misses counts as told 2 s after it
@@ -218,7 +233,10 @@
 // guards against a watch begun in an outage, which hangs for all of its wait when the registry is back.
 func (f *Follower) aside() {
 	since := f.asked
-	if f.waits() || f.heard {
+	switch {
+	case f.begun > 0:
+		since = f.begun // what it was to tell was there then
+	case f.waits() || f.heard:
 		since = f.now // until now it would have told
 	}
 	f.drop()
@@ -322,6 +340,7 @@
 	late := f.fails > 0 && !f.known
 	f.fails, f.heard, f.looking, f.missed = 0, true, false, false
 	f.ends[f.at] = endpoint{}
+	f.begun = 0 // it is whole
 	empty := a.Kind != List && len(a.Changes) == 0
 	switch {
 	case a.Kind == List:
@@ -604,7 +623,7 @@
 func (f *Follower) Timer(now time.Duration) {
 	f.now = now
 	switch {
-	case f.call.ID != 0 && now >= f.by && f.heard && !f.call.Whole: // a stream that says nothing may be cut: a new one tells
+	case f.call.ID != 0 && now >= f.by && f.heard && !f.call.Whole && f.begun == 0: // a stream that says nothing may be cut: a new one tells
 		f.drop()
 		f.ask()
 	case f.waits() && now >= f.by:
--- a/decide/roster/state.go
+++ b/decide/roster/state.go
@@ -23,6 +23,8 @@
 	asked   time.Duration // when it was made
 	heard   bool          // it has said something
 	by      time.Duration // when it has failed, or a stream is asked anew
+	begun   time.Duration // since when a part of what it says has come, and the rest is due; 0: it is not
+	rest    time.Duration // by, where that is not so
 	looking bool          // a watch has fallen silent or a call failed, and nothing was answered since: what is new is wanted first
 	missed  bool          // a watch has fallen silent, or the registry moved, and nothing was answered since
 	slow    bool          // the last call that was to be answered at once has hung until its limit, or took half of it
--- a/decide/roster/told_test.go
+++ b/decide/roster/told_test.go
@@ -255,3 +255,75 @@
 		}
 	}
 }
+
+// Guards against holding a watch for all of its wait whose answer has begun and stops, or trickles for ever, or breaks off: what
+// it was to tell was there when it began. With 60 nodes or more a watch waits for 60 s.
+func TestAnAnswerThatStopsInItsMidstIsAskedForAgain(t *testing.T) {
+	for _, nodes := range []int{2, 30, 300, 450} {
+		for _, s := range []fleet{{stream, false, nodes, 1}, {poll, false, nodes, 1}, {whole, false, nodes, 1}, {poll, true, nodes, 1}} {
+			for _, breaks := range []bool{false, true} {
+				for _, after := range []bool{false, true} { // the next call hangs too
+					t.Run(fmt.Sprintf("%s, breaks %t, the next hangs %t", s, breaks, after), func(t *testing.T) {
+						for seed := range uint64(50) {
+							r := rand.New(rand.NewPCG(seed, uint64(nodes)))
+							m := newModel(t, s.style, 1, 1, s.config(20*time.Second))
+							p := m.followers[0]
+							p.f.rng = rand.New(rand.NewPCG(seed, 7))
+							m.set("k", entry("s", policy.Ready))
+							m.start()
+							m.run(2*time.Second + time.Duration(r.Int64N(int64(10*time.Second))))
+							id := p.call.ID
+							if id == 0 || p.call.Whole || p.call.Wait == glance {
+								t.Fatalf("no watch is out: %+v", p.call)
+							}
+							m.later(p, 0, func() {
+								p.f.Begun(m.now, id, true)
+								for i := range 20 { // and goes on to come
+									m.later(p, time.Duration(i)*100*ms, func() { p.f.Begun(m.now, id, true) })
+								}
+								if breaks {
+									m.later(p, time.Duration(r.Int64N(int64(1400*ms))), func() { p.f.Failed(m.now, id, "broken") })
+								}
+							})
+							m.fails = func(_ *peer, c Call) bool { return c.ID == id || after && !breaks && c.ID == id+1 && s.style != stream }
+							p.lost = id
+							m.set("k", entry("s", policy.Draining))
+							at := m.now
+							m.run(10 * time.Second)
+							if p.drain == 0 || p.drain-at > counted {
+								t.Fatalf("seed %d: the change at %v is known at %v; %q", seed, at, p.drain, p.log)
+							}
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// Guards against giving up a watch whose head comes at once and whose body when there is something to tell, or a stream behind a
+// whole object: nothing is owed then, and all nodes would ask anew all the time.
+func TestAWatchThatOwesNothingIsLeftToWait(t *testing.T) {
+	each(t, func(t *testing.T, s style) {
+		m := newModel(t, s, 1, 1, fleet{style: s, nodes: 300}.config(20*time.Second))
+		p := m.followers[0]
+		m.set("k", entry("s", policy.Ready))
+		m.start()
+		m.run(5 * time.Second)
+		calls, id := m.calls, p.call.ID
+		p.f.Begun(m.now, id, true) // half a head
+		m.run(time.Second)
+		p.f.Begun(m.now, id, false) // all of it
+		m.run(30 * time.Second)
+		if m.calls != calls || p.call.ID != id {
+			t.Errorf("%d calls more; %q", m.calls-calls, p.log)
+		}
+		p.f.Begun(m.now, id-1, true) // another call's
+		m.run(5 * time.Second)
+		m.set("k", entry("s", policy.Draining))
+		m.run(time.Second)
+		if m.calls > calls+1 || p.drain == 0 {
+			t.Errorf("%d calls more, the change known at %v; %q", m.calls-calls, p.drain, p.log)
+		}
+	})
+}
--- a/internal/registry/client.go
+++ b/internal/registry/client.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"bytes"
 	"crypto/tls"
 	"errors"
 	"fmt"
@@ -178,6 +179,7 @@
 	stream  httpc.Stream
 	body    []byte
 	objects objects
+	begun   bool // a part of what the answer tells has come
 	gone    bool
 	rise    *loop.Timer // until the connection stands
 }
@@ -195,7 +197,7 @@
 func (l *link) ask(call roster.Call) {
 	c := l.client
 	l.call, l.out = call, true
-	l.stream, l.body, l.objects = httpc.Stream{}, nil, objects{most: c.cfg.MostBody}
+	l.stream, l.body, l.objects, l.begun = httpc.Stream{}, nil, objects{most: c.cfg.MostBody}, false
 	method, target, headers, body := c.proto.request(call)
 	l.conn.Write(httpc.AppendRequest(nil, method, target, l.addr.String(), headers, body))
 }
@@ -253,6 +255,7 @@
 	call := l.call
 	var bad error
 	used, err := l.stream.Feed(data, func(piece []byte) {
+		l.begun = l.begun || len(bytes.TrimSpace(piece)) > 0
 		switch {
 		case bad != nil || l.gone || l.call.ID != call.ID:
 		case c.proto.streams(call) && l.stream.Head.Status == 200:
@@ -276,9 +279,20 @@
 		l.fail("the watch has ended")
 	case l.stream.Done:
 		l.answered()
+	default:
+		c.follower.Begun(c.loop.Now(), call.ID, l.owes())
 	}
 }
 
+// owes reports whether the rest of something that has begun to come is owed: of a head, of an answer, of an object of a stream.
+// Behind a whole head a watch may wait.
+func (l *link) owes() bool {
+	if l.stream.HasHead && l.client.proto.streams(l.call) && l.stream.Head.Status == 200 {
+		return l.objects.depth > 0
+	}
+	return !l.stream.HasHead || l.begun
+}
+
 // object takes one object of a stream.
 func (l *link) object(text []byte) error {
 	if l.gone {
--- a/internal/registry/watch_test.go
+++ b/internal/registry/watch_test.go
@@ -21,6 +21,7 @@
 	t     *testing.T
 	ln    net.Listener
 	reply func(n int, target string) (text string, ends bool)
+	pace  func(n int, before string) // before each byte of an answer; nil: all of it comes at once
 	mu    sync.Mutex
 	calls []string
 }
@@ -52,6 +53,15 @@
 				n := len(s.calls)
 				s.mu.Unlock()
 				text, ends := s.reply(n, target)
+				for i := 0; s.pace != nil && i < len(text); i++ {
+					s.pace(n, text[:i])
+					if _, err := conn.Write([]byte{text[i]}); err != nil {
+						return
+					}
+					if i == len(text)-1 {
+						text = ""
+					}
+				}
 				if conn.Write([]byte(text)); ends {
 					conn.(*net.TCPConn).SetLinger(0)
 					conn.Close()
@@ -122,6 +132,74 @@
 	}
 }
 
+// Guards against holding a watch for all of its wait (here 100 s) whose answer has begun, and stops in its midst or trickles for
+// ever: what it was to tell was there when it began.
+func TestAnAnswerThatStopsInItsMidstIsAskedForAgain(t *testing.T) {
+	wholly, head := told(8, "DRAINING"), "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n"
+	for name, answer := range map[string]string{
+		"in the head":             wholly[:12],
+		"behind the first byte":   wholly[:1],
+		"in the body":             wholly[:len(wholly)-40],
+		"trickles in the head":    "HTTP/1.1 200 OK\r\nServer: " + strings.Repeat("x", 8000),
+		"trickles in the body":    head + `{"revision":8,"members":[` + strings.Repeat(" ", 8000),
+		"trickles, indented":      head + "\n  {\n    \"revision\": 8,\n" + strings.Repeat("    ", 2000),
+		"trickles in a chunk":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9000\r\n{" + strings.Repeat(" ", 8000),
+		"trickles in small chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n{\r\n" + strings.Repeat("1\r\n \r\n", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r, s := held(t, func(n int, _ string) (string, bool) {
+				return map[int]string{1: nothing, 2: answer, 3: wholly}[n], false
+			}, func(n int, before string) {
+				if n == 2 && len(before) > len(answer)/2 {
+					time.Sleep(20 * ms)
+				}
+			})
+			eventually(t, "the drain is known", func() bool {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				return r.told["s-1"].State == policy.Draining
+			})
+			eventually(t, "the next watch is out", func() bool { return len(s.asked()) == 4 })
+		})
+	}
+}
+
+// Guards against giving up a watch whose head comes at once, also in pieces, and whose body when there is something to tell: all
+// nodes would ask anew all the time.
+func TestAWatchWhoseHeadComesFirstIsLeftToWait(t *testing.T) {
+	wholly := told(8, "DRAINING")
+	change := make(chan struct{})
+	r, s := held(t, func(n int, _ string) (string, bool) {
+		return map[int]string{1: nothing, 2: wholly}[n], false
+	}, func(n int, before string) {
+		switch {
+		case n == 2 && before == "HTTP":
+			time.Sleep(50 * ms)
+		case n == 2 && strings.HasSuffix(before, "\r\n\r\n"):
+			<-change
+		}
+	})
+	eventually(t, "the watch is out", func() bool { return len(s.asked()) == 2 })
+	time.Sleep(3 * r.client.cfg.Roster.Limit)
+	close(change)
+	eventually(t, "the next watch is out", func() bool { return len(s.asked()) == 3 })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.told["s-1"].State != policy.Draining {
+		t.Errorf("asked %q, told %v", s.asked(), r.told)
+	}
+}
+
+// held runs a client whose watches wait for 100 s before a script with a pace, with a list from before at revision 7.
+func held(t *testing.T, reply func(n int, target string) (string, bool), pace func(n int, before string)) (*rig, *script) {
+	t.Helper()
+	s := servePaced(t, reply, pace)
+	cfg := Config{Kind: Discovery, Endpoints: []netip.AddrPort{netip.MustParseAddrPort(s.ln.Addr().String())}, MostBody: 1 << 20,
+		Roster: roster.Config{Nodes: 1, Within: time.Second, Watch: 100 * time.Second, Limit: 300 * ms, Quick: true}}
+	return run(t, cfg, 7, []roster.Entry{{Server: policy.Server{ID: "s-1", Weight: 1}, Addr: "10.0.0.1:1"}}), s
+}
+
 // However a call fails, the next ones tell at once what there is, also where the first of them hangs: guards against a watch
 // begun in an outage, which would be held for all of its wait (here 100 s) once the registry is back.
 func TestAfterAFailureWhatThereIsIsAskedFor(t *testing.T) {
@@ -239,12 +317,17 @@
 }
 
 func serveScript(t *testing.T, reply func(n int, target string) (string, bool)) *script {
+	t.Helper()
+	return servePaced(t, reply, nil)
+}
+
+func servePaced(t *testing.T, reply func(n int, target string) (string, bool), pace func(n int, before string)) *script {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &script{t: t, ln: ln, reply: reply}
+	s := &script{t: t, ln: ln, reply: reply, pace: pace}
 	t.Cleanup(func() { ln.Close() })
 	go s.serve()
 	return s
