An attempt whose connection comes up late tells what is left then

Cause: a request was written as its attempt began, and waited as written for its connection: with a connect time-out of a second, or none, it told its cache server up to that much more than was left to the client. What was called off behind another on such a connection kept its place in what waited, and was sent as the connection came up.

Ruled out: attempts on connections that stand (written at once), those taken back for clients who have left or servers that drain (takeOut), and long values, which have a connection to themselves and whose time begins when all has come.

Change: as a connection comes up, what waits on it is written anew, with the time left by then and without what was called off.

Measured: TestAnAttemptTellsWhatIsLeftAsItsConnectionComesUp fails without the mend (it finds the one that was called off at the cache), and with only the time not told anew (0.3 s too much); the package's tests pass.

--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lapisshelf/decide/roster"
+	"lapisshelf/internal/meta"
 	"lapisshelf/lab/seen"
 	"lapisshelf/lab/standin"
 	"lapisshelf/policy"
@@ -266,3 +267,60 @@
 func (b *bench) waiting(id string) *try {
 	return b.attempt(&call{id: id, class: &class{name: "read"}})
 }
+
+// wait is what a line that a cache was sent tells of the time that the node waits.
+func wait(t *testing.T, line string) (ms int) {
+	t.Helper()
+	_, text, ok := strings.Cut(line, ",d=")
+	if _, err := fmt.Sscan(text, &ms); !ok || err != nil {
+		t.Fatalf("%q, %v", line, err)
+	}
+	return ms
+}
+
+// Guards against an attempt that tells its server of time that has passed while its connection came up: it would be worked on
+// for a client that has stopped waiting. One that was called off meanwhile is not written.
+func TestAnAttemptTellsWhatIsLeftAsItsConnectionComesUp(t *testing.T) {
+	s := newStage(t, true, answering)
+	s.cache.Silence(true)
+	s.ask("one")
+	s.taken(1)
+	s.node.links = s.node.linkMost() // what follows shares the connection
+	for _, id := range []string{"off", "two"} {
+		c := &call{id: id, class: s.node.classes["read"]}
+		m, _, err := meta.Next([]byte("mg key v O"+id+" Pc=read,d=25000\r\n"), meta.MaxValue, meta.MaxLong)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.command, c.open = keep(m), 1
+		s.node.calls[id] = c
+		x := &try{call: c, pool: s.pool, at: s.node.loop.Now()}
+		c.tries = []*try{x}
+		s.pool.send(x, 25*time.Second)
+	}
+	l, first := s.pool.links[0], s.node.calls["one"].tries[0]
+	if len(l.tries) != 3 || l.up {
+		t.Fatalf("%d wait on the connection, up %t", len(l.tries), l.up)
+	}
+	s.pool.cancel(s.node.calls["off"].tries[0])
+	tries := []*try{first, s.node.calls["two"].tries[0]}
+	s.run("some time passes", func() bool { return s.node.loop.Now()-first.at > 300*time.Millisecond })
+	since := s.node.loop.Now()
+	s.cache.Silence(false)
+	s.run("both are answered", func() bool { return s.outcomes(policy.OK) == 2 })
+	if got := s.came(); !slices.Equal(got, []string{"one", "two"}) {
+		t.Fatalf("the cache was sent %q", got)
+	}
+	for i, line := range s.cache.Lines() {
+		if got, most := wait(t, line), int((tries[i].wait - (since - tries[i].at)).Milliseconds()); got > most || got <= 0 {
+			t.Errorf("%q, where %d ms were left before its connection came up", line, most)
+		}
+	}
+	s.run("the connection rests", func() bool { return len(s.pool.idle) == 1 })
+	if x := &s.node.count; x.written != 2 || l.conn.Pending() > 0 || first.first != 0 || first.last == 0 || !first.whole {
+		t.Errorf("%d written whole, %d wait, the first from %d to %d", x.written, l.conn.Pending(), first.first, first.last)
+	}
+	s.node.links -= s.node.linkMost() - 1
+	s.ask("next")
+	s.run("the next is served", func() bool { return s.outcomes(policy.OK) == 3 })
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,10 +107,11 @@
 	n     int
 	pool  *pool
 	at    time.Duration
-	link  *link // while it is out
-	first int64 // where its first byte stands on the link
-	last  int64 // and the byte behind its last
-	whole bool  // it has been written whole
+	wait  time.Duration // from then on the node waits for it
+	link  *link         // while it is out
+	first int64         // where its first byte stands on the link
+	last  int64         // and the byte behind its last
+	whole bool          // it has been written whole
 	timer *loop.Timer
 	late  *loop.Timer // when it may not go out any more
 	done  bool
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -152,12 +152,9 @@
 	}
 	n.count.attempts++
 	l.unrest()
-	t.link = l
+	t.link, t.wait = l, wait
 	l.tries = append(l.tries, t)
-	text := p.proto.request(nil, t, wait)
-	t.first = l.conn.Queued()
-	t.last = t.first + int64(len(text)) // before writing: what a broken connection does not take was never written
-	l.conn.Write(text)
+	l.write(t, wait)
 	if u := t.call.upload; u != nil {
 		t.last += int64(t.call.command.Long + len(p.proto.behind()))
 		u.sent(t)
@@ -165,6 +162,29 @@
 	l.wrote()
 }
 
+// write writes an attempt's request, which tells how long the node waits.
+func (l *link) write(t *try, wait time.Duration) {
+	text := l.pool.proto.request(nil, t, wait)
+	t.first = l.conn.Queued()
+	t.last = t.first + int64(len(text)) // before writing: what a broken connection does not take was never written
+	l.conn.Write(text)
+}
+
+// retell writes anew what has waited for the connection to come up, lest it tells its server of time that has passed since: that
+// would work for those who have stopped waiting. What was called off meanwhile is not written at all.
+func (l *link) retell() {
+	now, old := l.pool.node.loop.Now(), l.conn.Queued()
+	if len(l.tries) == 0 || slices.ContainsFunc(l.tries, func(t *try) bool { return t != nil && t.call.upload != nil }) {
+		return // of a long value not all may be kept; it has the connection to itself
+	}
+	l.tries = slices.DeleteFunc(l.tries, func(t *try) bool { return t == nil })
+	for _, t := range l.tries {
+		l.write(t, t.wait-(now-t.at))
+		t.first, t.last = t.first-old, t.last-old
+	}
+	l.conn.TakeBack(0, old) // nothing has been handed to the system yet
+}
+
 // takeBack takes back the attempts of which no byte has been written.
 func (l *link) takeBack() {
 	for i := len(l.tries) - 1; i >= 0 && !l.gone; i-- {
@@ -448,6 +468,7 @@
 	l.up = true
 	l.pool.heard = l.pool.node.loop.Now()
 	l.timer.Stop()
+	l.retell()
 	l.rest()
 }
 
