A node that sends its clients away keeps to its descriptors under idle clients

Cause: `thin`, which keeps connections within the room, returned at once while connections close, so a node that an operator had drained took in whoever came: 129 descriptors were held where 64 were allowed, and servers, the list and the operators had none. At a planned end the listen queue was taken whole as the listener closed, whatever the room.

Ruled out: the ordinary full house (listener paused when brimful), and a planned end before connections begin to close, which goes by it.

Change: while connections close the listener rests when nothing is left for a client; what the closing listener's queue holds beyond that is shut unread; taking clients in again after a drain looks whether the listener may go on.

Measured: TestIdleClientsAtANodeThatSendsClientsAway fails with each of the three taken out by itself. The package's tests pass, and the tests of planned ends, drains, reload and descriptors in cmd/lapisshelf.

It now fills until there is no place left, and asserts the same; fewer clients must do, so it is as strict.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -128,12 +128,18 @@
 func (s *clients) accept(fd int) {
 	now := s.node.loop.Now()
 	c := &client{node: s.node, used: now, since: now}
+	away := s.closing && s.brimful() // of a listen queue that is taken whole as the listener closes
 	conn, err := s.node.loop.Accept(fd, c)
 	if err != nil {
 		log.Printf("event=accept_failed error=%q", err)
 		return
 	}
 	c.conn = conn
+	if away {
+		s.node.count.clientsShed++
+		conn.Close()
+		return
+	}
 	// Guards against a client that leaves while nothing is read from it: its end would stand behind what it had sent, and
 	// what it asked for would be sent on as if it waited.
 	conn.HeedEnd()
@@ -164,6 +170,9 @@
 // thin keeps the number of connections, those included that are closing, within the room.
 func (s *clients) thin() {
 	if s.closing {
+		// Guards against idle clients that take all descriptors of a node that sends its clients away: servers and the list had
+		// none left (129 held where 64 were allowed).
+		s.listener.Pause(s.brimful())
 		return
 	}
 	// Guards against requests that wait unread for a descriptor, and are lost by it, while others are idle. First go
@@ -305,6 +314,7 @@
 		n.loop.After(lingerFor/4, n.loop.Stop)
 		return
 	}
+	s.thin()
 	s.drained = n.loop.After(lookEvery, s.retire)
 }
 
@@ -315,6 +325,7 @@
 	for c := range s.all {
 		c.node.loop.Later(c.flush)
 	}
+	s.thin() // the listener may rest
 }
 
 // rested reports whether nothing has gone either way for so long that nothing should be on its way, nor has come.
--- a/internal/node/descriptors_test.go
+++ b/internal/node/descriptors_test.go
@@ -138,7 +138,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(n.control.Close)
-	b.fill(func() bool { return n.clients.reserved > 0 })
+	b.fill(n.clients.brimful) // the reserve has no place beyond that
 	if got := len(n.clients.all); got < 4 {
 		t.Fatalf("places for %d clients only", got)
 	}
@@ -147,3 +147,69 @@
 		t.Errorf("with all places taken an idle client is kept for %s", got)
 	}
 }
+
+// connect has so many clients connect without a word; the system takes them in its queue.
+func (b *bench) connect(clients int) (all []net.Conn) {
+	b.t.Helper()
+	for range clients {
+		conn, err := net.DialTimeout("tcp", b.listens().String(), 5*time.Second)
+		if err != nil {
+			b.t.Fatal(err)
+		}
+		b.t.Cleanup(func() { conn.Close() })
+		all = append(all, conn)
+	}
+	return all
+}
+
+// Guards against idle clients that take all descriptors of a node that sends its clients away: thin, which keeps to the room, did
+// nothing while connections close, and the listen queue was taken whole as the listener closed. Servers and the list keep theirs,
+// whether an operator drains the node or it ends; those who come later are taken in as soon as there is room, in a drain and
+// behind it.
+func TestIdleClientsAtANodeThatSendsClientsAway(t *testing.T) {
+	for name, begin := range map[string]func(n *Node){
+		"drained": func(n *Node) { n.lame, n.lameUntil = true, n.loop.Now()+time.Hour },
+		"ending":  func(n *Node) { n.leaving, n.lastAnswer = true, n.loop.Now()+time.Hour },
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			n := b.node
+			n.cfg.Sockets = 64
+			before := n.count.clientsIn
+			all := b.connect(2 * n.cfg.Sockets)
+			begin(n)
+			n.clients.empty()
+			for range 10 {
+				b.run("a look", func() bool { return true })
+				if left := n.brim() - n.open(); left < n.linkLeast()+listSockets {
+					t.Fatalf("%d descriptors are left, of which servers must have %d and the list %d", left, n.linkLeast(), listSockets)
+				}
+			}
+			if n.count.clientsIn == before || !n.leaving && !n.clients.brimful() {
+				t.Errorf("%d are taken in, where there is room", n.count.clientsIn-before)
+			}
+			if !n.leaving && n.count.clientsShed > 0 {
+				t.Errorf("%d are shut, who could wait", n.count.clientsShed)
+			}
+			if !n.mayDial() || b.pool.dial() == nil {
+				t.Error("a connection to a server finds no room")
+			}
+			for _, c := range all {
+				c.Close()
+			}
+			if n.leaving {
+				return
+			}
+			for _, what := range []string{"in the drain", "behind it"} {
+				b.run("the crowd is gone", func() bool { return len(n.clients.all) == 0 && n.clients.parted.Len() == 0 })
+				before := n.count.clientsIn
+				b.connect(1)[0].Close()
+				b.run("one is taken in "+what, func() bool { return n.count.clientsIn > before })
+				b.run("it is gone", func() bool { return len(n.clients.all) == 0 && n.clients.parted.Len() == 0 })
+				n.clients.listener.Pause(true) // as in a full house, of which the last has gone
+				n.lame = false
+				n.clients.resume()
+			}
+		})
+	}
+}
