The stand-ins' silence resets connections that nobody had accepted yet

Cause: the lab. As a machine falls silent its port stops accepting and fills the system's queue. A connection that was in the queue already, as the accepting goroutine had not come to it, stayed there, and so did one that came between; as the machine was back it was accepted as a new one, and what the node had written three seconds before, to an attempt given up long since, was read as come only then. The node is not at fault. With the queue full already, the silence also waited a second for room, the port's lock in hand.

Now what waits in the queue as a silence begins is taken out and held until its end, and reset then, as what waits there at the end is.

Seen once; how often it was is not known.

--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -95,7 +95,7 @@
 	ln    *net.TCPListener // nil while refused
 	mute  bool
 	fill  []net.Conn // what came up while mute
-	plugs []int      // descriptors of what fills the system's queue while mute
+	plugs []int      // descriptors of what fills the system's queue while mute, and of what waited there before
 	wake  chan struct{}
 	rest  chan struct{} // closed once nobody accepts any more, after a silence began
 	shut  bool
@@ -196,7 +196,10 @@
 	if !on {
 		fill, plugs := p.fill, p.plugs
 		p.fill, p.plugs = nil, nil
-		raw.Control(func(fd uintptr) { unix.Listen(int(fd), 1024) })
+		raw.Control(func(fd uintptr) { // what got into the queue is reset too: served, its bytes would count as come only now
+			plugs = append(plugs, queued(int(fd))...)
+			unix.Listen(int(fd), 1024)
+		})
 		close(p.wake)
 		p.wake = make(chan struct{})
 		p.mu.Unlock()
@@ -215,9 +218,29 @@
 	p.mu.Unlock()
 	ln.SetDeadline(time.Unix(1, 0)) // the accepting goroutine waits for the wake
 	<-rest                          // one still about to accept would make room in the queue once it is full
+	raw.Control(func(fd uintptr) {  // what came before and was not accepted yet makes room, and is held as the rest is
+		held := queued(int(fd))
+		p.mu.Lock()
+		p.plugs = append(p.plugs, held...)
+		p.mu.Unlock()
+	})
 	p.plug(ln.Addr().(*net.TCPAddr))
 }
 
+// queued takes what waits in the system's queue of a listening socket.
+func queued(ln int) (fds []int) {
+	for range 1024 {
+		switch fd, _, err := unix.Accept4(ln, unix.SOCK_CLOEXEC); err {
+		case nil:
+			fds = append(fds, fd)
+		case unix.EINTR, unix.ECONNABORTED:
+		default:
+			return fds
+		}
+	}
+	return fds
+}
+
 // plug fills the system's queue with connections that nobody will accept. It waits for what the system says of them, never for
 // a time: a dial that is given up on a busy machine says nothing of the queue.
 func (p *port) plug(addr *net.TCPAddr) {
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 
 	"lapisshelf/lab/seen"
 	"lapisshelf/lab/world"
@@ -268,6 +269,54 @@
 	}
 }
 
+// A connection that is in the system's queue as a machine falls silent, or gets into it then, is reset when the machine is back,
+// and what came on it is never read. Guards against an attempt of before that counts as begun only then, long after its request
+// was over, and against a silence that waits for room in a queue that stays full.
+func TestASilenceOverWhatIsNotAcceptedYet(t *testing.T) {
+	for _, before := range []bool{true, false} {
+		t.Run(fmt.Sprintf("before %t", before), func(t *testing.T) {
+			c := common()
+			s := cache(t, c, nil)
+			p := s.port
+			if before {
+				rest := make(chan struct{})
+				p.mu.Lock()
+				p.rest = rest
+				p.mu.Unlock()
+				p.ln.SetDeadline(time.Unix(1, 0)) // as on a busy machine: nobody accepts
+				<-rest
+			} else {
+				s.Silence(true)
+				raw, err := p.ln.SyscallConn()
+				if err != nil {
+					t.Fatal(err)
+				}
+				raw.Control(func(fd uintptr) { unix.Listen(int(fd), 100) }) // room in the queue
+			}
+			l := dial(t, s.Addr())
+			l.send("mg k1 v O1 Pc=read,d=500\r\n")
+			if before {
+				s.Silence(true)
+				if len(p.plugs) != 9 { // eight, and the one that waited
+					t.Errorf("%d connections are held", len(p.plugs))
+				}
+			}
+			s.Silence(false)
+			if _, err := l.in.ReadByte(); !errors.Is(err, unix.ECONNRESET) {
+				t.Errorf("it is back, and the connection of before: %v", err)
+			}
+			l = dial(t, s.Addr())
+			l.send("mg k1 v O2 Pc=read,d=500\r\n")
+			if got := l.line(); !strings.HasPrefix(got, "EN O2") {
+				t.Errorf("%q", got)
+			}
+			if all := attempts(c); len(all) != 1 {
+				t.Errorf("%d attempts", len(all))
+			}
+		})
+	}
+}
+
 // Whatever a garbled answer looks like, it is not the good one.
 func TestGarbledAnswersAreNoGoodOnes(t *testing.T) {
 	s := cache(t, common(), nil)
