One whole state for each forwarder that starts: digests tell the change they expect

Cause: a forwarder says with each digest what it holds of a planner. As nodes start, digests that say "nothing" cross the whole state on its way; the planner took each for a doubt and sent the state again.

Change: beside what is held, a digest tells the number of the change expected next on the connection (field 4 of the hold, some three bytes). The planner keeps the number of the last whole state there; what is told before that has come is no doubt, what is told after it is one at once. A forwarder that tells no number, as before, counts as not having had the state for 2 s. A number that is to come is refused like a revision that is to come. Old planners pass the field over.

TestOneWholeStateForEachThatStarts counts them; without the look at the number it fails: 1,200 whole states for 300 forwarders, 900 on doubt. TestLostDoubledAndLateChanges checks what forwarders tell; it fails if they do not count.

Tests changed: says, of the still planner, tells that all that went out has come (the strictest for the planner); the liar of TestWholeStatesArePaced does so too, and still waits in turn.

--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -85,8 +85,9 @@
 	why     string // it ended last
 	planner string // its id, also while it is away: what is held of it is told as soon as it is back
 	talk    talk
-	hellos  int   // since the connection came up
-	in, out int64 // bytes counted so far
+	hellos  int    // since the connection came up
+	changes uint64 // that came since then
+	in, out int64  // bytes counted so far
 }
 
 // New begins to talk to the planners. Ready tells which servers serve by the node's list, apply is given the view in
@@ -153,7 +154,7 @@
 				f.follower.Sent(now, d.Seq)
 			}
 			var err error
-			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err != nil {
+			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told(), Next: k.next}); err != nil {
 				continue // a digest too large to tell
 			}
 			frames[k] = frame
@@ -170,6 +171,7 @@
 	brief bool
 	mute  bool // no hold: as before there were changes
 	hold  plan.Hold
+	next  uint64 // change that is expected
 }
 
 func (k *kind) told() *plan.Hold {
@@ -187,7 +189,7 @@
 	// Guards against a fleet that tells whole digests, much longer ones, to a planner that has come back.
 	hello := l.talk == unknown && l.hellos < mostHellos
 	// Guards against brief digests at a planner that would take them for whole ones: only changes prove it a new one.
-	return kind{hello: hello, brief: l.talk == changes, hold: l.f.follower.Hold(l.planner)}
+	return kind{hello: hello, brief: l.talk == changes, hold: l.f.follower.Hold(l.planner), next: l.changes + 1}
 }
 
 func (l *link) send(k kind, frame []byte) {
@@ -231,6 +233,7 @@
 	var why follow.Reason
 	var err error
 	if c := m.Change; c != nil {
+		l.changes++
 		l.talk, l.planner = changes, c.Planner
 		why, err = f.follower.TakeChange(now, *c, f.ready())
 	} else {
@@ -339,14 +342,14 @@
 // Up implements loop.Handler.
 func (l *link) Up() {
 	now := l.f.loop.Now()
-	l.up, l.wait, l.heard, l.hellos, l.talk = true, redialMin, now, 0, unknown
+	l.up, l.wait, l.heard, l.hellos, l.changes, l.talk = true, redialMin, now, 0, 0, unknown
 	l.f.note("planner_up", "addr="+l.addr.String())
 	if l.f.cfg.Whole {
 		return
 	}
 	k, d := l.kind(), l.f.gather.Hello()
 	l.f.follower.Sent(now, d.Seq)
-	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err == nil {
+	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told(), Next: k.next}); err == nil {
 		l.send(k, frame)
 	}
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -100,6 +100,8 @@
 	waits  bool          // for a whole state
 	last   time.Duration // it was sent a change
 	sent   uint64        // the revision of that
+	count  uint64        // changes that went out here, whole states among them
+	state  state         // the last whole one
 	seq    uint64        // of the last digest taken
 	heard  time.Duration // it came
 }
@@ -295,7 +297,7 @@
 		err = fmt.Errorf("%q says it is another", c.name)
 	default:
 		if m.Hold != nil {
-			err = c.holds(*m.Hold)
+			err = c.holds(p.loop.Now(), *m.Hold, m.Next)
 		} else if c.speech == unheard {
 			c.speech = older
 		}
--- a/internal/planner/send_test.go
+++ b/internal/planner/send_test.go
@@ -106,9 +106,10 @@
 	return list
 }
 
+// says has a forwarder tell what it holds, and that all that went out has come.
 func (s *still) says(c *conn, h plan.Hold) {
 	s.t.Helper()
-	if err := c.holds(h); err != nil {
+	if err := c.holds(s.now, h, c.count+1); err != nil {
 		s.t.Fatal(err)
 	}
 }
@@ -383,3 +384,70 @@
 		t.Errorf("%+v, %d states", c.hold, s.out.states)
 	}
 }
+
+// A whole fleet starts at once, and each forwarder's digests cross the state on its way: one that tells that it holds nothing
+// gets a whole state once, whatever it tells until that has come. What it tells afterwards is a doubt, at once. One of before
+// does not tell how far it is: there the state counts as on its way for two seconds.
+// Guards against whole states by the thousand for nothing, as all nodes restart: two in five were sent again.
+func TestOneWholeStateForEachThatStarts(t *testing.T) {
+	const nodes = 300
+	s := newStill(t, 20, 0.5)
+	other := plan.Hold{History: s.cfg.Plan.History ^ 2, Revision: 7} // of the planner's life before
+	var conns []*conn
+	for i := range nodes {
+		conns = append(conns, s.conn(fmt.Sprintf("n%03d", i)))
+	}
+	tells := func(c *conn, i int, next uint64) {
+		t.Helper()
+		if i%3 == 0 { // of before
+			next = 0
+		}
+		h := plan.Hold{}
+		if i%2 == 0 {
+			h = other
+		}
+		if err := c.holds(s.now, h, next); err != nil {
+			t.Fatal(err)
+		}
+	}
+	is := func(what string, states, doubts int64) {
+		t.Helper()
+		if s.out.states != states || s.out.doubts != doubts {
+			t.Errorf("%s: %d whole states, %d on doubt, want %d, %d", what, s.out.states, s.out.doubts, states, doubts)
+		}
+	}
+	for i, c := range conns {
+		tells(c, i, 1)
+		tells(c, i, 1)
+	}
+	s.tick()
+	is("all start", nodes, 0)
+	for range 3 {
+		for i, c := range conns {
+			tells(c, i, 1)
+			s.got(c)
+		}
+		s.tick()
+	}
+	is("their digests crossed it", nodes, 0)
+	for i, c := range conns {
+		s.got(c)
+		if next := c.state.number + 1; i < 30 {
+			tells(c, i, next)
+		} else if i < 60 {
+			s.says(c, s.held())
+		}
+	}
+	s.tick()
+	is("it came and does not fit, at some", nodes+20, 20)
+	s.tick()
+	for i, c := range conns[:30] {
+		s.got(c)
+		tells(c, i, c.state.number)
+	}
+	s.tick()
+	is("those of before hold nothing after two seconds", nodes+30, 30)
+	if err := conns[1].holds(s.now, plan.Hold{}, conns[1].count+2); err == nil {
+		t.Error("it expects what is to come")
+	}
+}
--- a/internal/planner/talk.go
+++ b/internal/planner/talk.go
@@ -21,6 +21,8 @@
 	// frames. A state with 420 servers all off takes some 9 KB: to 1,900 forwarders it has gone within 4 s, while what they
 	// held before has not faded, on a thirtieth of a port of 1 Gbit/s. States of calm times go all at once.
 	statesASecond = 4 << 20
+	// For how long a whole state may be on its way to a forwarder that does not tell which change it expects next.
+	arrives = 2 * time.Second
 )
 
 // speech is what a forwarder speaks, by what it has told on its connection.
@@ -51,19 +53,40 @@
 	whole bool
 }
 
-// holds takes what a forwarder tells that it holds. A history that is not this planner's own is that of another life.
-func (c *conn) holds(h plan.Hold) error {
+// state is a whole state that went out on a connection.
+type state struct {
+	number   uint64 // among the changes there; 0: none did
+	revision uint64
+	at       time.Duration
+}
+
+// came reports whether a forwarder that holds h and expects the change of number next has had the state.
+func (s *state) came(now time.Duration, own bool, h plan.Hold, next uint64) bool {
+	return s.number == 0 || next > s.number || own && h.Revision >= s.revision || next == 0 && now-s.at >= arrives
+}
+
+// holds takes what a forwarder tells that it holds, and which change it expects next (0: it does not say). A history that is
+// not this planner's own is that of another life.
+func (c *conn) holds(now time.Duration, h plan.Hold, next uint64) error {
 	own := c.p.cfg.Plan.History
 	switch {
 	case (h.History == 0) != (h.Revision == 0):
 		return fmt.Errorf("holds revision %d of history %d", h.Revision, h.History)
 	case h.History == own && h.Revision > c.p.plan.Revision():
 		return fmt.Errorf("holds revision %d, which is to come", h.Revision)
+	case next > c.count+1:
+		return fmt.Errorf("expects change %d after %d", next, c.count)
+	}
+	c.speech = newer
+	// Guards against a second whole state for each forwarder whose digest crosses the first one on the way: as all start, they
+	// tell that they hold nothing until it has come.
+	if !c.waits && !c.state.came(now, h.History == own, h, next) {
+		return nil
 	}
 	if h.History != own && c.hold.History == own { // it was sent a state, and does not have it
 		c.p.out.doubts++
 	}
-	c.speech, c.hold = newer, plan.Hold{History: h.History, Revision: h.Revision}
+	c.hold = plan.Hold{History: h.History, Revision: h.Revision}
 	return nil
 }
 
@@ -96,6 +119,7 @@
 			if frame := p.changeTo(now, c, cold); frame != nil {
 				c.out <- frame
 				o.changes++
+				c.count++
 				c.last, c.sent = now, revision
 			}
 		}
@@ -132,10 +156,12 @@
 		}
 		c.out <- frame
 		o.states++
+		c.count++
 		o.room -= float64(len(frame))
 		// It holds that now, unless it says otherwise.
 		revision := p.plan.Revision()
 		c.waits, c.hold, c.last, c.sent = false, plan.Hold{History: p.cfg.Plan.History, Revision: revision}, now, revision
+		c.state = state{c.count, revision, now}
 	}
 	o.waiting = append(o.waiting, late...)
 }
--- a/internal/planner/talk_test.go
+++ b/internal/planner/talk_test.go
@@ -5,6 +5,7 @@
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -255,6 +256,8 @@
 	conn  net.Conn
 	holds []plan.Hold
 	brief []bool
+	nexts []uint64
+	sent  uint64 // changes
 	plan  *plan.Planner
 	now   time.Duration
 	bad   map[string]bool
@@ -293,7 +296,7 @@
 					r.t.Error("a digest without a hold")
 				} else {
 					s.last = m.Digest.Seq
-					s.holds, s.brief = append(s.holds, *m.Hold), append(s.brief, m.Digest.Brief)
+					s.holds, s.brief, s.nexts = append(s.holds, *m.Hold), append(s.brief, m.Digest.Brief), append(s.nexts, m.Next)
 				}
 				s.mu.Unlock()
 			}
@@ -351,6 +354,7 @@
 	if err != nil {
 		s.r.t.Fatal(err)
 	}
+	s.sent++
 	s.raw(frame)
 }
 
@@ -469,6 +473,10 @@
 	if s.brief[0] || !s.brief[len(s.brief)-1] {
 		t.Errorf("brief: %v", s.brief)
 	}
+	// Each digest tells the change that is expected, whatever became of those before: the first is 1.
+	if first, last := s.nexts[0], s.nexts[len(s.nexts)-1]; first != 1 || last != s.sent+1 || !slices.IsSorted(s.nexts) {
+		t.Errorf("%d changes went out, expected were %v", s.sent, s.nexts)
+	}
 }
 
 // Absurd, forged and old messages of a planner: refused with a reason and counted, the connection and what is in force
--- a/internal/planwire/planwire.go
+++ b/internal/planwire/planwire.go
@@ -25,6 +25,7 @@
 type Message struct {
 	Digest *plan.Digest
 	Hold   *plan.Hold // beside a digest: who sends it takes changes, and holds that; nil: it takes views
+	Next   uint64     // beside a hold: the change expected next on this connection, the first is 1; 0: it is not told, as before
 	View   *plan.View
 	Change *plan.Change
 }
@@ -47,6 +48,7 @@
 		History  uint64 `cbor:"1,keyasint,omitempty"`
 		Revision uint64 `cbor:"2,keyasint,omitempty"`
 		Follows  bool   `cbor:"3,keyasint,omitempty"`
+		Next     uint64 `cbor:"4,keyasint,omitempty"`
 	}
 	grant struct {
 		ID   string  `cbor:"1,keyasint"`
@@ -166,7 +168,7 @@
 		out.Digest = x
 	}
 	if h := m.Hold; h != nil {
-		out.Hold = &hold{h.History, h.Revision, h.Follows}
+		out.Hold = &hold{h.History, h.Revision, h.Follows, m.Next}
 	}
 	if v := m.View; v != nil {
 		x := &view{Epoch: v.Epoch, Planner: v.Planner, Made: int64(v.Made), Valid: int64(v.Valid), Admit: v.Admit}
@@ -300,6 +302,7 @@
 		d.Past = x.Past
 		if in.Hold != nil {
 			m.Hold = &plan.Hold{History: in.Hold.History, Revision: in.Hold.Revision, Follows: in.Hold.Follows}
+			m.Next = in.Hold.Next
 		}
 		m.Digest = d
 		return m, used, nil
