A node opens its connections to planners one after the other, over a second apart

Need: a handshake with a planner takes 4.1 KB. A node that restarts had those with all planners within half a second: 10.8 KB in one second with two, against the 8 KB that it has for its control talk, and their whole states came in one second too.

Change: decide/follow has Dials, pure: the next connection is opened 1.1 to 1.5 s after the last planner's first word, which is its whole state as a rule; at once if that connection fails; after 3 s in any case, so that N planners are tried within 3N seconds. At a start the order is drawn, later the followed planner comes first. A fixed order at all nodes was not taken: all would follow one.

If half of the nodes hear the one first and half the other, both budgets would be used meanwhile. So while planners are awaited, what the heard ones grant counts for their part of all, half where one of two is heard.

--- a/decide/follow/follow.go
+++ b/decide/follow/follow.go
@@ -64,6 +64,7 @@
 	Counts map[Reason]int64 // of views, by what became of them
 	Stale  int64            // changes whose grants were too long on their way
 	sent   []sending        // of digests, the oldest first
+	await  int              // planners that are still to be heard
 }
 
 // last is the last view taken of a planner.
--- a/decide/follow/fresh.go
+++ b/decide/follow/fresh.go
@@ -37,16 +37,23 @@
 	return false
 }
 
+// Awaits tells how many planners are not heard yet but are about to be: the connections to them come one after the other.
+func (f *Follower) Awaits(planners int) { f.await = planners }
+
 // least are the grants of the planner that a state is of, each no larger than what the others that are heard grant now.
 // Guards against planners that hear all and each share out the whole budget, while some nodes follow the one and some the
 // other: by their own counts they give one node more and another less, and together, in the first seconds of a cold server,
 // up to 1.9 of the budget (two planners). With the least, all nodes stay within what any one planner has given out to them.
+// While some planners are still to be heard, the others' part of it counts: of two that each share out the whole budget, one
+// may be heard first by half of the nodes, and the other by the other half.
 func (f *Follower) least(now time.Duration, st *state) []plan.Grant {
 	list := append([]plan.Grant(nil), st.grants...)
+	heard := 1
 	for _, o := range f.states {
 		if o == st || now-o.came > o.valid {
 			continue
 		}
+		heard++
 		for _, g := range o.grants {
 			for i := range list {
 				if list[i].ID == g.ID {
@@ -55,6 +62,9 @@
 			}
 		}
 	}
+	for i := range list {
+		list[i].Rate *= float64(heard) / float64(heard+f.await)
+	}
 	return list
 }
 
--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,6 +56,8 @@
 	noted    time.Duration
 	closed   bool
 	timers   []*loop.Timer
+	dials    *follow.Dials
+	dialer   *loop.Timer
 	// Digests are how many went, Wholes how many of these named all servers; Views are how many views and changes came;
 	// Errors, connections that ended.
 	Digests, Wholes, Views, Errors int64
@@ -75,6 +77,7 @@
 // link is the connection to one planner.
 type link struct {
 	f       *Forwarder
+	number  int // of the planner, for Dials
 	addr    netip.AddrPort
 	conn    *loop.TLSConn
 	up      bool
@@ -96,12 +99,11 @@
 	cfg.Every = cmp.Or(cfg.Every, time.Second)
 	f := &Forwarder{loop: l, cfg: cfg, ready: ready, apply: apply, note: note, follower: follow.New(follow.Config{Fade: cfg.Fade}),
 		gather: plan.NewGather(l.Now(), cfg.Name)}
-	for _, addr := range cfg.Planners {
-		k := &link{f: f, addr: addr, wait: redialMin}
-		f.links = append(f.links, k)
-		// At different moments: hundreds of nodes may start at once.
-		k.again(time.Duration(rand.Int64N(int64(redialMin))))
+	for i, addr := range cfg.Planners {
+		f.links = append(f.links, &link{f: f, number: i, addr: addr, wait: redialMin})
 	}
+	f.dials = follow.NewDials(l.Now(), len(f.links), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	f.dial()
 	f.timers = []*loop.Timer{nil, nil}
 	f.tell()
 	f.fade()
@@ -229,6 +231,11 @@
 func (f *Forwarder) take(l *link, m planwire.Message) {
 	now := f.loop.Now()
 	f.Views++
+	if l.talk == unknown {
+		f.dials.Told(now, l.number)
+		f.dial()
+	}
+	f.follower.Awaits(f.dials.Awaited(now))
 	held, _ := f.follower.Held()
 	var why follow.Reason
 	var err error
@@ -276,7 +283,7 @@
 		return
 	}
 	f.closed = true
-	for _, t := range f.timers {
+	for _, t := range append(f.timers, f.dialer) {
 		t.Stop()
 	}
 	for _, l := range f.links {
@@ -329,13 +336,29 @@
 	return b.String()
 }
 
+// dial opens connections that are due, and comes back when another may be.
+func (f *Forwarder) dial() {
+	if f.closed {
+		return
+	}
+	now := f.loop.Now()
+	f.dialer.Stop()
+	i, wait := f.dials.Next(now)
+	for ; i >= 0; i, wait = f.dials.Next(now) {
+		l := f.links[i]
+		l.heard = now
+		l.conn = f.loop.DialTLS(l.addr, f.cfg.TLS, l)
+	}
+	if wait >= 0 {
+		f.dialer = f.loop.After(wait, f.dial)
+	}
+}
+
 func (l *link) again(after time.Duration) {
 	l.retry = l.f.loop.After(after, func() {
-		if l.f.closed {
-			return
-		}
-		l.heard = l.f.loop.Now()
-		l.conn = l.f.loop.DialTLS(l.addr, l.f.cfg.TLS, l)
+		held, _ := l.f.follower.Held()
+		l.f.dials.Want(l.f.loop.Now(), l.number, held != nil && held.Planner == l.planner)
+		l.f.dial()
 	})
 }
 
@@ -399,6 +422,8 @@
 		l.f.note("planner_down", fmt.Sprintf("addr=%s why=%q", l.addr, why))
 	}
 	l.up, l.why, l.input, l.conn, l.in, l.out = false, why, nil, nil, 0, 0
+	l.f.dials.Failed(l.f.loop.Now(), l.number)
+	l.f.dial()
 	l.wait = min(2*l.wait, redialMost)
 	l.again(l.wait/2 + time.Duration(rand.Int64N(int64(l.wait))/2))
 }
--- a/internal/planner/rig_test.go
+++ b/internal/planner/rig_test.go
@@ -176,6 +176,8 @@
 	list []*node
 	// load draws what a node saw since its last digest; it runs on the loop.
 	load func(n *node)
+	// took is called as a view is put in force; it runs on the loop.
+	took func(n *node)
 }
 
 // node is a forwarder and the view that it acts on.
@@ -237,7 +239,11 @@
 	}
 	n := &node{name: name}
 	c.on(func() {
-		n.Forwarder = forwarder.New(c.loop, cfg, c.ready, func(v policy.View) { n.view, n.count = v, n.count+1 }, c.r.note(name))
+		n.Forwarder = forwarder.New(c.loop, cfg, c.ready, func(v policy.View) {
+			if n.view, n.count = v, n.count+1; c.took != nil {
+				c.took(n)
+			}
+		}, c.r.note(name))
 		c.list = append(c.list, n)
 		c.every(cfg.Every, n)
 	})
--- a/internal/planner/talk_test.go
+++ b/internal/planner/talk_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
 	"net"
 	"net/netip"
@@ -718,3 +719,48 @@
 		}
 	})
 }
+
+// Nodes that start open their connections one after the other: as the first planner's state comes to one, the other planner
+// has not heard of it. Where the first address takes no connections, the second is dialled in its place. All stand in the end.
+// Guards against two handshakes of 4 KB, and two whole states, in one second of a node.
+func TestOneConnectionAfterTheOther(t *testing.T) {
+	r := newRig(t, 8)
+	a, b := r.plans("a", "", nil), r.plans("b", "", nil)
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	var nodes []*node
+	alone, began := 0, map[string]time.Time{}
+	c.took = func(n *node) {
+		// One of which nothing is heard for three seconds keeps the other waiting no longer.
+		if at, is := began[n.name]; !is || n.count > 1 || time.Since(at) >= 3*time.Second {
+			return
+		}
+		alone++
+		if up := strings.Count(n.Status(), " up "); up != 1 {
+			t.Errorf("%s has %d connections as its first state comes", n.name, up)
+		}
+	}
+	for i := range 40 {
+		name := fmt.Sprintf("n%02d", i)
+		c.on(func() { began[name] = time.Now() })
+		nodes = append(nodes, c.join(name, nil, a.Addr(), b.Addr()))
+	}
+	for _, p := range []*running{a, b} {
+		p.eventually("all are heard", func() bool { return p.plan.Followed() == len(nodes) })
+	}
+	c.on(func() {
+		if alone == 0 {
+			t.Error("no node was heard in time: that is no test")
+		}
+		for _, n := range nodes {
+			if n.count == 0 || n.Errors > 0 {
+				t.Errorf("%s: %d views in force, %s", n.name, n.count, n.Status())
+			}
+		}
+	})
+	at := a.Addr()
+	a.end()
+	n := c.join("late", nil, at, b.Addr())
+	b.eventually("it is heard though the other is gone", func() bool { return b.plan.Followed() == len(nodes)+1 })
+	c.eventually("and acts on a view", func() bool { return n.count > 0 })
+}
