Scale lab: a planner's new process is told by its start, not by a counter that fell

Cause: over a fault a planner's counters were taken as differences, and as those of a new process only where they had fallen. A new process that had sent more whole states than the old one was taken for it, and the old one's were subtracted (2, 4 and 2 states after a planner's death at the smaller sizes).

A planner that did not answer before the fault, or whose counter fell within one process, gives no figure; nor does the sum then.

TestCountersOfANewProcess; with the old rule in place it fails: 30 for 430.

--- a/lab/scale/child.go
+++ b/lab/scale/child.go
@@ -314,6 +314,7 @@
 	cmd                                   *exec.Cmd
 	done                                  chan struct{}
 	spent                                 time.Duration // CPU of its processes that have ended
+	lives                                 int           // processes that it has had
 }
 
 func (p *planner) start() error {
@@ -334,6 +335,7 @@
 		close(done)
 	}()
 	p.cmd, p.done = cmd, done
+	p.lives++
 	return nil
 }
 
--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -125,9 +125,27 @@
 }
 
 type planned struct {
-	cpu  time.Duration
-	rss  int64
-	vars map[string]float64
+	cpu   time.Duration
+	rss   int64
+	vars  map[string]float64
+	lives int // processes so far
+}
+
+// grown is by how much a counter of a planner has grown, and whether that is known. A new process begins at none, also one
+// that has counted further than the one before.
+func (x planned) grown(to planned, counter string) (more float64, known bool) {
+	value, known := to.vars[counter]
+	if !known {
+		return 0, false
+	}
+	was, is := x.vars[counter]
+	switch {
+	case to.lives != x.lives:
+		return value, true
+	case !is || value < was:
+		return 0, false // it did not answer before
+	}
+	return value - was, true
 }
 
 func (b *bench) say(format string, args ...any) {
@@ -289,7 +307,7 @@
 	}
 	memory += s.RSS
 	for _, p := range b.plans {
-		x := planned{cpu: p.spent}
+		x := planned{cpu: p.spent, lives: p.lives}
 		if p.cmd != nil {
 			x.cpu, x.rss = p.spent+processCPU(p.cmd.Process.Pid), residentBytes(p.cmd.Process.Pid)
 			x.vars = vars(p.control)
@@ -761,14 +779,10 @@
 	b.row(name, "planner_cpu", cpu/float64(len(b.plans)))
 	for _, pair := range [][2]string{{"states_sent", "states_total"}, {"states_paced", "states_paced_total"}, {"doubts", "doubts_total"}} {
 		measure, counter := pair[0], pair[1]
-		sum, known := 0.0, false
+		sum, known := 0.0, true // of all planners, or it is not told
 		for i := range b.plans {
-			x, y := before.planners[i].vars[counter], after.planners[i].vars[counter]
-			if y < x {
-				x = 0 // a new process
-			}
-			_, is := after.planners[i].vars[counter]
-			sum, known = sum+y-x, known || is
+			more, is := before.planners[i].grown(after.planners[i], counter)
+			sum, known = sum+more, known && is
 		}
 		if known {
 			b.row(name, measure, sum)
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -600,3 +600,39 @@
 		t.Error("there is such a part")
 	}
 }
+
+// What a planner counted over a fault is told by its processes, not by which of two counters is larger.
+// Guards against a new process that has sent more whole states than the one before: they were counted less the old one's.
+func TestCountersOfANewProcess(t *testing.T) {
+	is := func(lives int, value float64) planned {
+		return planned{lives: lives, vars: map[string]float64{"states_total": value}}
+	}
+	for _, x := range []struct {
+		before, after planned
+		more          float64
+		known         bool
+	}{
+		{is(1, 400), is(1, 430), 30, true},
+		{is(1, 400), is(2, 430), 430, true},
+		{is(1, 400), is(2, 30), 30, true},
+		{is(1, 400), is(3, 400), 400, true},
+		{planned{lives: 1}, is(2, 30), 30, true},
+		{planned{lives: 1}, is(1, 430), 0, false},
+		{is(1, 400), planned{lives: 1}, 0, false},
+		{is(1, 400), is(1, 30), 0, false},
+	} {
+		if more, known := x.before.grown(x.after, "states_total"); more != x.more || known != x.known {
+			t.Errorf("from %+v to %+v: %v, %v", x.before, x.after, more, known)
+		}
+	}
+	p := &planner{program: "true", log: filepath.Join(t.TempDir(), "log")}
+	for want := range 3 {
+		if p.lives != want {
+			t.Errorf("%d processes, want %d", p.lives, want)
+		}
+		if err := p.start(); err != nil {
+			t.Fatal(err)
+		}
+		p.kill()
+	}
+}
