TestGrantsWhilePlannersDie: all nodes start anew at once, thrice, while a server is cold

Nodes that open their connections one after the other hear, for a second or two, one planner alone, half of them the one and half the other. The rest of the test is as it was.

--- a/internal/planner/grants_test.go
+++ b/internal/planner/grants_test.go
@@ -165,6 +165,36 @@
 			return heard == nodes && limited == nodes
 		})
 	}
+	// All start anew at once: half of them hear the one planner first, and half the other.
+	killed := worst
+	worst = 0
+	for range 3 {
+		fresh := make([]*node, nodes)
+		c.on(func() {
+			for _, n := range c.list {
+				n.Close()
+				n.gone = true
+			}
+		})
+		for i := range fresh {
+			fresh[i] = c.join(fmt.Sprintf("n%d", i), func(cfg *forwarder.Config) { cfg.Fade = time.Second }, planners[i%2].Addr(), planners[1-i%2].Addr())
+		}
+		c.on(func() { c.list = fresh })
+		until("all are limited again", func(limited int) bool {
+			up := 0
+			c.on(func() {
+				for _, n := range c.list {
+					up += strings.Count(n.Status(), " up ")
+				}
+			})
+			return limited == nodes && up == 2*nodes
+		})
+	}
+	t.Logf("as all start anew, the largest sum was %.3f of the largest budget of its time", worst)
+	if worst > 1 || worst == 0 {
+		t.Errorf("as all start anew, the largest sum was %.3f of the largest budget of its time", worst)
+	}
+	worst = killed
 	t.Logf("the largest sum was %.3f of the largest budget of its time", worst)
 	if worst > 1 || worst < 0.5 {
 		t.Errorf("the largest sum was %.3f of the largest budget of its time", worst)
