--- a/internal/forwarder/forwarder.go
+++ b/internal/forwarder/forwarder.go
@@ -56,6 +56,8 @@
 	noted    time.Duration
 	closed   bool
 	timers   []*loop.Timer
+	dials    *follow.Dials
+	dialer   *loop.Timer
 	// Digests are how many went, Wholes how many of these named all servers; Views are how many views and changes came;
 	// Errors, connections that ended.
 	Digests, Wholes, Views, Errors int64
@@ -75,6 +77,7 @@
 // link is the connection to one planner.
 type link struct {
 	f       *Forwarder
+	number  int // of the planner, for Dials
 	addr    netip.AddrPort
 	conn    *loop.TLSConn
 	up      bool
@@ -85,8 +88,9 @@
 	why     string // it ended last
 	planner string // its id, also while it is away: what is held of it is told as soon as it is back
 	talk    talk
-	hellos  int   // since the connection came up
-	in, out int64 // bytes counted so far
+	hellos  int    // since the connection came up
+	changes uint64 // that came since then
+	in, out int64  // bytes counted so far
 }
 
 // New begins to talk to the planners. Ready tells which servers serve by the node's list, apply is given the view in
@@ -95,12 +99,11 @@
 	cfg.Every = cmp.Or(cfg.Every, time.Second)
 	f := &Forwarder{loop: l, cfg: cfg, ready: ready, apply: apply, note: note, follower: follow.New(follow.Config{Fade: cfg.Fade}),
 		gather: plan.NewGather(l.Now(), cfg.Name)}
-	for _, addr := range cfg.Planners {
-		k := &link{f: f, addr: addr, wait: redialMin}
-		f.links = append(f.links, k)
-		// At different moments: hundreds of nodes may start at once.
-		k.again(time.Duration(rand.Int64N(int64(redialMin))))
+	for i, addr := range cfg.Planners {
+		f.links = append(f.links, &link{f: f, number: i, addr: addr, wait: redialMin})
 	}
+	f.dials = follow.NewDials(l.Now(), len(f.links), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	f.dial()
 	f.timers = []*loop.Timer{nil, nil}
 	f.tell()
 	f.fade()
@@ -153,7 +156,7 @@
 				f.follower.Sent(now, d.Seq)
 			}
 			var err error
-			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err != nil {
+			if frame, err = planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told(), Next: k.next}); err != nil {
 				continue // a digest too large to tell
 			}
 			frames[k] = frame
@@ -170,6 +173,7 @@
 	brief bool
 	mute  bool // no hold: as before there were changes
 	hold  plan.Hold
+	next  uint64 // change that is expected
 }
 
 func (k *kind) told() *plan.Hold {
@@ -187,7 +191,7 @@
 	// Guards against a fleet that tells whole digests, much longer ones, to a planner that has come back.
 	hello := l.talk == unknown && l.hellos < mostHellos
 	// Guards against brief digests at a planner that would take them for whole ones: only changes prove it a new one.
-	return kind{hello: hello, brief: l.talk == changes, hold: l.f.follower.Hold(l.planner)}
+	return kind{hello: hello, brief: l.talk == changes, hold: l.f.follower.Hold(l.planner), next: l.changes + 1}
 }
 
 func (l *link) send(k kind, frame []byte) {
@@ -227,10 +231,16 @@
 func (f *Forwarder) take(l *link, m planwire.Message) {
 	now := f.loop.Now()
 	f.Views++
+	if l.talk == unknown {
+		f.dials.Told(now, l.number)
+		f.dial()
+	}
+	f.follower.Awaits(f.dials.Awaited(now))
 	held, _ := f.follower.Held()
 	var why follow.Reason
 	var err error
 	if c := m.Change; c != nil {
+		l.changes++
 		l.talk, l.planner = changes, c.Planner
 		why, err = f.follower.TakeChange(now, *c, f.ready())
 	} else {
@@ -273,7 +283,7 @@
 		return
 	}
 	f.closed = true
-	for _, t := range f.timers {
+	for _, t := range append(f.timers, f.dialer) {
 		t.Stop()
 	}
 	for _, l := range f.links {
@@ -326,27 +336,43 @@
 	return b.String()
 }
 
+// dial opens connections that are due, and comes back when another may be.
+func (f *Forwarder) dial() {
+	if f.closed {
+		return
+	}
+	now := f.loop.Now()
+	f.dialer.Stop()
+	i, wait := f.dials.Next(now)
+	for ; i >= 0; i, wait = f.dials.Next(now) {
+		l := f.links[i]
+		l.heard = now
+		l.conn = f.loop.DialTLS(l.addr, f.cfg.TLS, l)
+	}
+	if wait >= 0 {
+		f.dialer = f.loop.After(wait, f.dial)
+	}
+}
+
 func (l *link) again(after time.Duration) {
 	l.retry = l.f.loop.After(after, func() {
-		if l.f.closed {
-			return
-		}
-		l.heard = l.f.loop.Now()
-		l.conn = l.f.loop.DialTLS(l.addr, l.f.cfg.TLS, l)
+		held, _ := l.f.follower.Held()
+		l.f.dials.Want(l.f.loop.Now(), l.number, held != nil && held.Planner == l.planner)
+		l.f.dial()
 	})
 }
 
 // Up implements loop.Handler.
 func (l *link) Up() {
 	now := l.f.loop.Now()
-	l.up, l.wait, l.heard, l.hellos, l.talk = true, redialMin, now, 0, unknown
+	l.up, l.wait, l.heard, l.hellos, l.changes, l.talk = true, redialMin, now, 0, 0, unknown
 	l.f.note("planner_up", "addr="+l.addr.String())
 	if l.f.cfg.Whole {
 		return
 	}
 	k, d := l.kind(), l.f.gather.Hello()
 	l.f.follower.Sent(now, d.Seq)
-	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told()}); err == nil {
+	if frame, err := planwire.Append(nil, planwire.Message{Digest: d, Hold: k.told(), Next: k.next}); err == nil {
 		l.send(k, frame)
 	}
 }
@@ -396,6 +422,8 @@
 		l.f.note("planner_down", fmt.Sprintf("addr=%s why=%q", l.addr, why))
 	}
 	l.up, l.why, l.input, l.conn, l.in, l.out = false, why, nil, nil, 0, 0
+	l.f.dials.Failed(l.f.loop.Now(), l.number)
+	l.f.dial()
 	l.wait = min(2*l.wait, redialMost)
 	l.again(l.wait/2 + time.Duration(rand.Int64N(int64(l.wait))/2))
 }
--- a/internal/planner/talk_test.go
+++ b/internal/planner/talk_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -255,6 +257,8 @@
 	conn  net.Conn
 	holds []plan.Hold
 	brief []bool
+	nexts []uint64
+	sent  uint64 // changes
 	plan  *plan.Planner
 	now   time.Duration
 	bad   map[string]bool
@@ -293,7 +297,7 @@
 					r.t.Error("a digest without a hold")
 				} else {
 					s.last = m.Digest.Seq
-					s.holds, s.brief = append(s.holds, *m.Hold), append(s.brief, m.Digest.Brief)
+					s.holds, s.brief, s.nexts = append(s.holds, *m.Hold), append(s.brief, m.Digest.Brief), append(s.nexts, m.Next)
 				}
 				s.mu.Unlock()
 			}
@@ -351,6 +355,7 @@
 	if err != nil {
 		s.r.t.Fatal(err)
 	}
+	s.sent++
 	s.raw(frame)
 }
 
@@ -469,6 +474,10 @@
 	if s.brief[0] || !s.brief[len(s.brief)-1] {
 		t.Errorf("brief: %v", s.brief)
 	}
+	// Each digest tells the change that is expected, whatever became of those before: the first is 1.
+	if first, last := s.nexts[0], s.nexts[len(s.nexts)-1]; first != 1 || last != s.sent+1 || !slices.IsSorted(s.nexts) {
+		t.Errorf("%d changes went out, expected were %v", s.sent, s.nexts)
+	}
 }
 
 // Absurd, forged and old messages of a planner: refused with a reason and counted, the connection and what is in force
@@ -715,3 +724,48 @@
 		}
 	})
 }
+
+// Nodes that start open their connections one after the other: as the first planner's state comes to one, the other planner
+// has not heard of it. Where the first address takes no connections, the second is dialled in its place. All stand in the end.
+// Guards against two handshakes of 4 KB, and two whole states, in one second of a node.
+func TestOneConnectionAfterTheOther(t *testing.T) {
+	r := newRig(t, 8)
+	a, b := r.plans("a", "", nil), r.plans("b", "", nil)
+	c := r.crowd()
+	c.load = r.reads(&sync.Map{})
+	var nodes []*node
+	alone, began := 0, map[string]time.Time{}
+	c.took = func(n *node) {
+		// One of which nothing is heard for three seconds keeps the other waiting no longer.
+		if at, is := began[n.name]; !is || n.count > 1 || time.Since(at) >= 3*time.Second {
+			return
+		}
+		alone++
+		if up := strings.Count(n.Status(), " up "); up != 1 {
+			t.Errorf("%s has %d connections as its first state comes", n.name, up)
+		}
+	}
+	for i := range 40 {
+		name := fmt.Sprintf("n%02d", i)
+		c.on(func() { began[name] = time.Now() })
+		nodes = append(nodes, c.join(name, nil, a.Addr(), b.Addr()))
+	}
+	for _, p := range []*running{a, b} {
+		p.eventually("all are heard", func() bool { return p.plan.Followed() == len(nodes) })
+	}
+	c.on(func() {
+		if alone == 0 {
+			t.Error("no node was heard in time: that is no test")
+		}
+		for _, n := range nodes {
+			if n.count == 0 {
+				t.Errorf("%s acts on no view: %s", n.name, n.Status())
+			}
+		}
+	})
+	at := a.Addr()
+	a.end()
+	n := c.join("late", nil, at, b.Addr())
+	b.eventually("it is heard though the other is gone", func() bool { return b.plan.Followed() == len(nodes)+1 })
+	c.eventually("and acts on a view", func() bool { return n.count > 0 })
+}
