A fetch tells the origin what is left to the client, not what it had told at first

Cause: originProtocol.request sent Request-Info as the client had written it, d included. Attempts at caches have told what is left since AppendForward.

Change: the value of d in Request-Info becomes the time that the node waits, as for caches; all else goes on as it came.

Measured: TestAFetchTellsWhatIsLeft and TestOriginRequests fail without the change.

--- a/internal/meta/meta.go
+++ b/internal/meta/meta.go
@@ -237,21 +237,25 @@
 // AppendForward writes a command as it came, but for the value of the field d, which becomes wait. A long value is the
 // caller's to write, and the line end behind it.
 func AppendForward(buf []byte, c *Command, wait int64) []byte {
-	from, to := Field(c.Info, "d")
-	if from < 0 {
-		buf = append(buf, c.Line...)
-	} else {
-		buf = append(buf, c.Line[:c.InfoPos+from]...)
-		buf = strconv.AppendInt(buf, wait, 10)
-		buf = append(buf, c.Line[c.InfoPos+to:]...)
-	}
-	buf = append(buf, "\r\n"...)
+	buf = append(buf, c.Line[:c.InfoPos]...)
+	buf = AppendInfo(buf, c.Info, wait)
+	buf = append(append(buf, c.Line[c.InfoPos+len(c.Info):]...), "\r\n"...)
 	if c.Kind == Set && c.Long == 0 {
 		buf = append(append(buf, c.Value...), "\r\n"...)
 	}
 	return buf
 }
 
+// AppendInfo writes a list of names and values as it came, but for the value of the field d, which becomes wait.
+func AppendInfo(buf, info []byte, wait int64) []byte {
+	from, to := Field(info, "d")
+	if from < 0 {
+		return append(buf, info...)
+	}
+	buf = strconv.AppendInt(append(buf, info[:from]...), wait, 10)
+	return append(buf, info[to:]...)
+}
+
 // Status is what a cache's answer says.
 type Status int
 
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -15,9 +15,12 @@
 
 // request is the client's command as it came, with the node's own wait.
 func (cacheProtocol) request(buf []byte, t *try, wait time.Duration) []byte {
-	return meta.AppendForward(buf, &t.call.command, max(1, wait.Milliseconds()))
+	return meta.AppendForward(buf, &t.call.command, told(wait))
 }
 
+// told is how long the node waits, as an attempt tells it: in whole milliseconds, at least one.
+func told(wait time.Duration) int64 { return max(1, wait.Milliseconds()) }
+
 func (cacheProtocol) behind() string { return "\r\n" }
 
 func (cacheProtocol) answer(data []byte, t *try, _ int, _ bool) (answer, int, error) {
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -324,3 +326,25 @@
 	s.ask("next")
 	s.run("the next is served", func() bool { return s.outcomes(policy.OK) == 3 })
 }
+
+// A fetch begins when a cache has answered, or later: it tells the origin what is left then. Guards against one that tells what the
+// client had at first, and has the origin work for those who have left.
+func TestAFetchTellsWhatIsLeft(t *testing.T) {
+	gate, infos := make(chan struct{}), make(chan string, 1)
+	s := newStage(t, true, func(line string, v []byte) string { <-gate; return lacking(line, v) })
+	s.withOrigin(true, func(w http.ResponseWriter, r *http.Request) {
+		infos <- r.Header.Get("Request-Info")
+		fmt.Fprint(w, "x")
+	})
+	s.ask("1")
+	s.taken(1)
+	first := s.node.calls["1"].tries[0]
+	s.run("some time passes", func() bool { return s.node.loop.Now()-first.at > 300*time.Millisecond })
+	most := (25*time.Second - (s.node.loop.Now() - first.at)).Milliseconds()
+	close(gate)
+	s.run("it is served", func() bool { return s.node.count.ended[served] == 1 })
+	info := <-infos
+	if got, err := strconv.ParseInt(meta.Text([]byte(info), "d"), 10, 64); err != nil || got > most || got <= 0 || !strings.HasPrefix(info, "c=read,d=") {
+		t.Errorf("the origin was told %q, where %d ms were left before the cache had answered", info, most)
+	}
+}
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -16,11 +16,13 @@
 
 func (originProtocol) pipelines() bool { return false }
 
-// request asks for the key or writes it. The list of names and values goes on as it came.
-func (p originProtocol) request(buf []byte, t *try, _ time.Duration) []byte {
+// request asks for the key or writes it. The list of names and values goes on as it came, but for the time that the node waits:
+// a fetch begins when a cache has answered, or later, and what the client had told would have the origin work for one who has
+// left.
+func (p originProtocol) request(buf []byte, t *try, wait time.Duration) []byte {
 	c := &t.call.command
 	target := "/" + url.PathEscape(string(c.Key))
-	headers := []httpc.Header{{Name: "Request-Id", Value: string(c.ID)}, {Name: "Request-Info", Value: string(c.Info)}}
+	headers := []httpc.Header{{Name: "Request-Id", Value: string(c.ID)}, {Name: "Request-Info", Value: string(meta.AppendInfo(nil, c.Info, told(wait)))}}
 	if c.Long > 0 {
 		headers = append(headers, httpc.Header{Name: "Content-Length", Value: strconv.Itoa(c.Long)})
 		return httpc.AppendRequest(buf, "PUT", target, p.host, headers, nil)
--- a/internal/node/protocol_test.go
+++ b/internal/node/protocol_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"lapisshelf/internal/meta"
 	"lapisshelf/policy"
@@ -54,8 +55,8 @@
 
 func TestOriginRequests(t *testing.T) {
 	p := originProtocol{host: "o:1"}
-	got := string(p.request(nil, tryOf(t, "mg a/b?c v O1 Pc=read,d=5\r\n"), 0))
-	if want := "GET /a%2Fb%3Fc HTTP/1.1\r\nHost: o:1\r\nRequest-Id: 1\r\nRequest-Info: c=read,d=5\r\n\r\n"; got != want {
+	got := string(p.request(nil, tryOf(t, "mg a/b?c v O1 Pc=read,d=50,t=x\r\n"), 7*time.Millisecond))
+	if want := "GET /a%2Fb%3Fc HTTP/1.1\r\nHost: o:1\r\nRequest-Id: 1\r\nRequest-Info: c=read,d=7,t=x\r\n\r\n"; got != want {
 		t.Errorf("%q, want %q", got, want)
 	}
 	got = string(p.request(nil, tryOf(t, "ms k 0 O1 Pc=put\r\n\r\n"), 0))
