Scale lab: a zone that starts cold, and what all nodes together are granted then

Grants to cold servers were not measured at the size. New fault zone_cold: the list says that one part in 59 of the servers has just started; granted_most is the sum of the grants in force at all nodes, as part of what a server bears at that moment by the settings (N), bound_most how many nodes are bound. What the settings say of starts is told to planners and nodes alike.

--- a/lab/scale/child.go
+++ b/lab/scale/child.go
@@ -224,6 +224,12 @@
 				}
 				set(m)
 			}
+		case "start":
+			for _, i := range o.Servers {
+				m := member(i)
+				m.Started = common.Log.Now()
+				set(m)
+			}
 		default:
 			r.Error = "unknown order " + o.Do
 		}
--- a/lab/scale/file.go
+++ b/lab/scale/file.go
@@ -32,13 +32,22 @@
 	NodesTenth    = "nodes_tenth"    // a tenth of the nodes restarts
 	NodesAll      = "nodes_all"      // all of them do, at once
 	ZoneLost      = "zone_lost"      // one part in 59 of the servers fails everywhere
+	ZoneCold      = "zone_cold"      // the list says that one part in 59 of the servers has just started
 )
 
 // Faults are all there are.
 func Faults() []string {
-	return []string{PlannerKill, PlannerFreeze, PlannerCut, NodesTenth, NodesAll, ZoneLost}
+	return []string{PlannerKill, PlannerFreeze, PlannerCut, NodesTenth, NodesAll, ZoneLost, ZoneCold}
 }
 
+// What the settings say of servers that have started, to planners and nodes alike.
+const (
+	coldFrom     = 0.2
+	warmUp       = 8 * time.Second
+	fallMultiple = 3
+	fallWindow   = 1500 * time.Millisecond
+)
+
 // Bounds of a run.
 const (
 	mostNodes     = 4000
--- a/lab/scale/hollow.go
+++ b/lab/scale/hollow.go
@@ -54,6 +54,10 @@
 	Digests, Views  int64
 	Led             int // nodes that follow a view that is valid
 	Low             int // factors below 1 in force, of all nodes and servers
+	// Granted is what all nodes together may send a second to cold servers by the views in force, Bound the nodes that such a
+	// grant binds.
+	Granted map[string]float64 `json:",omitempty"`
+	Bound   int
 }
 
 // sample is a process's counters since its start.
@@ -98,8 +102,9 @@
 	ready     []bool
 	factor    []float32
 	low       []int32
-	lived     counters // of forwarders and followers that it had before
-	last      counters // at the last second
+	granted   map[string]float64 // sends a second, by server
+	lived     counters           // of forwarders and followers that it had before
+	last      counters           // at the last second
 	requests  int64
 	attempts  int64
 	stamp     int64 // when the watched change was in force, Unix ns; 0: not yet
@@ -170,9 +175,9 @@
 	for i := range n.factor {
 		n.factor[i] = 1
 	}
-	n.away = len(n.ready)
+	n.away, n.granted = len(n.ready), nil
 	n.balancer = policy.New(now, policy.Settings{Classes: []policy.Class{{Name: "read", Aim: 600 * time.Millisecond, Worth: 1}}, Mode: policy.Aside, OriginKind: originKind,
-		Balancers: h.cfg.Nodes, Weighted: true, MaxAttempts: 4, ColdFrom: 0.2, WarmUp: 8 * time.Second, FallMultiple: 3, FallWindow: 1500 * time.Millisecond},
+		Balancers: h.cfg.Nodes, Weighted: true, MaxAttempts: 4, ColdFrom: coldFrom, WarmUp: warmUp, FallMultiple: fallMultiple, FallWindow: fallWindow},
 		n.rng.Uint64(), noActions{})
 	c := registry.Config{Kind: registry.Kind(h.cfg.Kind), Endpoints: []netip.AddrPort{netip.MustParseAddrPort(h.cfg.List)}, Prefix: listPrefix, MostBody: mostList,
 		// As internal/node has them for a fleet of this size.
@@ -245,8 +250,14 @@
 	for _, i := range n.low {
 		n.factor[i] = 1
 	}
-	n.low = n.low[:0]
+	n.low, n.granted = n.low[:0], nil
 	for _, s := range v.Servers {
+		if s.Allow > 0 {
+			if n.granted == nil {
+				n.granted = map[string]float64{}
+			}
+			n.granted[s.ID] = s.Allow
+		}
 		if s.Factor >= 1 {
 			continue
 		}
@@ -376,6 +387,15 @@
 		s.MostIn, s.MostOut, s.MostBoth = max(s.MostIn, in), max(s.MostOut, out), max(s.MostBoth, in+out)
 		n.last = c
 		s.Low += len(n.low)
+		if len(n.granted) > 0 {
+			s.Bound++
+		}
+		for id, rate := range n.granted {
+			if s.Granted == nil {
+				s.Granted = map[string]float64{}
+			}
+			s.Granted[id] += rate
+		}
 	}
 	if h.seconds = append(h.seconds, s); len(h.seconds) > 600 {
 		h.seconds = h.seconds[1:]
--- a/lab/scale/result.go
+++ b/lab/scale/result.go
@@ -82,6 +82,8 @@
 	{"states_sent", "", byNodes, "whole states that planners sent in that time, in all"},
 	{"states_paced", "", "", "times that one had to wait for its turn"},
 	{"doubts", "", "", "states that nodes said they don't have, though sent"},
+	{"granted_most", "of N", "", "all nodes' grants to a cold server, most at a time, of what it bears then; planners share out half"},
+	{"bound_most", "nodes", "", "that a grant to a cold server binds, most at a time"},
 	{"fault_seconds", "s", "", "from the fault to the end of settling"},
 }
 
--- a/lab/scale/run.go
+++ b/lab/scale/run.go
@@ -243,6 +243,7 @@
 		fmt.Fprintf(&t, "discovery = %q\n", b.listAt)
 	}
 	t.WriteString("[service]\nmode = \"aside\"\norigin_kind = \"origin\"\norigin_falls = true\nweighted = true\n")
+	fmt.Fprintf(&t, "cold_from = %g\nwarm_up = %q\nfall_multiple = %d\nfall_window = %q\n", coldFrom, warmUp, fallMultiple, fallWindow)
 	t.WriteString("[[class]]\nname = \"read\"\naim = \"600ms\"\ndeadline = \"3s\"\n")
 	fmt.Fprintf(&t, "[planner]\nid = %q\nlisten = %q\nevery = %q\nvalid = %q\nlease = \"\"\n", p.id, p.addr, b.f.Planners.Every.D(), b.f.Planners.Valid.D())
 	fmt.Fprintf(&t, "ca_file = %q\ncert_file = %q\nkey_file = %q\nsnapshot = %q\n", filepath.Join(b.keys, "ca.pem"), filepath.Join(b.keys, p.id+".pem"),
@@ -325,6 +326,14 @@
 func (s Second) with(o Second) Second {
 	s.At, s.Nodes, s.In, s.Out, s.Digests, s.Views, s.Led, s.Low = o.At, s.Nodes+o.Nodes, s.In+o.In, s.Out+o.Out, s.Digests+o.Digests, s.Views+o.Views, s.Led+o.Led, s.Low+o.Low
 	s.MostIn, s.MostOut, s.MostBoth = max(s.MostIn, o.MostIn), max(s.MostOut, o.MostOut), max(s.MostBoth, o.MostBoth)
+	s.Bound += o.Bound
+	if len(o.Granted) > 0 {
+		sum := maps.Clone(o.Granted)
+		for id, rate := range s.Granted {
+			sum[id] += rate
+		}
+		s.Granted = sum
+	}
 	return s
 }
 
@@ -721,6 +730,12 @@
 		begin = one(order{Do: "restart", Every: 1})
 	case ZoneLost:
 		begin, end = one(order{Do: "down", Servers: zone, On: true}), one(order{Do: "down", Servers: zone})
+	case ZoneCold:
+		begin = func() error {
+			_, err := b.list.ask(order{Do: "start", Servers: zone})
+			return err
+		}
+		end = func() error { return rest(ctx, warmUp-b.f.Phases.Fault.D()+b.f.List.Delay.D()+time.Second) }
 	default:
 		return fmt.Errorf("unknown fault %q", name)
 	}
@@ -770,6 +785,9 @@
 	b.row(name, "node_fault_bytes", float64(after.BytesIn+after.BytesOut-before.BytesIn-before.BytesOut)/n/1024)
 	b.row(name, "list_fault_bytes", float64(after.ListBytes-before.ListBytes)/n/1024)
 	sec := after.at.Sub(before.at).Seconds()
+	if name == ZoneCold {
+		b.grants(name, since, len(zone), float64(after.Requests-before.Requests)/sec)
+	}
 	b.row(name, "fault_seconds", sec)
 	b.row(name, "node_cpu", 100*((after.CPU-before.CPU).Seconds()/sec-b.rest.cpu)/n)
 	cpu := 0.0
@@ -792,6 +810,23 @@
 	return nil
 }
 
+// grants tells what all nodes together were granted to servers that started then, at so many requests a second: as part of what
+// the rule lets a server bear at that moment (N), of which the planners share out half.
+func (b *bench) grants(phase string, since time.Time, cold int, requests float64) {
+	most, bound := 0.0, 0
+	for _, s := range b.between(since, time.Now()) {
+		bound = max(bound, s.Bound)
+		age := time.Unix(s.At+1, 0).Sub(since)
+		warm := coldFrom + (1-coldFrom)*min(1, max(0, age.Seconds()/warmUp.Seconds()))
+		budget := fallMultiple * requests * (1 - b.f.Load.Bad) * warm / (float64(b.size.Servers-cold) + float64(cold)*warm)
+		for _, rate := range s.Granted {
+			most = max(most, rate/budget)
+		}
+	}
+	b.row(phase, "granted_most", most)
+	b.row(phase, "bound_most", float64(bound))
+}
+
 // finish tells what stands at the end.
 func (b *bench) finish() error {
 	s, err := b.look(false)
--- a/lab/scale/scale_test.go
+++ b/lab/scale/scale_test.go
@@ -636,3 +636,23 @@
 		p.kill()
 	}
 }
+
+// Servers that start are granted to nodes by both planners: every node is bound, and all together stay within what a server
+// bears. Guards against a phase that measures no grants.
+func TestGrantsToAZoneThatStarts(t *testing.T) {
+	b := startBench(t, small(t, ""))
+	if err := b.fault(t.Context(), ZoneCold); err != nil {
+		t.Fatal(err)
+	}
+	value := func(measure string) float64 { return b.result.Value(b.size, b.variant.Name, ZoneCold, measure) }
+	if got := value("bound_most"); got != float64(b.size.Nodes) {
+		t.Errorf("%v of %d nodes are bound", got, b.size.Nodes)
+	}
+	if got := value("granted_most"); !(got > 0 && got <= 1) {
+		t.Errorf("granted %v of what a server bears", got)
+	}
+	b.wait(t, "nobody is bound any more", func(s *snapshot) bool {
+		last := b.between(time.Now().Add(-3*time.Second), time.Now())
+		return len(last) > 0 && last[len(last)-1].Bound == 0
+	})
+}
