Failing tests: wall clocks of other processes and machines decide order and warmth

Seen: an operator's ban taken over from a process whose clock was an hour ahead cannot be lifted; a process that starts after a step back counts as the elder; a server that joins while the list is watched, its start told by a clock an hour behind, is warm at once. Ruled out: the monotonic part of the event clock, which holds within a process.

--- /dev/null
+++ b/policy/clock_test.go
@@ -0,0 +1,60 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// skews are how far another machine's or process's wall clock may be from the one of the process under test.
+var skews = []time.Duration{-time.Hour, -5 * time.Second, 0, 5 * time.Second, time.Hour}
+
+// An operator's call holds whatever the clock of the process said that took the one before it.
+func TestAnOverrideOfAnotherClockCanBeReplaced(t *testing.T) {
+	for _, skew := range skews {
+		w := start(t, settings(), 4)
+		w.now += 2 * time.Hour
+		said := w.now + skew
+		w.b.Hand(w.now, Hand{ID: "c01", Banned: true, At: said, Since: said})
+		if !w.b.servers["c01"].banned {
+			t.Fatalf("skew %v: the ban taken over does not hold", skew)
+		}
+		w.now += time.Second
+		w.b.Ban(w.now, "c01", false)
+		if s := w.b.servers["c01"]; s.banned || w.b.warmth(s) != w.b.set.ColdFrom {
+			t.Errorf("skew %v: after the call back banned %t, warmth %v", skew, s.banned, w.b.warmth(s))
+		}
+		w.b.Ban(w.now, "c01", true)
+		if !w.b.servers["c01"].banned {
+			t.Errorf("skew %v: banned again, it is open", skew)
+		}
+	}
+}
+
+// A server that joins or starts anew while the list is watched is cold from then on, and warm after its warm-up, whatever
+// the clock says by which the list tells its start.
+func TestAStartSeenWhileWatchedGoesByTheOwnClock(t *testing.T) {
+	for _, skew := range skews {
+		for _, id := range []string{"c01", "new"} {
+			w := start(t, settings(), 4)
+			w.b.Members(w.now, ListChanges, nil) // from here on the list is watched
+			w.now += time.Minute
+			e := Server{ID: id, Zone: "z1", Cell: 1, Weight: 1, Started: w.now + skew}
+			w.b.Members(w.now, ListChanges, []Server{e})
+			s := w.b.servers[id]
+			if got := w.b.warmth(s); got != w.b.set.ColdFrom {
+				t.Errorf("%s, skew %v: warmth %v as it starts", id, skew, got)
+			}
+			w.now += w.b.set.WarmUp / 2
+			e.Weight = 2 // other news of it is no start
+			w.b.Members(w.now, ListChanges, []Server{e})
+			if got := w.b.warmth(s); got <= w.b.set.ColdFrom || got >= 1 {
+				t.Errorf("%s, skew %v: warmth %v half way", id, skew, got)
+			}
+			w.now += w.b.set.WarmUp
+			w.b.Members(w.now, ListChanges, nil)
+			if got := w.b.warmth(s); got != 1 {
+				t.Errorf("%s, skew %v: warmth %v after the warm-up", id, skew, got)
+			}
+		}
+	}
+}
