Starts and operators' overrides go by what this process saw, not by others' clocks

Cause: policy.Balancer.Hand ordered words by the wall clock of the process that took them, and two words of one moment as none; warmth took the start that the list tells as a time of its own clock; lifted words were forgotten by age, after which the ban of a stopped process came back. Ruled out: the event clock, which never steps within a process. Change: a word's At is a version that each word raises (policy/override.go); Since and Back are set as a word is heard; a start seen while the list is watched counts from then, one from the first list is no later than that list, and a server that returns with the start it had is no start (policy/start.go); lifted words are bounded by number. Replaced as strictly: that lifted words vanish by age, by a bound on their number; that a lift counts from another process's time, by that it counts as heard.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -55,11 +55,21 @@
 // follow begins to follow the list, from the one known before.
 func (n *Node) follow() {
 	n.registry = registry.New(n.loop, n.cfg.followed(), n.cfg.Seed, n.told, n.listNote)
-	n.registry.Heard = n.nowReady
+	n.registry.Heard = n.listHeard
 	n.registry.Start(n.cfg.Known.Revision, n.cfg.Known.Entries)
 	n.loop.After(readyWithin, n.nowReady)
 }
 
+// listHeard notes an answer about the list. The first one, though it may tell of no change, begins the time in which the
+// module takes each new start for one that it has seen.
+func (n *Node) listHeard() {
+	if !n.watched {
+		n.watched = true
+		n.guard("members", func() { n.policy.Members(n.loop.Now(), policy.ListChanges, nil) })
+	}
+	n.nowReady()
+}
+
 // nowReady lets clients in; a node without any list goes on waiting for one.
 func (n *Node) nowReady() {
 	if !n.ready && len(n.pools) > 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,7 @@
 	shedding   bool
 	count      counters
 	ready      bool
+	watched    bool // an answer about the list has come
 	leaving    bool
 	lame       bool          // drained by an operator
 	lameAt     time.Duration // when that, or its end, was said
--- a/policy/api.go
+++ b/policy/api.go
@@ -113,15 +113,15 @@
 	Cell    int
 	State   State
 	Weight  float64       // listed weight; negative when none is listed
-	Started time.Duration // last start on the event clock; 0 for long ago
+	Started time.Duration // last start by the wall clock of whoever tells the list, in Unix time; 0 for long ago
 }
 
 // Hand is the last word said of a server by hand.
 type Hand struct {
 	ID          string
 	Banned      bool
-	At          time.Duration // when it was said
-	Since, Back time.Duration // of the last ban: when it began, when it was lifted; 0: there was none, or it stands
+	At          time.Duration // its version: higher than that of the word before it, whoever took that; near to when it was said
+	Since, Back time.Duration // of the last ban, on the clock of the process that tells it: when it began, when it was lifted; 0: there was none, or it stands
 }
 
 // ListKind says how a Members event relates to the list held before.
--- a/policy/clock_test.go
+++ b/policy/clock_test.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// A server called back by another process of the node is cold from then on for one warm-up, whatever that one's clock says.
+func TestACallBackOfAnotherClockMakesCold(t *testing.T) {
+	for _, skew := range skews {
+		w := start(t, settings(), 4)
+		w.now += 2 * time.Hour
+		said := w.now + skew
+		w.b.Hand(w.now, Hand{ID: "c01", At: said, Since: said - time.Second, Back: said})
+		s := w.b.servers["c01"]
+		if got := w.b.warmth(s); got != w.b.set.ColdFrom {
+			t.Errorf("skew %v: warmth %v at the call back", skew, got)
+		}
+		w.now += w.b.set.WarmUp + time.Second
+		w.b.Members(w.now, ListChanges, nil)
+		if got := w.b.warmth(s); got != 1 {
+			t.Errorf("skew %v: warmth %v after the warm-up", skew, got)
+		}
+	}
+}
+
 // A server that joins or starts anew while the list is watched is cold from then on, and warm after its warm-up, whatever
 // the clock says by which the list tells its start.
 func TestAStartSeenWhileWatchedGoesByTheOwnClock(t *testing.T) {
@@ -58,3 +77,23 @@
 		}
 	}
 }
+
+// A start that the first list tells is not later than that list, and one that left and returns unchanged is no start.
+func TestAStartNotSeenIsBoundedByTheFirstList(t *testing.T) {
+	w := start(t, settings(), 4)
+	e := Server{ID: "c01", Zone: "z1", Cell: 1, Weight: 1, Started: w.now + time.Hour}
+	w.b.Members(w.now, ListChanges, []Server{e})
+	w.now += w.b.set.WarmUp + time.Second
+	w.b.Members(w.now, ListChanges, nil)
+	if got := w.b.warmth(w.b.servers["c01"]); got != 1 {
+		t.Errorf("warmth %v after the warm-up of a start an hour ahead", got)
+	}
+	gone := e
+	gone.State = Gone
+	w.b.Members(w.now, ListChanges, []Server{gone})
+	w.now += time.Second
+	w.b.Members(w.now, ListChanges, []Server{e})
+	if got := w.b.warmth(w.b.servers["c01"]); got != 1 {
+		t.Errorf("warmth %v after it left the list and returned with the same start", got)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -63,37 +63,6 @@
 	b.regate()
 }
 
-// Ban has a server get nothing more, whatever the list says of it, until the ban is lifted.
-func (b *Balancer) Ban(now time.Duration, id string, on bool) {
-	h := b.hands[id]
-	if on {
-		h.Since = now
-	} else if h.Banned {
-		h.Back = now
-	}
-	b.Hand(now, Hand{ID: id, Banned: on, At: now, Since: h.Since, Back: h.Back})
-}
-
-// Hand takes what was said of a server by hand, to this process of the node or to another: the latest word
-// holds. Whoever lifts a ban vouches for the server: what was held against it is void. It counts as started
-// then, unless the list tells of a start since the ban: it was banned to be restarted, and the list is late.
-func (b *Balancer) Hand(now time.Duration, h Hand) {
-	b.now = now
-	s, was := b.servers[h.ID], b.hands[h.ID]
-	if h.At <= was.At {
-		return
-	}
-	if was.Banned && !h.Banned && h.Back < was.Since { // who lifted it did not know of it yet
-		h.Since, h.Back = was.Since, h.At
-	}
-	b.hands[h.ID] = h
-	if s != nil && !h.Banned {
-		s.fails, s.skipUntil, s.late, s.limit, s.strained = 0, 0, fading{}, max(s.limit, firstLimit), false
-	}
-	b.reindex()
-	b.regate()
-}
-
 // Drains notes that a server drains, as another process of the node knows by a newer list than this one has.
 func (b *Balancer) Drains(now time.Duration, id string) {
 	b.now = now
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,7 +6,6 @@
 	"cmp"
 	"hash"
 	"hash/fnv"
-	"maps"
 	"math"
 	"math/rand"
 	"slices"
@@ -19,7 +18,8 @@
 type server struct {
 	Server
 	banned    bool          // by hand
-	started   time.Duration // as the list says, or when a ban was lifted
+	begun     time.Duration // its start as it counts here, see begunAt
+	started   time.Duration // that, or when a ban was lifted since
 	weight    float64       // listed, or the mean where none is listed, times the factor of the view
 	allow     float64       // sends a second that the view leaves to this node; 0: no limit
 	score     float64       // of the ranking being made
@@ -96,28 +96,31 @@
 	classes map[string]*Class
 	servers map[string]*server
 	hands   map[string]Hand // by id, listed or not
-	caches  []*server       // ready, by id
-	weights float64         // the sum of their weights as ranked last
-	steady  float64         // and of those that are warm
-	origin  *server
-	open    map[string]*request
-	order   []*request     // open requests by arrival
-	keyed   map[string]int // open requests by key
-	fetches map[string]*fetch
-	hash    hash.Hash
-	scratch []byte
-	ranked  []*server
-	recent  recent  // keys asked for last
-	asked   fading  // requests for caches taken lately
-	answers fading  // reads answered lately
-	chilly  fading  // those of them by cold caches
-	past    fading  // and by the origin, with no miss before
-	lost    fading  // attempts at caches that timed out lately
-	out     int     // attempts out at caches
-	late    float64 // quantile lateQuant of answer times, ns
-	usual   float64 // mean of answer times, ns
-	askWait time.Duration
-	within  time.Duration // longest spell without asking for the list
+
+	watched  bool // the list has been told since the start: what changes from now on changes as it is told
+	departed departed
+	caches   []*server // ready, by id
+	weights  float64   // the sum of their weights as ranked last
+	steady   float64   // and of those that are warm
+	origin   *server
+	open     map[string]*request
+	order    []*request     // open requests by arrival
+	keyed    map[string]int // open requests by key
+	fetches  map[string]*fetch
+	hash     hash.Hash
+	scratch  []byte
+	ranked   []*server
+	recent   recent  // keys asked for last
+	asked    fading  // requests for caches taken lately
+	answers  fading  // reads answered lately
+	chilly   fading  // those of them by cold caches
+	past     fading  // and by the origin, with no miss before
+	lost     fading  // attempts at caches that timed out lately
+	out      int     // attempts out at caches
+	late     float64 // quantile lateQuant of answer times, ns
+	usual    float64 // mean of answer times, ns
+	askWait  time.Duration
+	within   time.Duration // longest spell without asking for the list
 
 	shortest time.Duration       // of the classes' aims
 	period   time.Duration       // between looks at what is open
@@ -243,11 +246,6 @@
 	return listed, avoided
 }
 
-// Hands gives what was said by hand and still counts, by id.
-func (b *Balancer) Hands() []Hand {
-	return slices.SortedFunc(maps.Values(b.hands), func(x, y Hand) int { return strings.Compare(x.ID, y.ID) })
-}
-
 // forget takes a request that has ended off all that holds it.
 func (b *Balancer) forget(r *request) {
 	if b.keyed[r.Key]--; b.keyed[r.Key] == 0 {
@@ -455,14 +453,14 @@
 	for _, e := range list {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{limit: firstLimit}
+			s = &server{limit: firstLimit, begun: b.begunAt(e)}
 			b.servers[e.ID] = s
-		}
-		if e.Started != s.Started { // a restart: what was learned of the old process is void
-			s.fails, s.skipUntil = 0, 0
+		} else if e.Started != s.Started { // a restart: what was learned of the old process is void
+			s.fails, s.skipUntil, s.begun = 0, 0, b.begunAt(e)
 		}
 		s.Server = e
 	}
+	b.watched = b.watched || kind == ListChanges || kind == ListWhole
 	b.reindex()
 }
 
@@ -471,19 +469,13 @@
 func (b *Balancer) reindex() {
 	b.caches = b.caches[:0]
 	b.origin = nil
-	for id, h := range b.hands {
-		if !h.Banned && b.now-h.At > b.set.WarmUp {
-			delete(b.hands, id) // nothing is to be known of it any more
-		}
-	}
 	listed, sum := 0, 0.0
 	for _, s := range b.servers {
 		h := b.hands[s.ID]
-		if s.banned, s.started = h.Banned, s.Started; s.Started <= h.Since {
-			s.started = max(s.Started, h.Back)
-		}
+		s.banned, s.started = h.Banned, h.startedAt(s)
 		switch {
 		case s.State == Gone && len(s.sent) == 0 && len(s.queue) == 0:
+			b.departed.add(s.ID, startTime{told: s.Started, begun: s.begun})
 			delete(b.servers, s.ID) // a fleet that changes for days must not fill the memory
 		case !s.open():
 		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
