--- a/floors_test.go
+++ b/floors_test.go
@@ -19,7 +19,7 @@
 	"internal/settings": 3, "internal/simwire": 3, "internal/planwire": 3, "internal/forwarder": 3, "internal/planner": 3, "internal/keys": 3,
 	"internal/migrate": 3,
 	"policy":           2, "decide/": 2,
-	"internal/loop": 1, "internal/meta": 1, "internal/httpc": 1, "internal/tomlfile": 1,
+	"internal/system": 1, "internal/loop": 1, "internal/meta": 1, "internal/httpc": 1, "internal/tomlfile": 1,
 }
 
 func floor(path string) int {
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lapisshelf/internal/system"
 )
 
 // mostPassed is how many bytes are passed over of a connection that only waits for the other end to finish.
@@ -59,12 +61,12 @@
 // Dial begins a connection; its outcome is told by Up or End. An error means that nothing was begun.
 func (l *Loop) Dial(addr netip.AddrPort, h Handler) (*Conn, error) {
 	family, to := sockaddr(addr)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := system.Socket(family)
 	if err != nil {
 		return nil, err
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-	if err := unix.Connect(fd, to); err != nil && !errors.Is(err, unix.EINPROGRESS) {
+	if err := system.Connect(fd, to); err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd)
 		return nil, err
 	}
@@ -161,7 +163,7 @@
 // send writes what the system takes.
 func send(fd int, data []byte) (sent int, err error) {
 	for sent < len(data) {
-		n, err := unix.SendmsgN(fd, data[sent:], nil, nil, unix.MSG_NOSIGNAL)
+		n, err := system.Send(fd, data[sent:])
 		switch {
 		case errors.Is(err, unix.EAGAIN):
 			return sent, nil
@@ -224,7 +226,7 @@
 		return true
 	}
 	var b [1]byte
-	_, _, err := unix.Recvfrom(c.source.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	_, err := system.Peek(c.source.fd, b[:])
 	return !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
 }
 
@@ -330,7 +332,7 @@
 }
 
 func (c *Conn) read() {
-	n, _, err := unix.Recvfrom(c.source.fd, c.loop.buffer, unix.MSG_DONTWAIT)
+	n, err := system.Receive(c.source.fd, c.loop.buffer)
 	switch {
 	case errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR):
 	case err != nil:
@@ -411,7 +413,7 @@
 
 func (l *Loop) listen(addr netip.AddrPort, accept func(fd int), shared bool) (*Listener, error) {
 	family, at := sockaddr(addr)
-	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := system.Socket(family)
 	if err != nil {
 		return nil, err
 	}
@@ -442,7 +444,7 @@
 		if ln.closed || ln.source.events == 0 {
 			return
 		}
-		fd, _, err := unix.Accept4(ln.source.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := system.Accept(ln.source.fd)
 		switch {
 		case err == nil:
 			ln.accept(fd)
@@ -463,7 +465,7 @@
 // drainQueue takes all that waits, whether accepting rests or not: what the system has accepted would be reset.
 func (ln *Listener) drainQueue() {
 	for range mostQueue {
-		fd, _, err := unix.Accept4(ln.source.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, err := system.Accept(ln.source.fd)
 		if err != nil {
 			if errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED) {
 				continue
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"lapisshelf/internal/system"
 )
 
 const (
@@ -34,7 +36,8 @@
 // Loop owns the epoll descriptor, the timers and the one read buffer.
 type Loop struct {
 	epoll   int
-	wake    int // an eventfd, for Post
+	wake    int           // an eventfd, for Post
+	epoch   time.Duration // Unix time at the start, by the wall clock, which is not asked again
 	start   time.Time
 	sources map[int32]*source
 	serial  int32
@@ -83,7 +86,7 @@
 		unix.Close(epoll)
 		return nil, err
 	}
-	l := &Loop{epoll: epoll, wake: wake, start: time.Now(), sources: map[int32]*source{},
+	l := &Loop{epoll: epoll, wake: wake, epoch: system.Wall(), start: time.Now(), sources: map[int32]*source{},
 		posts: make(chan func(), 16), buffer: make([]byte, readSize)}
 	if _, err := l.watch(wake, unix.EPOLLIN, func(uint32) { l.posted() }); err != nil {
 		unix.Close(wake)
@@ -96,7 +99,7 @@
 // Now is the event clock: Unix time at the loop's start, going on with the monotonic clock, so that it never jumps
 // and the server list's Unix times stand on it as they are.
 func (l *Loop) Now() time.Duration {
-	return time.Duration(l.start.UnixNano()) + time.Since(l.start)
+	return l.epoch + time.Since(l.start)
 }
 
 // Open is the number of sockets held.
@@ -157,7 +160,7 @@
 // look asks epoll what has come, waiting so many milliseconds at most, and notes who has left.
 func (l *Loop) look(events []unix.EpollEvent, patience int) ([]unix.EpollEvent, error) {
 	began := l.Now()
-	n, err := unix.EpollWait(l.epoll, events, patience)
+	n, err := system.EpollWait(l.epoll, events, patience)
 	if err != nil {
 		return nil, err
 	}
@@ -219,7 +222,7 @@
 	l.serial++
 	s := &source{fd: fd, serial: l.serial, events: events, ready: ready}
 	e := unix.EpollEvent{Events: events, Fd: int32(fd), Pad: s.serial}
-	if err := unix.EpollCtl(l.epoll, unix.EPOLL_CTL_ADD, fd, &e); err != nil {
+	if err := system.EpollAdd(l.epoll, fd, &e); err != nil {
 		return nil, err
 	}
 	l.sources[int32(fd)] = s
@@ -259,7 +262,7 @@
 	}
 	s.events = events
 	e := unix.EpollEvent{Events: events, Fd: int32(s.fd), Pad: s.serial}
-	unix.EpollCtl(l.epoll, unix.EPOLL_CTL_MOD, s.fd, &e) // fails only for a descriptor that is not watched
+	system.EpollMod(l.epoll, s.fd, &e) // fails only for a descriptor that is not watched
 }
 
 // release stops watching a descriptor and closes it.
--- /dev/null
+++ b/internal/system/faults.go
@@ -0,0 +1,164 @@
+//go:build faults
+
+package system
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Faulty reports whether this build can make system calls fail.
+const Faulty = true
+
+// Variable names the environment variable with a process's plan, see Parse.
+const Variable = "LAPISSHELF_FAULTS"
+
+// documented are the errors that a call is made to fail with, each of which its manual page names.
+var documented = map[Call][]unix.Errno{
+	CallSocket:    {unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM},
+	CallConnect:   {unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.EINTR, unix.ETIMEDOUT},
+	CallAccept:    {unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR, unix.EPROTO},
+	CallEpollWait: {unix.EINTR},
+	CallEpollAdd:  {unix.ENOMEM, unix.ENOSPC},
+	CallEpollMod:  {unix.ENOMEM},
+	CallSend:      {unix.EINTR, unix.ENOBUFS, unix.ENOMEM, unix.ETIMEDOUT, unix.EHOSTUNREACH},
+	CallReceive:   {unix.EINTR, unix.ENOMEM, unix.ETIMEDOUT, unix.EHOSTUNREACH},
+	CallPeek:      {unix.EINTR, unix.ENOMEM},
+	CallOpen:      {unix.ENOSPC, unix.EIO, unix.ENFILE},
+	CallRead:      {unix.EIO, unix.ENFILE},
+	CallWrite:     {unix.ENOSPC, unix.EIO},
+	CallSync:      {unix.ENOSPC, unix.EIO},
+	CallRename:    {unix.ENOSPC, unix.EIO},
+}
+
+// Plan says which calls fail, how often and when.
+type Plan struct {
+	Seed  uint64
+	Rate  float64       // the part of the calls that fail while failures last, 0 to 1
+	After time.Duration // when they begin, from the process's start
+	Every time.Duration // and begin again; 0: never
+	For   time.Duration // how long they last each time
+	Skew  time.Duration // of the wall clock
+	Calls map[Call]bool
+}
+
+// Parse reads a plan: name=value pairs between commas, seed, rate, after, every, for, skew, and calls with names between plus
+// signs. An unknown name, call or value is an error.
+func Parse(text string) (Plan, error) {
+	p := Plan{Rate: 1, Calls: map[Call]bool{}}
+	for _, pair := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		var err error
+		switch name {
+		case "seed":
+			p.Seed, err = strconv.ParseUint(value, 10, 64)
+		case "rate":
+			p.Rate, err = strconv.ParseFloat(value, 64)
+		case "after":
+			p.After, err = time.ParseDuration(value)
+		case "every":
+			p.Every, err = time.ParseDuration(value)
+		case "for":
+			p.For, err = time.ParseDuration(value)
+		case "skew":
+			p.Skew, err = time.ParseDuration(value)
+		case "calls":
+			for _, c := range strings.Split(value, "+") {
+				if documented[Call(c)] == nil {
+					return p, fmt.Errorf("%s: no call %q", Variable, c)
+				}
+				p.Calls[Call(c)] = true
+			}
+		default:
+			return p, fmt.Errorf("%s: no setting %q", Variable, name)
+		}
+		if err != nil {
+			return p, fmt.Errorf("%s: %s: %w", Variable, name, err)
+		}
+	}
+	return p, nil
+}
+
+// active reports whether failures last so long after the start.
+func (p *Plan) active(since time.Duration) bool {
+	since -= p.After
+	if since < 0 {
+		return false
+	}
+	if p.Every > 0 {
+		since %= p.Every
+	}
+	return since < p.For
+}
+
+var injector = struct {
+	sync.Mutex
+	plan  Plan
+	rng   *rand.Rand
+	start time.Time
+	hook  func(Call) error
+	shut  func(Call, int) int
+}{start: time.Now()}
+
+func init() {
+	text := os.Getenv(Variable)
+	if text == "" {
+		return
+	}
+	plan, err := Parse(text)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	injector.plan, injector.rng = plan, rand.New(rand.NewPCG(plan.Seed, 0x66617573))
+}
+
+// Inject has calls fail as fail says, and none for a nil one, in place of the process's plan.
+func Inject(fail func(Call) error) {
+	injector.Lock()
+	defer injector.Unlock()
+	injector.hook = fail
+}
+
+// Shorten has Send and Receive take so many bytes at most as cut says; a nil one: all.
+func Shorten(cut func(Call, int) int) {
+	injector.Lock()
+	defer injector.Unlock()
+	injector.shut = cut
+}
+
+func failure(c Call) error {
+	injector.Lock()
+	defer injector.Unlock()
+	if injector.hook != nil {
+		return injector.hook(c)
+	}
+	p := &injector.plan
+	if !p.Calls[c] || !p.active(time.Since(injector.start)) || injector.rng.Float64() >= p.Rate {
+		return nil
+	}
+	list := documented[c]
+	return list[injector.rng.IntN(len(list))]
+}
+
+func limit(c Call, length int) int {
+	injector.Lock()
+	defer injector.Unlock()
+	if injector.shut != nil {
+		return min(length, max(1, injector.shut(c, length)))
+	}
+	p := &injector.plan
+	if length < 2 || !p.Calls[c] || !p.active(time.Since(injector.start)) || injector.rng.Float64() >= p.Rate {
+		return length
+	}
+	return 1 + injector.rng.IntN(length)
+}
+
+func skew() time.Duration { return injector.plan.Skew }
