--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -507,3 +507,6 @@
 	ln.closed = true
 	ln.loop.release(ln.source)
 }
+
+// Closed reports whether the listener has been given back; a nil one has.
+func (ln *Listener) Closed() bool { return ln == nil || ln.closed }
