--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -20,6 +20,13 @@
 	// lookAgain is how old what epoll has told may be when something is done upon it. Guards against acting for one who
 	// has left while this process stood still or was busy.
 	lookAgain = 20 * time.Millisecond
+	// startTries is how often a loop is made at a start that finds the system short of something, startGap the time between.
+	startTries = 20
+	startGap   = 50 * time.Millisecond
+	// mostInterrupted is how often a call that does not wait is made again when it is interrupted.
+	mostInterrupted = 100
+	// watchAgain is how long after epoll had no memory for something it is asked again.
+	watchAgain = 10 * time.Millisecond
 	// ended is what epoll tells of a connection whose other end has finished or reset it.
 	ended = unix.EPOLLRDHUP | unix.EPOLLHUP | unix.EPOLLERR
 )
@@ -60,6 +67,8 @@
 	serial int32
 	events uint32
 	urgent bool // its events come first in each turn
+	added  bool // epoll knows of it
+	again  bool // what epoll had no memory for will be tried again
 	leaves bool // once the other end has finished it has left, see Conn.HeedEnd
 	left   bool // it has
 	ready  func(events uint32)
@@ -75,8 +84,18 @@
 	return others
 }
 
-// New returns a loop that watches nothing yet.
-func New() (*Loop, error) {
+// New returns a loop that watches nothing yet. Where the system is short of descriptors or memory it is tried again for a second.
+func New() (l *Loop, err error) {
+	for range startTries {
+		if l, err = open(); !Momentary(err) {
+			break
+		}
+		time.Sleep(startGap)
+	}
+	return l, err
+}
+
+func open() (*Loop, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
 		return nil, err
@@ -161,6 +180,10 @@
 func (l *Loop) look(events []unix.EpollEvent, patience int) ([]unix.EpollEvent, error) {
 	began := l.Now()
 	n, err := system.EpollWait(l.epoll, events, patience)
+	for tries := 0; patience == 0 && errors.Is(err, unix.EINTR) && tries < mostInterrupted; tries++ {
+		// Guards against a look that counts as one that told nothing: an attempt would begin for a client that has left.
+		n, err = system.EpollWait(l.epoll, events, patience)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -221,14 +244,49 @@
 func (l *Loop) watch(fd int, events uint32, ready func(uint32)) (*source, error) {
 	l.serial++
 	s := &source{fd: fd, serial: l.serial, events: events, ready: ready}
-	e := unix.EpollEvent{Events: events, Fd: int32(fd), Pad: s.serial}
-	if err := system.EpollAdd(l.epoll, fd, &e); err != nil {
+	if err := l.tell(s); err != nil {
 		return nil, err
 	}
 	l.sources[int32(fd)] = s
 	return s, nil
 }
 
+// tell has epoll watch a source for what it waits for. Where the system has no memory for that it is tried again a moment
+// later: guards against a connection that is reset over a request, or never heard of again.
+func (l *Loop) tell(s *source) error {
+	e := unix.EpollEvent{Events: s.events, Fd: int32(s.fd), Pad: s.serial}
+	var err error
+	if s.added {
+		err = system.EpollMod(l.epoll, s.fd, &e)
+	} else {
+		err = system.EpollAdd(l.epoll, s.fd, &e)
+	}
+	if !Momentary(err) {
+		s.added = s.added || err == nil
+		return err
+	}
+	if !s.again {
+		s.again = true
+		l.After(watchAgain, func() {
+			s.again = false
+			if l.sources[int32(s.fd)] == s {
+				l.tell(s)
+			}
+		})
+	}
+	return nil
+}
+
+// Momentary reports whether an error of a system call tells of a shortage that passes by itself.
+func Momentary(err error) bool {
+	for _, shortage := range []unix.Errno{unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC} {
+		if errors.Is(err, shortage) {
+			return true
+		}
+	}
+	return false
+}
+
 // File is a descriptor that is no connection and is watched for what can be read from it.
 type File struct {
 	loop   *Loop
@@ -261,8 +319,7 @@
 		return
 	}
 	s.events = events
-	e := unix.EpollEvent{Events: events, Fd: int32(s.fd), Pad: s.serial}
-	system.EpollMod(l.epoll, s.fd, &e) // fails only for a descriptor that is not watched
+	l.tell(s) // fails, but for want of memory, only for a descriptor that is not watched
 }
 
 // release stops watching a descriptor and closes it.
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -95,9 +95,17 @@
 
 // listen opens the node's address.
 func (s *clients) listen() error {
-	var err error
-	for range listenTries { // the process that had the address before may still be going
-		if s.listener, err = s.node.loop.Listen(s.node.cfg.Listen, s.accept); !errors.Is(err, syscall.EADDRINUSE) {
+	return persist(func() (err error) {
+		s.listener, err = s.node.loop.Listen(s.node.cfg.Listen, s.accept)
+		return err
+	})
+}
+
+// persist tries to listen, again while the process that had the address before may still be going, or the system is short of
+// descriptors or memory.
+func persist(listen func() error) (err error) {
+	for range listenTries {
+		if err = listen(); !errors.Is(err, syscall.EADDRINUSE) && !loop.Momentary(err) {
 			break
 		}
 		time.Sleep(listenGap)
@@ -313,7 +321,7 @@
 			c.finish()
 		}
 	}
-	if n.leaving && len(s.all) == 0 {
+	if n.leaving && len(s.all) == 0 && (s.listener.Closed() || n.loop.Now() >= n.lastAnswer) {
 		n.loop.After(lingerFor/4, n.loop.Stop)
 		return
 	}
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -212,6 +212,7 @@
 		filler := 32 << 20 // more than the system takes
 		l.conn.Write(append(make([]byte, filler-1), '\n'))
 		second, third := b.waiting("2"), b.waiting("3")
+		third.stuck.Stop() // which TestWhatWaitsBehindOthersBytesIsTakenBack is about
 		b.node.abandon(second.call)
 		b.run("it is taken back", func() bool { return second.done })
 		if !second.done || b.outcomes(policy.Moot) != 1 || third.done || len(l.tries) != 2 {
@@ -246,6 +247,22 @@
 	}
 }
 
+// Guards against an attempt that is written long after it was queued, with the time that it told then: behind bytes that a
+// server does not read it is taken back, as one that never ran, and what has begun to go out stays.
+func TestWhatWaitsBehindOthersBytesIsTakenBack(t *testing.T) {
+	b := newBench(t)
+	b.send("1")
+	b.run("it stands", func() bool { return b.pool.links[0].up })
+	b.node.links = b.node.linkMost() // what follows shares the connection
+	l := b.pool.links[0]
+	l.conn.Write(make([]byte, 32<<20)) // more than the system takes
+	behind := b.waiting("2")
+	b.run("it is taken back", func() bool { return behind.done })
+	if b.outcomes(policy.ConnectFailed) != 1 || len(l.tries) != 1 || l.gone {
+		t.Errorf("%v, %d on the connection, gone %t", b.node.count.outcomes, len(l.tries), l.gone)
+	}
+}
+
 // Guards against a request that is sent on when it has been answered as failed at its last moment, on a connection that
 // comes up later, where attempts may not be called off.
 func TestNothingIsSentBehindTheLastCall(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,6 +115,7 @@
 	whole bool          // it has been written whole
 	timer *loop.Timer
 	late  *loop.Timer // when it may not go out any more
+	stuck *loop.Timer // when it is taken back if no byte of it has gone out
 	done  bool
 }
 
@@ -326,6 +327,7 @@
 	t.done = true
 	t.timer.Stop()
 	t.late.Stop()
+	t.stuck.Stop()
 	c := t.call
 	c.open--
 	n.count.outcome(a.outcome)
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -25,8 +25,7 @@
 	if !n.cfg.Control.IsValid() {
 		return nil
 	}
-	var err error
-	n.control, err = control.Listen(n.loop, n.cfg.Control, []control.Route{
+	routes := []control.Route{
 		{Method: "GET", Path: "/_ready", Do: func(string) control.Reply { return n.readiness() }},
 		{Method: "GET", Path: "/_vars", Do: func(string) control.Reply { return n.vars() }},
 		{Method: "GET", Path: "/_view", Do: func(string) control.Reply { return n.view() }},
@@ -34,6 +33,10 @@
 		{Method: "POST", Path: "/_cache-servers/attach/", Do: func(id string) control.Reply { return n.ban(id, false) }},
 		{Method: "POST", Path: "/_lameduck/on", Do: func(string) control.Reply { return n.lameduck(true) }},
 		{Method: "POST", Path: "/_lameduck/off", Do: func(string) control.Reply { return n.lameduck(false) }},
+	}
+	err := persist(func() (err error) {
+		n.control, err = control.Listen(n.loop, n.cfg.Control, routes)
+		return err
 	})
 	if err != nil {
 		return fmt.Errorf("listen on control address %s: %w", n.cfg.Control, err)
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -28,6 +28,9 @@
 const (
 	// mostAround is how many bytes may stand around an answer's value.
 	mostAround = 64 << 10
+	// writeWithin is how long an attempt may wait behind others' bytes on a connection that stands: it tells its server what was
+	// left as it was queued.
+	writeWithin = 50 * time.Millisecond
 	// usualStall is how long an answer may stop in its midst where the settings tell no connect time-out: what has
 	// begun to come goes on about as soon as a connection comes up.
 	usualStall = 250 * time.Millisecond
@@ -143,7 +146,8 @@
 	case l != nil:
 	case n.mayDial() || n.shed():
 		l = p.dial()
-	case t.call.upload == nil: // a long value has a connection to itself: to give it up is to close that
+	}
+	if l == nil && t.call.upload == nil { // a long value has a connection to itself: to give it up is to close that
 		l = p.shared()
 	}
 	if l == nil {
@@ -160,6 +164,19 @@
 		u.sent(t)
 	}
 	l.wrote()
+	l.hasten(t)
+}
+
+// hasten takes an attempt back that waits behind others' bytes for too long. Guards against a server that has stopped reading and
+// goes on later: it would work for a client that has stopped waiting.
+func (l *link) hasten(t *try) {
+	if l.up && !t.whole && t.call.upload == nil {
+		t.stuck = l.pool.node.loop.After(writeWithin, func() {
+			if !t.done && t.link == l {
+				l.takeOut(t, policy.ConnectFailed)
+			}
+		})
+	}
 }
 
 // write writes an attempt's request, which tells how long the node waits.
@@ -469,6 +486,12 @@
 	l.pool.heard = l.pool.node.loop.Now()
 	l.timer.Stop()
 	l.retell()
+	l.wrote()
+	for _, t := range l.tries {
+		if t != nil {
+			l.hasten(t)
+		}
+	}
 	l.rest()
 }
 
