Processes of a node are ordered by a counter in their directory; what can't be read stands

Cause: internal/handover took the wall clock at the start for the order of processes, so one that came after a step back counted as the elder and got no room; and each failed open or read of a lock or file took its process for one that has ended, whose file is then cleared away. Change: who enters takes one more than the highest order, under a lock (order.go); a process of an earlier build that comes later with a lower order has those that were there take orders below it; what can't be read for a moment stands as known and is read again (files.go); entering is tried again where the directory can't be written.

--- a/internal/handover/clock_test.go
+++ b/internal/handover/clock_test.go
@@ -44,6 +44,21 @@
 	}
 }
 
+// A process of an earlier build that comes later, with a wall clock set back, is younger than those that were there.
+func TestALaterProcessOfAnEarlierBuildIsYounger(t *testing.T) {
+	l, dir := newLoop(t), t.TempDir()
+	first, second := join(t, l, dir, "n1"), join(t, l, dir, "n1")
+	first.say(t, func(*State) {})
+	second.say(t, func(*State) {})
+	lock := aged(t, first, dir, -time.Hour)
+	defer lock.Close()
+	until(t, l, "those that were there are elders", func() bool {
+		a, b := first.Self().Process.Order, second.Self().Process.Order
+		p := second.Peers()
+		return len(p) == 2 && len(first.Peers()) == 2 && a < b && b < p[0].Process.Order && b < first.Peers()[0].Process.Order
+	})
+}
+
 // writeState writes a process's file whole.
 func writeState(t *testing.T, path string, s State) {
 	t.Helper()
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -1,6 +1,9 @@
 // Package handover is how the processes of one node know of each other: by files in a directory that they share. Each
 // process has one that it alone writes, whole and by rename, and a lock beside it that it holds as long as it lives. All
 // of it runs on the node's loop; the files are small and lie in memory where the directory does.
+//
+// No wall clock decides anything between processes: their order is a counter kept by the names in the directory (order.go).
+// What can't be read for a moment says nothing of its process, and what can't be written is owed (Publish).
 package handover
 
 import (
@@ -8,16 +11,16 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"io/fs"
 	"os"
-	"path/filepath"
 	"slices"
-	"strings"
 	"time"
 
 	"golang.org/x/sys/unix"
 
 	decide "lapisshelf/decide/handover"
 	"lapisshelf/internal/loop"
+	"lapisshelf/internal/system"
 	"lapisshelf/policy"
 )
 
@@ -27,6 +30,7 @@
 	mostPeers = 8                      // processes that are looked at
 	lookEvery = 200 * time.Millisecond // besides what the system tells
 	pollEvery = 50 * time.Millisecond  // where it tells nothing
+	mostPause = time.Second            // between tries to enter the directory
 )
 
 // State is what a process makes known.
@@ -44,7 +48,7 @@
 // Lame is the last word on whether the node is drained.
 type Lame struct {
 	On bool          `json:"on"`
-	At time.Duration `json:"at"` // when it was said, on the event clock
+	At time.Duration `json:"at"` // its version: higher than that of the word before it, whoever took that
 }
 
 // List is what a process's list says of servers that get nothing new.
@@ -66,35 +70,49 @@
 type Member struct {
 	opt    Options
 	loop   *loop.Loop
-	prefix string
-	own    string // path of the own file, without its ending
-	lock   *os.File
+	prefix string   // of the files of all of the node's processes
+	own    string   // path of the own file, without its ending
+	lock   *os.File // nil: the process could not be made known yet
 	watch  *loop.File
 	timer  *loop.Timer
-	said   []byte // as written last
+	pause  time.Duration // before the next try to be made known
+	retry  time.Duration // when that is due
 	self   State
+	said   []byte        // as written last; nil: nothing, or it has gone
+	words  []policy.Hand // as synced last
+	owed   error         // why self is not written; nil: it is
+	early  map[int]bool  // ids of processes that were there before this one
+	known  map[string]State
 	peers  []State
-	left   []State         // of processes that have ended
+	left   []ended
+	unread bool            // something could not be read, which is to be tried again
 	bad    map[string]bool // files that were told of as bad
 }
 
-// Join makes the process known, as coming, and reads what the others have made known. Its order is the moment of its
-// start.
+// ended is what a process that has ended made known, and the path of its files, without their ending.
+type ended struct {
+	State
+	base string
+}
+
+// errUnknown is why nothing is written as long as the process could not be made known.
+var errUnknown = errors.New("the process could not enter the state directory yet")
+
+// Join makes the process known, as coming and as the youngest, and reads what the others have made known. Where the directory
+// can't be written for now, that is tried again with growing pauses, and what can be read counts meanwhile. It fails where there
+// is no such directory.
 func Join(l *loop.Loop, opt Options) (*Member, error) {
+	if info, err := os.Stat(opt.Dir); errors.Is(err, fs.ErrNotExist) || err == nil && !info.IsDir() {
+		return nil, fmt.Errorf("%s is no directory", opt.Dir)
+	}
 	h := fnv.New64a()
 	fmt.Fprintf(h, "%s\x00%s", opt.Name, opt.Listen)
-	m := &Member{opt: opt, loop: l, prefix: fmt.Sprintf("lapisshelf-%016x-", h.Sum64()), bad: map[string]bool{}}
-	m.self = State{Version: version, Name: opt.Name, Listen: opt.Listen, PID: os.Getpid(), Process: decide.Process{Order: int64(l.Now())}}
-	m.own = filepath.Join(opt.Dir, fmt.Sprintf("%s%d-%d", m.prefix, m.self.Process.Order, m.self.PID))
-	var err error
-	if m.lock, err = os.OpenFile(m.own+".lock", os.O_CREATE|os.O_RDWR, 0o600); err != nil {
-		return nil, err
-	}
-	if err := unix.Flock(int(m.lock.Fd()), unix.LOCK_EX); err != nil {
-		m.lock.Close()
-		return nil, err
+	m := &Member{opt: opt, loop: l, prefix: fmt.Sprintf("lapisshelf-%016x-", h.Sum64()), bad: map[string]bool{}, owed: errUnknown, pause: pollEvery}
+	m.self = State{Version: version, Name: opt.Name, Listen: opt.Listen, PID: os.Getpid()}
+	if err := m.enter(); err != nil {
+		opt.Note("handover_waits_for_directory", fmt.Sprintf("why=%q", err))
 	}
-	if err = m.notify(); err != nil {
+	if err := m.notify(); err != nil {
 		opt.Note("handover_polls", fmt.Sprintf("why=%q", err))
 	}
 	m.read()
@@ -128,134 +146,88 @@
 
 func (m *Member) poll() {
 	every := pollEvery
-	if m.watch != nil {
+	if m.watch != nil && m.lock != nil {
 		every = lookEvery
 	}
 	m.timer = m.loop.After(every, func() {
-		if m.watch == nil || len(m.peers) > 0 {
+		m.reenter()
+		if m.watch == nil || len(m.peers) > 0 || m.unread {
 			m.Look()
 		}
 		m.poll()
 	})
 }
 
+// reenter makes the process known that could not be so far.
+func (m *Member) reenter() {
+	now := m.loop.Now()
+	if m.lock != nil || now < m.retry {
+		return
+	}
+	if err := m.enter(); err != nil {
+		m.pause = min(2*m.pause, mostPause)
+		m.retry = now + m.pause
+		return
+	}
+	m.opt.Changed()
+}
+
 // Look reads what the others say now, and tells of changes.
 func (m *Member) Look() {
-	before, gone := m.peers, len(m.left)
+	before, gone, owed := m.peers, len(m.left), m.owed
 	m.read()
 	same := func(a, b State) bool {
 		x, _ := json.Marshal(a)
 		y, _ := json.Marshal(b)
 		return string(x) == string(y)
 	}
-	if gone != len(m.left) || !slices.EqualFunc(before, m.peers, same) {
+	if gone != len(m.left) || owed == nil && m.owed != nil || !slices.EqualFunc(before, m.peers, same) {
 		m.opt.Changed()
 	}
 }
 
-// read reads the others' files. Those of processes that have ended are read once more, and cleared away when what they
-// said has been made known anew.
-func (m *Member) read() {
-	m.peers = nil
-	names, err := filepath.Glob(filepath.Join(m.opt.Dir, m.prefix+"*.json"))
-	if err != nil {
-		return
-	}
-	slices.Sort(names)
-	slices.Reverse(names) // the latest first: all starts have as many digits
-	for _, name := range names {
-		base := strings.TrimSuffix(name, ".json")
-		if base == m.own {
-			continue
-		}
-		lives := locked(base + ".lock")
-		s, err := m.load(name)
-		switch {
-		case err != nil && os.IsNotExist(err):
-		case err != nil:
-			if !m.bad[name] && len(m.bad) < mostPeers {
-				m.bad[name] = true
-				m.opt.Note("handover_refused", fmt.Sprintf("file=%s why=%q", filepath.Base(name), err))
-			}
-		case lives && len(m.peers) < mostPeers:
-			m.peers = append(m.peers, s)
-		case !lives && !slices.ContainsFunc(m.left, func(l State) bool { return l.Process.Order == s.Process.Order }):
-			m.left = append(m.left, s)
-		}
-	}
-}
-
-// locked reports whether the holder of a lock lives.
-func locked(path string) bool {
-	fd, err := unix.Open(path, unix.O_RDONLY|unix.O_CLOEXEC, 0)
-	if err != nil {
-		return false
-	}
-	defer unix.Close(fd)
-	return errors.Is(unix.Flock(fd, unix.LOCK_SH|unix.LOCK_NB), unix.EWOULDBLOCK)
-}
-
-// load reads one file. One that is not whole, of another version or of another node, is an error.
-func (m *Member) load(path string) (s State, err error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return s, err
-	}
-	defer f.Close()
-	info, err := f.Stat()
-	if err != nil {
-		return s, err
-	}
-	if !info.Mode().IsRegular() || info.Size() > mostBytes {
-		return s, fmt.Errorf("no file of at most %d bytes", mostBytes)
-	}
-	d := json.NewDecoder(f)
-	d.DisallowUnknownFields()
-	if err := d.Decode(&s); err != nil {
-		return s, err
-	}
-	switch {
-	case s.Version != version:
-		return s, fmt.Errorf("version %d, not %d", s.Version, version)
-	case s.Name != m.opt.Name || s.Listen != m.opt.Listen:
-		return s, fmt.Errorf("of another node, %q at %s", s.Name, s.Listen)
-	case s.Process.Open < 0 || s.Process.Room < 0 || s.Process.Order <= 0:
-		return s, errors.New("figures that make no sense")
-	}
-	return s, nil
-}
-
-// Self is what this process has made known last.
+// Self is what this process has made known last, or owes.
 func (m *Member) Self() State { return m.self }
 
+// Owed says why what Publish was told last is not safe yet; nil: it is.
+func (m *Member) Owed() error { return m.owed }
+
 // Peers are the others that live, as they made themselves known last, the latest first.
 func (m *Member) Peers() []State { return m.peers }
 
 // Left is what processes that have ended made known, the latest first. It counts until Publish has made known what it
 // came to.
-func (m *Member) Left() []State { return m.left }
+func (m *Member) Left() (states []State) {
+	for _, e := range m.left {
+		states = append(states, e.State)
+	}
+	return states
+}
 
-// Publish makes the own state known; it is in force for all who look when it returns.
+// Publish makes the own state known; it is in force for all who look when it returns nil, and outlasts the process. With an
+// error it is owed: the caller is to try again. What operators said is synced before that; other figures are only renamed into
+// place, since no other process needs them after a crash of the machine.
 func (m *Member) Publish(s State) error {
 	m.self = s
 	text, err := json.Marshal(m.self)
 	if err != nil {
 		return err
 	}
-	if string(text) != string(m.said) {
-		if err := os.WriteFile(m.own+".new", text, 0o600); err != nil {
-			return err
-		}
-		if err := os.Rename(m.own+".new", m.own+".json"); err != nil {
-			return err
+	if m.lock == nil {
+		m.owed = errUnknown
+		return m.owed
+	}
+	if m.said == nil || string(text) != string(m.said) {
+		sync := !slices.Equal(s.Hands, m.words)
+		if m.owed = system.WriteWhole(m.own+fileEnding, m.own+newEnding, text, fileMode, sync); m.owed != nil {
+			return m.owed
 		}
 		m.said = text
+		m.words = slices.Clone(s.Hands)
 	}
-	for _, s := range m.left { // what it said by hand stands in the own file now
-		base := filepath.Join(m.opt.Dir, fmt.Sprintf("%s%d-%d", m.prefix, s.Process.Order, s.PID))
-		for _, ending := range []string{".json", ".new", ".lock"} {
-			os.Remove(base + ending)
-		}
+	m.owed = nil
+	for _, e := range m.left { // what it said by hand stands in the own file now
+		remove(e.base)
 	}
 	m.left = nil
 	return nil
