A ban is answered as done once it is saved; what could not be written is written again

Cause: succession.tell compared with what Publish had been told, which was set before the write, so that after a failed one there was nothing to do; ban answered 200 whatever became of it.

--- /dev/null
+++ b/internal/handover/faults_test.go
@@ -0,0 +1,111 @@
+//go:build faults
+
+package handover
+
+import (
+	"testing"
+
+	"golang.org/x/sys/unix"
+
+	"lapisshelf/internal/system"
+	"lapisshelf/policy"
+)
+
+// failing has all calls of some kinds fail until it is ended.
+func failing(t *testing.T, errno unix.Errno, calls ...system.Call) (end func()) {
+	t.Helper()
+	system.Inject(func(c system.Call) error {
+		for _, x := range calls {
+			if x == c {
+				return errno
+			}
+		}
+		return nil
+	})
+	t.Cleanup(func() { system.Inject(nil) })
+	return func() { system.Inject(nil) }
+}
+
+// While nothing can be opened or read, a process that lives is known as it was, and its file stays.
+func TestALivingProcessIsNotTakenForOneThatHasEnded(t *testing.T) {
+	for _, calls := range [][]system.Call{{system.CallOpen}, {system.CallRead}, {system.CallOpen, system.CallRead}} {
+		for _, errno := range []unix.Errno{unix.ENFILE, unix.EMFILE, unix.EIO, unix.ENOMEM} {
+			l, dir := newLoop(t), t.TempDir()
+			old, fresh := join(t, l, dir, "n1"), join(t, l, dir, "n1")
+			old.say(t, func(s *State) { s.Process.Room = 100 })
+			fresh.say(t, func(*State) {})
+			fresh.Look()
+			end := failing(t, errno, calls...)
+			for range 3 {
+				fresh.Look()
+				if len(fresh.Peers()) != 1 || len(fresh.Left()) != 0 {
+					t.Errorf("%v, %v: beside %d, left by %d", calls, errno, len(fresh.Peers()), len(fresh.Left()))
+				}
+			}
+			end()
+			fresh.say(t, func(s *State) { s.Process.Room = 1 })
+			old.die()
+			until(t, l, "its end is heard once that can be read", func() bool { return len(fresh.Left()) == 1 })
+		}
+	}
+}
+
+// A process that comes while the directory can't be written, or read, enters it later, and hears then what was said before.
+func TestEnteringIsTriedAgain(t *testing.T) {
+	for _, calls := range [][]system.Call{{system.CallOpen}, {system.CallRead}} {
+		l, dir := newLoop(t), t.TempDir()
+		old := join(t, l, dir, "n1")
+		old.say(t, func(s *State) { s.Hands = []policy.Hand{{ID: "s-1", Banned: true, At: 5}} })
+		old.die()
+		end := failing(t, unix.ENOSPC, calls...)
+		fresh := join(t, l, dir, "n1")
+		if err := fresh.Publish(fresh.Self()); err == nil || fresh.Owed() == nil {
+			t.Errorf("%v: made known with %v", calls, err)
+		}
+		end()
+		until(t, l, "it enters and hears", func() bool {
+			return fresh.lock != nil && len(fresh.Left()) == 1 && fresh.Self().Process.Order > old.Self().Process.Order
+		})
+		fresh.say(t, func(s *State) { s.Hands = fresh.Left()[0].Hands })
+		if next := join(t, l, dir, "n1"); len(next.Peers()) != 1 || len(next.Peers()[0].Hands) != 1 {
+			t.Errorf("%v: what was said is lost: %+v", calls, next.Peers())
+		}
+	}
+}
+
+// Whatever of a write fails, what was written before stands, it is owed, and what a process that has ended left is kept until
+// it is written.
+func TestAFailedWriteIsOwed(t *testing.T) {
+	for _, call := range []system.Call{system.CallOpen, system.CallWrite, system.CallSync, system.CallRename} {
+		for _, errno := range []unix.Errno{unix.ENOSPC, unix.EIO} {
+			l, dir := newLoop(t), t.TempDir()
+			old := join(t, l, dir, "n1")
+			old.say(t, func(s *State) { s.Hands = []policy.Hand{{ID: "s-1", Banned: true, At: 5}} })
+			old.die()
+			fresh := join(t, l, dir, "n1")
+			if len(fresh.Left()) != 1 {
+				t.Fatal("nothing is left by the one before")
+			}
+			s := fresh.Self()
+			s.Hands = []policy.Hand{{ID: "s-1", Banned: true, At: 5}, {ID: "s-2", Banned: true, At: 6}}
+			end := failing(t, errno, call)
+			for range 2 {
+				if err := fresh.Publish(s); err == nil || fresh.Owed() == nil || len(fresh.Left()) != 1 {
+					t.Errorf("%s, %v: %v, owed %v, left by %d", call, errno, err, fresh.Owed(), len(fresh.Left()))
+				}
+			}
+			end()
+			if killed := join(t, l, dir, "n1"); len(killed.Left()) != 1 || len(killed.Left()[0].Hands) != 1 {
+				t.Errorf("%s, %v: killed here, the next one hears %+v", call, errno, killed.Left())
+			} else {
+				killed.die()
+			}
+			if err := fresh.Publish(s); err != nil || fresh.Owed() != nil {
+				t.Errorf("%s, %v: then %v", call, errno, err)
+			}
+			if next := join(t, l, dir, "n1"); len(next.Peers()) != 1 || len(next.Peers()[0].Hands) != 2 || len(next.Left()) != 0 {
+				t.Errorf("%s, %v: in the end %+v, left %+v", call, errno, next.Peers(), next.Left())
+			}
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,7 +75,7 @@
 	watched    bool // an answer about the list has come
 	leaving    bool
 	lame       bool          // drained by an operator
-	lameAt     time.Duration // when that, or its end, was said
+	lameAt     time.Duration // the version of that word, or of its end
 	lameUntil  time.Duration // when nothing idle may be held any more
 	succession succession
 	limit      func(mb int) // told of the megabytes that the process may use
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -65,14 +65,21 @@
 	if !n.listed.known[id] && !n.bans[id] {
 		return control.Say(404, "no cache server of this id was ever listed")
 	}
+	n.succession.look() // the word that this one replaces may be another process's
 	n.guard("ban", func() { n.policy.Ban(n.loop.Now(), id, on) })
 	n.hands()
 	n.succession.settle() // it is made known before the call is answered
 	log.Printf("event=ban server=%s on=%t", id, on)
+	done := "may serve"
 	if on {
-		return control.Say(200, "banned")
+		done = "banned"
 	}
-	return control.Say(200, "may serve")
+	if err := n.succession.unsaved(); err != nil {
+		// Guards against a ban that is told as done and is gone with the process.
+		log.Printf("event=ban_unsaved server=%s on=%t why=%q", id, on, err)
+		return control.Say(503, done+" by this process; not saved for the next one yet, which is tried again")
+	}
+	return control.Say(200, done)
 }
 
 // hands brings the pools in line with what the module has been told by hand.
@@ -91,17 +98,18 @@
 	}
 }
 
-// drained has the node drain, or take clients again, from a moment on, as said to this process or to another of the node.
-func (n *Node) drained(on bool, at time.Duration) {
+// drained has the node drain, or take clients again, as said to this process or, so long ago at most, to another of the node.
+// The version orders what was said; it is no time of this process.
+func (n *Node) drained(on bool, version, ago time.Duration) {
 	was := n.lame
-	n.lameAt = at
+	n.lameAt = version
 	if n.leaving || on == was {
 		return
 	}
 	n.lame = on
 	log.Printf("event=lameduck on=%t open=%d clients=%d", on, len(n.calls), len(n.clients.all))
 	if on {
-		n.lameUntil = at + lameAll
+		n.lameUntil = n.loop.Now() - ago + lameAll
 		n.clients.drain(false)
 	} else {
 		n.clients.resume()
@@ -114,7 +122,8 @@
 	case n.leaving && !on:
 		return control.Say(409, "the process is ending")
 	default:
-		n.drained(on, n.loop.Now())
+		n.succession.look()
+		n.drained(on, max(n.loop.Now(), n.lameAt+1), 0)
 		n.succession.settle()
 	}
 	if n.lame {
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -15,10 +15,13 @@
 // may take, internal/handover how they hear of each other; here it is carried out.
 
 const (
-	tellEvery   = 50 * time.Millisecond // how often a process tells what it holds while another lives
-	deafFor     = time.Second           // how long a new process that could serve waits for the elder to make room
-	goneFor     = 10 * time.Second      // how long servers that left the list are told to other processes
-	mostGone    = 256                   // of these, and of servers no longer listed
+	tellEvery   = 50 * time.Millisecond  // how often a process tells what it holds while another lives
+	leastRetry  = 50 * time.Millisecond  // before what could not be written is written again, the first time
+	mostRetry   = time.Second            // and at most
+	adoptLame   = 250 * time.Millisecond // how old another process's word on draining may be when it is heard
+	deafFor     = time.Second            // how long a new process that could serve waits for the elder to make room
+	goneFor     = 10 * time.Second       // how long servers that left the list are told to other processes
+	mostGone    = 256                    // of these, and of servers no longer listed
 	listenAgain = 20 * time.Millisecond
 )
 
@@ -31,7 +34,9 @@
 	readyAt time.Duration    // when it could first have served
 	tick    *loop.Timer
 	gone    map[string]time.Duration // servers that get nothing new, by the list, and since when that is known
-	failed  bool                     // the last attempt to tell the others
+	joinErr error                    // why the state directory is not used at all
+	pause   time.Duration            // before the next attempt to write what is owed; 0: the last one held
+	retry   *loop.Timer              // that attempt
 	told    time.Duration            // when the others were told last
 	memory  int                      // megabytes that limit was called with last
 	waits   bool                     // the address is taken, and the log says so
@@ -47,6 +52,7 @@
 	s.member, err = handover.Join(n.loop, handover.Options{Dir: n.cfg.StateDir, Name: n.cfg.Name, Listen: n.cfg.Listen.String(),
 		Note: n.listNote, Changed: s.changed})
 	if err != nil { // it serves all the same; an upgrade finds the address taken
+		s.joinErr = err
 		log.Printf("event=handover_off why=%q", err)
 		return
 	}
@@ -104,7 +110,7 @@
 	}
 	for _, p := range s.member.Peers() { // a drain is the node's, and a process that has ended took it along
 		if p.Lame.At > n.lameAt {
-			n.drained(p.Lame.On, p.Lame.At)
+			n.drained(p.Lame.On, p.Lame.At, adoptLame)
 		}
 	}
 	s.heedLists()
@@ -148,6 +154,13 @@
 	return l
 }
 
+// look hears what the other processes say now.
+func (s *succession) look() {
+	if s.member != nil {
+		s.member.Look()
+	}
+}
+
 // settle settles what this process takes, and tells the others.
 func (s *succession) settle() {
 	if s.member == nil {
@@ -190,17 +203,45 @@
 	}
 	x.Process, x.Hands, x.List = self, n.policy.Hands(), s.list()
 	x.Lame = handover.Lame{On: n.lame, At: n.lameAt}
-	if now := n.loop.Now(); now-s.told < tellEvery && self.Stage == was.Process.Stage && self.Made == was.Process.Made &&
+	if now := n.loop.Now(); s.member.Owed() == nil && now-s.told < tellEvery && self.Stage == was.Process.Stage && self.Made == was.Process.Made &&
 		slices.Equal(x.Hands, was.Hands) && x.Lame == was.Lame && slices.Equal(x.List.Leaving, was.List.Leaving) {
 		return
 	} else {
 		s.told = now
 	}
-	err := s.member.Publish(x)
-	if err != nil && !s.failed {
+	s.published(s.member.Publish(x))
+}
+
+// published notes whether the state was written. One that was not is written again, with growing pauses, until it holds.
+func (s *succession) published(err error) {
+	if err == nil {
+		if s.pause > 0 {
+			log.Printf("event=handover_saved")
+		}
+		s.pause = 0
+		s.retry.Stop()
+		s.retry = nil
+		return
+	}
+	if s.pause == 0 {
 		log.Printf("event=handover_failed why=%q", err)
 	}
-	s.failed = err != nil
+	if s.retry != nil {
+		return // it is due already
+	}
+	s.pause = min(max(2*s.pause, leastRetry), mostRetry)
+	s.retry = s.node.loop.After(s.pause, func() {
+		s.retry = nil
+		s.settle()
+	})
+}
+
+// unsaved says why what was said by hand would not outlast this process; nil: it would, or nothing here is to.
+func (s *succession) unsaved() error {
+	if s.member == nil {
+		return s.joinErr
+	}
+	return s.member.Owed()
 }
 
 // tellMemory has the collector know how much this process may use.
@@ -300,7 +341,7 @@
 	if s.member == nil {
 		return false
 	}
-	s.member.Look()
+	s.look()
 	return decide.Succeeded(s.member.Self().Process, processes(s.others()))
 }
 
