--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -315,6 +315,26 @@
 	}
 }
 
+// A repeat that is chosen in the window may be written up to 0.15 s later, by a process that is held up: its servers must not
+// have forgotten the request by then.
+func TestAKeyedRepeatLeavesRoomForAHoldUp(t *testing.T) {
+	const heldUp = 150 * ms
+	for _, took := range []time.Duration{100 * ms, 500*ms - heldUp, 499 * ms} {
+		set := settings()
+		set.Classes[1].Window = 500 * ms
+		w := start(t, set, 3)
+		w.request("r", "write", "k")
+		began := w.now
+		w.answer(w.last(), Reset, NoNote, took)
+		switch again := w.last(); {
+		case took < 500*ms-heldUp && (len(w.sends) != 2 || again.by > began+500*ms-heldUp):
+			t.Errorf("after %v: %d sends, the last by %v", took, len(w.sends), again.by-began)
+		case took >= 500*ms-heldUp && len(w.sends) != 1:
+			t.Errorf("sent again %v into the window", took)
+		}
+	}
+}
+
 func TestDrainStopsAtOnce(t *testing.T) {
 	w := start(t, settings(), 4)
 	top := ranking(w, "k")[0]
