Time that a request stood unread is not told as left; repeats leave room for a hold-up

Cause: a request's time counted from when the node read it, not from when it may have come: after a stop of the process, or a busy turn, servers were told of time that had passed. The module kept repeats inside the window by its own clock alone. Ruled out: attempts that wait for a connection, which retell writes anew. Change: the loop tells since when what a turn handles may have been there, and a request's time counts from then (Loop.Came); one whose time is over is refused at once, as nothing was sent; may and windowEnd keep 0.15 s of the window. SIGHUP has a channel of its own, so that no crowd of SIGUSR1 displaces it (read, no test forces it).

--- a/cmd/lapisshelf/serve.go
+++ b/cmd/lapisshelf/serve.go
@@ -20,10 +20,12 @@
 	log.SetOutput(lines)
 	defer lines.Close()
 	// From the first moment: a SIGHUP that finds nobody listening ends the program. The end has a channel of its own,
-	// so that no crowd of other signals can displace it.
-	ends, others := make(chan os.Signal, 1), make(chan os.Signal, 4)
+	// so that no crowd of other signals can displace it; so has the change of the configuration: one that waits is enough, since
+	// the file is read when it is taken.
+	ends, reloads, prints := make(chan os.Signal, 1), make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(ends, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(others, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Notify(reloads, syscall.SIGHUP)
+	signal.Notify(prints, syscall.SIGUSR1)
 	cfg, err := configure(file)
 	if err != nil {
 		return err
@@ -45,15 +47,16 @@
 		l.Post(n.Leave)
 	}()
 	go func() {
-		for s := range others {
-			if s == syscall.SIGUSR1 {
-				l.Post(n.Counters)
-				continue
-			}
+		for range reloads {
 			cfg, err := configure(file) // here, so that a slow disk does not stop the loop
 			l.Post(func() { n.Reload(cfg, err) })
 		}
 	}()
+	go func() {
+		for range prints {
+			l.Post(n.Counters)
+		}
+	}()
 	err = l.Run()
 	n.Counters()
 	return err
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -23,6 +23,8 @@
 	// startTries is how often a loop is made at a start that finds the system short of something, startGap the time between.
 	startTries = 20
 	startGap   = 50 * time.Millisecond
+	// atOnce is below which a wait has found what was there before it.
+	atOnce = time.Millisecond
 	// mostInterrupted is how often a call that does not wait is made again when it is interrupted.
 	mostInterrupted = 100
 	// watchAgain is how long after epoll had no memory for something it is asked again.
@@ -55,6 +57,8 @@
 	stopped bool
 	open    int           // descriptors of connections and listeners now held
 	looked  time.Duration // when epoll was last asked
+	told    time.Duration // when it last answered for a turn
+	came    time.Duration // since when what a turn handles may have been there
 
 	// Late is the longest that a timer has been overdue since it was last set to zero.
 	Late time.Duration
@@ -107,6 +111,8 @@
 	}
 	l := &Loop{epoll: epoll, wake: wake, epoch: system.Wall(), start: time.Now(), sources: map[int32]*source{},
 		posts: make(chan func(), 16), buffer: make([]byte, readSize)}
+	l.told = l.Now()
+	l.came = l.told
 	if _, err := l.watch(wake, unix.EPOLLIN, func(uint32) { l.posted() }); err != nil {
 		unix.Close(wake)
 		unix.Close(epoll)
@@ -158,11 +164,12 @@
 		if len(events) < len(l.sources) {
 			events = make([]unix.EpollEvent, 2*len(l.sources))
 		}
-		batch, err := l.look(events, l.patience())
+		batch, err := l.wait(events)
 		if len(batch) == 0 && (err == nil || errors.Is(err, unix.EINTR)) {
 			// Guards against timers that run ahead of what has come before they were due: the process may have been stopped
 			// in its wait, which then ends as interrupted, or behind it. See ring for one that was stopped later.
 			batch, err = l.look(events, 0)
+			l.came, l.told = min(l.came, l.told), l.Now()
 		}
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return err
@@ -176,6 +183,32 @@
 	return nil
 }
 
+// wait waits for a turn's events, and settles since when they may have been there. What is there as the wait begins may have come
+// any time since the turn before asked; what comes in it ends it, unless the process is stopped meanwhile.
+func (l *Loop) wait(events []unix.EpollEvent) ([]unix.EpollEvent, error) {
+	patience := l.patience()
+	began := l.Now()
+	batch, err := l.look(events, patience)
+	ended := l.Now()
+	waited := ended - began
+	switch {
+	case waited < atOnce:
+		l.came = l.told
+	case patience >= 0 && waited > time.Duration(patience)*time.Millisecond+lookAgain:
+		l.came = began
+	default:
+		l.came = ended
+	}
+	l.told = ended
+	return batch, err
+}
+
+// Came is since when what the running turn handles may have been there. It is before Now where the process was stopped or busy.
+func (l *Loop) Came() time.Duration { return l.came }
+
+// Told is when epoll told what the running turn handles.
+func (l *Loop) Told() time.Duration { return l.told }
+
 // look asks epoll what has come, waiting so many milliseconds at most, and notes who has left.
 func (l *Loop) look(events []unix.EpollEvent, patience int) ([]unix.EpollEvent, error) {
 	began := l.Now()
@@ -189,15 +222,15 @@
 	}
 	l.looked = began
 	for _, e := range events[:n] {
-		if s := l.told(e); s != nil && s.leaves && e.Events&ended != 0 {
+		if s := l.sourceOf(e); s != nil && s.leaves && e.Events&ended != 0 {
 			s.left = true
 		}
 	}
 	return events[:n], nil
 }
 
-// told is the source that an event is of; nil when an earlier event of the batch has closed it.
-func (l *Loop) told(e unix.EpollEvent) *source {
+// sourceOf is the source that an event is of; nil when an earlier event of the batch has closed it.
+func (l *Loop) sourceOf(e unix.EpollEvent) *source {
 	if s := l.sources[e.Fd]; s != nil && s.serial == e.Pad {
 		return s
 	}
@@ -222,7 +255,7 @@
 		if r == others {
 			l.heed()
 		}
-		if s := l.told(e); s != nil && s.rank() == r {
+		if s := l.sourceOf(e); s != nil && s.rank() == r {
 			s.ready(e.Events)
 			l.settle()
 		}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -61,6 +61,8 @@
 	parts   *list.Element // among those that wait for the other end
 	used    time.Duration // when bytes last went either way
 	since   time.Duration // when it came to owe the rest of a command
+	arrived time.Duration // since when what is being taken may have been there
+	opened  time.Duration // as epoll told of the connection
 	bad     int           // commands that were none
 	asked   bool          // a whole command has come
 	slow    *loop.Timer   // set while answers stand unread
@@ -135,7 +137,7 @@
 // unread in the system's queue is lost.
 func (s *clients) accept(fd int) {
 	now := s.node.loop.Now()
-	c := &client{node: s.node, used: now, since: now}
+	c := &client{node: s.node, used: now, since: now, arrived: s.node.loop.Came(), opened: s.node.loop.Told()}
 	away := s.closing && s.brimful() // of a listen queue that is taken whole as the listener closes
 	conn, err := s.node.loop.Accept(fd, c)
 	if err != nil {
@@ -351,6 +353,10 @@
 		return
 	}
 	c.used = c.node.loop.Now()
+	// What came with the connection may have been there as long as that: it is read in the turn behind.
+	if came := c.node.loop.Came(); came > c.opened {
+		c.arrived = came
+	}
 	if c.skip > 0 {
 		n := min(c.skip, len(data))
 		c.skip -= n
@@ -458,6 +464,14 @@
 		return
 	}
 	now := n.loop.Now()
+	// Guards against telling servers of time that has passed while the request stood unread, in a process that was stopped or
+	// busy: they would work for a client that has stopped waiting.
+	if m.Long == 0 {
+		if wait -= now - c.arrived; wait <= 0 {
+			c.refuse(kind)
+			return
+		}
+	}
 	k := &call{id: string(m.ID), class: kind, client: c, command: keep(m)}
 	if m.Long > 0 {
 		c.upload(k, m.Long, wait)
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -9,6 +9,7 @@
 
 const (
 	uploadMost = 30 * time.Second // how long a long value may take to come
+	leastWait  = time.Millisecond // what is left to a request whose time was over as its last byte was read
 	uploadLook = 500 * time.Millisecond
 )
 
@@ -133,7 +134,7 @@
 		return
 	}
 	now := n.loop.Now()
-	n.clock(c, now, n.within(u.wait, now))
+	n.clock(c, now, n.within(max(leastWait, u.wait-(now-u.client.arrived)), now))
 	n.guard("came", func() { n.policy.Came(now, c.id, c.end-now) })
 	if t := u.try; t != nil {
 		t.timer = n.loop.After(c.end-now, func() { t.pool.timeout(t) })
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -24,15 +24,16 @@
 )
 
 const ( // each for a reason that holds anywhere
-	failsToSkip = 3               // straight failures that skip a server (design page)
-	skipSpell   = 5 * time.Second // how long, before one trial (design page)
-	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
-	spillFloor  = 2               // never crowded with this few out (design page)
-	firstLimit  = 1               // attempts out at a server of which nothing is known
-	lateQuant   = 0.95            // the quantile of answer times that counts as late
-	strainPart  = 0.2             // late ones for each answer that may be chance; beyond it, strain
-	heatSpan    = 4               // requests remembered for each cache: a mean load goes unseen once in e^4
-	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
+	failsToSkip = 3                      // straight failures that skip a server (design page)
+	skipSpell   = 5 * time.Second        // how long, before one trial (design page)
+	spillFactor = 2                      // times its share of what is out that makes a server crowded (design page)
+	spillFloor  = 2                      // never crowded with this few out (design page)
+	firstLimit  = 1                      // attempts out at a server of which nothing is known
+	lateQuant   = 0.95                   // the quantile of answer times that counts as late
+	strainPart  = 0.2                    // late ones for each answer that may be chance; beyond it, strain
+	heatSpan    = 4                      // requests remembered for each cache: a mean load goes unseen once in e^4
+	heldUp      = 150 * time.Millisecond // how long a process may stand still between reading its clock and writing (standing test)
+	coldSafety  = 0.5                    // part of the fall budget used: own counts are guesses of the fleet's
 )
 
 // New starts a balancer without memory.
@@ -138,7 +139,7 @@
 		if r.class.Effect == Safe || a.done && a.clean {
 			continue
 		}
-		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window || !r.class.Scope.holds(a.srv, s) {
+		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window-heldUp || !r.class.Scope.holds(a.srv, s) {
 			return false
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -259,12 +259,12 @@
 	}
 }
 
-// windowEnd is when the servers begin to forget a keyed request that may have run, so that a repeat may run again; 0 for
-// one that has not, and for other classes. Guards against a repeat chosen inside the window whose connection comes up, or
+// windowEnd is by when a repeat of a keyed request that may have run has to go out, lest its servers have forgotten that one by the
+// time that a process that is held up writes it, and it runs again; 0 for one that has not, and for other classes. Guards against a repeat chosen inside the window whose connection comes up, or
 // whose turn on one comes, behind it.
 func (r *request) windowEnd() (end time.Duration) {
 	for _, a := range r.tries {
-		if at := a.at + r.class.Window; r.class.Effect == Keyed && a.done && !a.clean && (end == 0 || at < end) {
+		if at := a.at + r.class.Window - heldUp; r.class.Effect == Keyed && a.done && !a.clean && (end == 0 || at < end) {
 			end = at
 		}
 	}
