decide/safety: one place says what may be sent, repeated, closed or started; violations count

The module's may and the node's guards before a send, a close and the start of a request ask decide/safety; the node asks again as bytes go to the system, refuses what is against it, and counts what failed guards let through as violations, by reason, logged once a second at most with what led to it. Why connections were closed and attempts not sent stands in the counters and at /_vars. In each process test a violation fails the test.

--- a/cmd/lapisshelf/harness_test.go
+++ b/cmd/lapisshelf/harness_test.go
@@ -232,6 +232,9 @@
 	}
 	t.Cleanup(func() {
 		n.Kill()
+		if to == nil && strings.Contains(n.log(), "event=violation ") { // in no test may a guard fail
+			t.Error("the node has counted a violation")
+		}
 		if t.Failed() && to == nil {
 			t.Logf("the node's log:\n%s", n.log())
 		}
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -180,8 +180,9 @@
 
 // breakOff ends a connection in the midst of an answer: with its end the client knows that it is not whole.
 func (c *client) breakOff() {
+	c.node.noteClosed(c, closedBroken)
 	c.conn.Finish(lingerFor)
-	c.End(nil)
+	c.ended()
 }
 
 // deepen has the system take all that is left of a client's answer, once, as far as the node's memory would have room for
--- /dev/null
+++ b/internal/node/check.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"log"
+	"time"
+
+	"lapisshelf/decide/safety"
+	"lapisshelf/policy"
+)
+
+// What decide/safety says is asked here: as work on a request begins, before an attempt is written, as one that had to wait goes
+// out, and as a connection is closed. What goes against it is a violation: one of the guards before has failed.
+
+// effects are the module's, as decide/safety names them.
+var effects = map[policy.Effect]safety.Effect{policy.Safe: safety.Safe, policy.Keyed: safety.Keyed, policy.Unsafe: safety.Unsafe}
+
+// left is what is left of the client's time, or, of a request that is still coming, of the time that it may wait to be sent.
+func (c *call) left(now time.Duration) time.Duration {
+	if !c.counted {
+		return c.end - now
+	}
+	return c.deadline - now
+}
+
+// maySend asks whether an attempt that tells its server so much may be written now.
+func (n *Node) maySend(t *try, told time.Duration, gone bool) safety.Reason {
+	c, now := t.call, n.loop.Now()
+	reason := safety.Send(safety.Attempt{Answered: c.answered, ClientGone: gone, Left: c.left(now), Told: told, ServerOpen: t.pool.open()})
+	if reason != safety.Allowed || c.class.effect == safety.Safe {
+		return reason
+	}
+	for _, e := range c.tries {
+		if e == t {
+			continue
+		}
+		earlier := safety.Earlier{Done: e.done, NeverRan: !e.ran, Age: now - e.began, SameGroup: true} // groups are the module's to know
+		if reason = safety.Repeat(c.class.effect, c.class.window, earlier); reason != safety.Allowed {
+			return reason
+		}
+	}
+	return safety.Allowed
+}
+
+// refuseSend ends an attempt that may not be written. It has never run.
+func (n *Node) refuseSend(t *try, why safety.Reason) {
+	n.count.sendsRefused[why]++
+	n.noteAttempt(attemptRefused, t, why, 0)
+	outcome := policy.Moot
+	switch why {
+	case safety.ServerClosed:
+		outcome = policy.ConnectFailed
+	case safety.StillOut, safety.MayHaveRun, safety.WindowOver, safety.OtherGroup:
+		n.violation("repeat", why, t.call.id, t.pool.id) // the module asks before it sends
+	}
+	n.loop.Later(func() { n.finished(t, answer{outcome: outcome}) })
+}
+
+// checkWritten checks an attempt that goes out after it had to wait.
+func (n *Node) checkWritten(t *try) {
+	switch why := n.maySend(t, 0, t.call.client == nil); why {
+	case safety.Answered, safety.ClientGone, safety.ServerClosed:
+		n.violation("send", why, t.call.id, t.pool.id)
+	}
+}
+
+// checkClose checks a connection that the node closes by itself; broken is one of which nothing more is to be read.
+func (n *Node) checkClose(c *client, broken bool) {
+	unanswered, id := 0, ""
+	for _, k := range c.calls {
+		if !k.answered && k.counted {
+			unanswered++
+			id = k.id
+		}
+	}
+	if unanswered == 0 {
+		return
+	}
+	if why := safety.Close(safety.Connection{Unanswered: unanswered, Broken: broken}); why != safety.Allowed {
+		n.violation("close", why, id, "")
+	}
+}
+
+// mayClose asks whether a connection with nothing open may be closed.
+func (c *client) mayClose() bool {
+	return safety.Close(safety.Connection{Unread: c.conn.Stale()}) == safety.Allowed
+}
+
+// violation counts what went against a rule though guards stand before it, and logs it with what led to it, once a second at most.
+func (n *Node) violation(rule string, why safety.Reason, request, server string) {
+	n.count.violations++
+	n.count.violated[why]++
+	n.recorder.add(record{at: n.loop.Now(), transition: ruleViolated, why: why, request: request, server: server})
+	if now := n.loop.Now(); n.violatedAt == 0 || now-n.violatedAt >= logEvery {
+		n.violatedAt = now
+		log.Printf("event=violation rule=%s why=%s id=%q server=%q", rule, why, request, server)
+		n.logStory(request)
+	}
+}
+
+// logStory logs what is recorded of a request.
+func (n *Node) logStory(request string) {
+	for _, line := range n.recorder.story(request) {
+		log.Printf("event=flight %s", line)
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
 )
@@ -63,6 +64,7 @@
 	since   time.Duration // when it came to owe the rest of a command
 	arrived time.Duration // since when what is being taken may have been there
 	opened  time.Duration // as epoll told of the connection
+	number  uint64        // in the order of opening
 	bad     int           // commands that were none
 	asked   bool          // a whole command has come
 	slow    *loop.Timer   // set while answers stand unread
@@ -147,6 +149,7 @@
 	c.conn = conn
 	if away {
 		s.node.count.clientsShed++
+		s.node.noteClosed(c, closedUnaccepted)
 		conn.Close()
 		return
 	}
@@ -156,6 +159,8 @@
 	s.all[c] = true
 	c.rest(s.owing)
 	s.node.count.clientsIn++
+	c.number = uint64(s.node.count.clientsIn)
+	s.node.recorder.add(record{at: now, transition: clientOpened, client: c.number})
 	s.thin()
 	c.seat(s.full())
 	conn.OnRelease(func() {
@@ -194,7 +199,7 @@
 		// likely on its way, and closing would lose it (787 of 19119 on an overload day with 80 descriptors).
 		if oldest := front(s.idle); oldest != nil && oldest.rested() {
 			s.node.count.clientsShed++
-			oldest.finish()
+			oldest.finish(closedForRoom)
 		} else if s.node.links > s.node.linkLeast() {
 			s.node.shed()
 		}
@@ -224,7 +229,7 @@
 		return false
 	}
 	s.node.count.clientsShed++
-	c.cut()
+	c.cut(closedForRoom)
 	return true
 }
 
@@ -248,15 +253,15 @@
 			break // the rest may have come: it is read next
 		}
 		s.node.count.clientsBad++
-		c.cut()
+		c.cut(closedOwing)
 	}
 	most := s.idleMost()
 	for c := front(s.idle); c != nil && now-c.used >= most; c = front(s.idle) {
-		if c.conn.Stale() {
+		if !c.mayClose() {
 			break // its next request has come, or its end: either is read next
 		}
 		s.node.count.clientsIdle++
-		c.finish()
+		c.finish(closedIdle)
 	}
 	s.node.loop.After(tidyEvery, s.tidy)
 }
@@ -319,8 +324,8 @@
 			continue
 		}
 		// Guards against a connection that a drained node still holds after the time it has for that.
-		if c.rested() || due && !c.conn.Stale() {
-			c.finish()
+		if c.rested() || due && c.mayClose() {
+			c.finish(closedAtEnd)
 		}
 	}
 	if n.leaving && len(s.all) == 0 && (s.listener.Closed() || n.loop.Now() >= n.lastAnswer) {
@@ -342,7 +347,7 @@
 }
 
 // rested reports whether nothing has gone either way for so long that nothing should be on its way, nor has come.
-func (c *client) rested() bool { return c.node.loop.Now()-c.used >= restFor && !c.conn.Stale() }
+func (c *client) rested() bool { return c.node.loop.Now()-c.used >= restFor && c.mayClose() }
 
 // Up implements loop.Handler.
 func (c *client) Up() {}
@@ -467,7 +472,9 @@
 	// Guards against telling servers of time that has passed while the request stood unread, in a process that was stopped or
 	// busy: they would work for a client that has stopped waiting.
 	if m.Long == 0 {
-		if wait -= now - c.arrived; wait <= 0 {
+		wait -= now - c.arrived
+		if safety.Start(safety.Request{Left: wait}) != safety.Allowed {
+			n.count.tooLate++
 			c.refuse(kind)
 			return
 		}
@@ -607,9 +614,9 @@
 	switch {
 	case len(c.calls) > 0 || c.conn.Pending() > 0:
 		c.unrest()
-	case c.last || closing && !owes && !c.conn.Stale():
+	case c.last || closing && !owes && c.mayClose():
 		// Guards against closing on a request that has come but was not read yet, which would lose it.
-		c.finish()
+		c.finish(closedAfterAnswers)
 		return
 	case owes:
 		c.rest(c.node.clients.owing)
@@ -702,8 +709,9 @@
 func (c *client) giveUp() {
 	c.node.count.clientsSlow++
 	log.Printf("event=client_slow pending=%d held=%d", c.conn.Pending(), c.owed)
+	c.node.noteClosed(c, closedSlow)
 	c.conn.Close()
-	c.End(nil)
+	c.ended()
 }
 
 // account keeps the node's count of what is held for clients, answers that they have yet to take and commands that
@@ -742,6 +750,14 @@
 
 // End implements loop.Handler: the client has gone away, and nobody waits for what it had asked.
 func (c *client) End(error) {
+	if !c.gone {
+		c.node.noteClosed(c, closedByClient)
+	}
+	c.ended()
+}
+
+// ended lets go of a connection that has ended, and of what nobody waits for any more.
+func (c *client) ended() {
 	calls := c.calls
 	c.drop()
 	// Guards against an attempt for one of its requests as another of them ends, whose fetch it had waited for.
@@ -763,14 +779,18 @@
 }
 
 // cut closes a connection that is owed nothing at once, whatever may still come on it.
-func (c *client) cut() {
+func (c *client) cut(why closing) {
+	c.node.checkClose(c, true)
+	c.node.noteClosed(c, why)
 	c.conn.Close()
 	c.drop()
 }
 
 // finish closes the connection between requests.
-func (c *client) finish() {
+func (c *client) finish(why closing) {
 	if !c.gone {
+		c.node.checkClose(c, c.last)
+		c.node.noteClosed(c, why)
 		linger := lingerFor
 		if c.bad > 0 || !c.asked { // whose next bytes nobody wants
 			linger /= 4
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/policy"
 )
 
@@ -17,7 +18,10 @@
 	surplus, reloads, reloadsBad                                int64
 	bodies, brokenOff, uploads                                  int64
 	clientsBad, clientsIdle, sameID                             int64
+	violations, tooLate                                         int64
 	outcomes                                                    [policy.Moot + 1]int64
+	sendsRefused, violated                                      [safety.Reasons]int64
+	closings                                                    [closings]int64
 	ended                                                       [endings]int64 // of the classes together
 }
 
@@ -38,6 +42,8 @@
 	name    string
 	longest time.Duration // the deadline that no request of it exceeds
 	aim     time.Duration // answers within it earn the full worth
+	effect  safety.Effect // of repeating a request of it
+	window  time.Duration // how long servers remember one, where the effect is keyed
 	ended   [endings]int64
 }
 
@@ -103,6 +109,21 @@
 	put("reloads", c.reloads)
 	put("reloads_bad", c.reloadsBad)
 	put("panics", c.panics)
+	put("violations", c.violations)
+	put("too_late", c.tooLate)
+	for why := safety.Allowed + 1; why < safety.Reasons; why++ {
+		if c.sendsRefused[why] > 0 {
+			put("not_sent_"+why.String(), c.sendsRefused[why])
+		}
+		if c.violated[why] > 0 {
+			put("violated_"+why.String(), c.violated[why])
+		}
+	}
+	for why, count := range c.closings {
+		if count > 0 {
+			put("closed_"+closingNames[why], count)
+		}
+	}
 	put("now_open", int64(len(n.calls)))
 	put("now_clients", int64(len(n.clients.all)))
 	put("now_server_conns", int64(n.links))
--- a/internal/node/figures.go
+++ b/internal/node/figures.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/internal/control"
 )
 
@@ -44,5 +45,15 @@
 	f.one("cache_servers_excluded", "gauge", "Listed cache servers that are avoided now.", int64(excluded))
 	f.one("reloads_ok_total", "counter", "Configurations reread and taken.", n.count.reloads)
 	f.one("reloads_failed_total", "counter", "Configurations reread and not taken.", n.count.reloadsBad)
+	f.one("violations_total", "counter", "What went against a rule though guards stand before it; should be 0.", n.count.violations)
+	f.one("overdue_total", "counter", "Requests failed at the last moment because nothing had answered them; should be 0.", n.count.overdue)
+	f.head("sends_refused_total", "counter", "Attempts that were not written, by why.")
+	for why := safety.Allowed + 1; why < safety.Reasons; why++ {
+		fmt.Fprintf(&f, "app_sends_refused_total{reason=\"%s\"} %d\n", why, n.count.sendsRefused[why])
+	}
+	f.head("client_connections_closed_total", "counter", "Clients' connections that have ended, by why.")
+	for why, name := range closingNames {
+		fmt.Fprintf(&f, "app_client_connections_closed_total{reason=\"%s\"} %d\n", name, n.count.closings[why])
+	}
 	return control.Reply{Status: 200, Type: "text/plain; version=0.0.4; charset=utf-8", Body: []byte(f.String())}
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -74,6 +74,7 @@
 func (n *Node) nowReady() {
 	if !n.ready && len(n.pools) > 0 {
 		n.ready = true
+		n.note(nodeReady, nil)
 		n.takeClients()
 		log.Printf("event=ready servers=%d", len(n.pools))
 		if a := n.cfg.Announce; a != nil && !n.leaving {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"time"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/internal/control"
 	"lapisshelf/internal/forwarder"
 	"lapisshelf/internal/loop"
@@ -71,6 +72,8 @@
 	deep       int                  // bytes that the system was asked to make room for, so that they outlive the process
 	shedding   bool
 	count      counters
+	recorder   recorder
+	violatedAt time.Duration // when a violation was logged last
 	ready      bool
 	watched    bool // an answer about the list has come
 	leaving    bool
@@ -108,11 +111,14 @@
 	n     int
 	pool  *pool
 	at    time.Duration
+	began time.Duration // as its request could first run: of a long value, when all of that had come
+	ran   bool          // it has ended, and may have run
 	wait  time.Duration // from then on the node waits for it
 	link  *link         // while it is out
 	first int64         // where its first byte stands on the link
 	last  int64         // and the byte behind its last
 	whole bool          // it has been written whole
+	waits bool          // no byte of it went to the system as it was written
 	timer *loop.Timer
 	late  *loop.Timer // when it may not go out any more
 	stuck *loop.Timer // when it is taken back if no byte of it has gone out
@@ -140,7 +146,7 @@
 	}
 	for _, c := range cfg.Settings.Classes {
 		if k := n.classes[c.Name]; k != nil {
-			k.aim = c.Aim
+			k.aim, k.effect, k.window = c.Aim, effects[c.Effect], c.Window
 		}
 	}
 	n.clients.node = n
@@ -189,6 +195,7 @@
 func (n *Node) take(c *call, now time.Duration) {
 	info := c.command.Info
 	n.calls[c.id] = c
+	n.note(requestTaken, c)
 	if n.forwarder != nil {
 		n.forwarder.Request(string(c.command.Key), meta.Text(info, "t"))
 	}
@@ -247,6 +254,9 @@
 	}
 }
 
+// endingTransitions are how a request's end is recorded.
+var endingTransitions = [endings]transition{served: requestServed, refused: requestRefused, failed: requestFailed}
+
 // overdue fails a request that the module has left unanswered. It should never be needed; it guards rule 1 against
 // what nobody has thought of.
 func (n *Node) overdue(c *call) {
@@ -255,7 +265,9 @@
 	}
 	if !n.leaving || c.deadline < n.lastAnswer { // else it would have gone on waiting
 		n.count.overdue++
+		n.note(requestOverdue, c)
 		log.Printf("event=overdue id=%s attempts=%d", c.id, len(c.tries))
+		n.logStory(c.id)
 	}
 	n.reply(c, []byte(failure), failed)
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
@@ -267,6 +279,7 @@
 		return
 	}
 	n.end(c.class, how)
+	n.note(endingTransitions[how], c)
 	n.unclock(c)
 	c.answer = text
 	if c.client != nil {
@@ -283,6 +296,7 @@
 	if c.answered {
 		return
 	}
+	n.note(requestAbandoned, c)
 	b := c.body
 	c.body = nil
 	n.count.abandoned++
@@ -324,7 +338,8 @@
 	}
 	// Guards against counting against the server what this process takes to answer the client, stopped in the midst of it.
 	now := n.loop.Now()
-	t.done = true
+	t.done, t.ran = true, !a.outcome.NeverRan()
+	n.noteAttempt(attemptEnded, t, 0, a.outcome)
 	t.timer.Stop()
 	t.late.Stop()
 	t.stuck.Stop()
@@ -362,33 +377,33 @@
 	if c == nil {
 		return
 	}
-	t := &try{call: c, n: len(c.tries), pool: n.pools[server], at: n.loop.Now()}
+	now := n.loop.Now()
+	t := &try{call: c, n: len(c.tries), pool: n.pools[server], at: now, began: now}
 	c.tries = append(c.tries, t)
 	c.open++
-	left := c.end - n.loop.Now()
-	if wait > 0 {
-		left = min(left, wait)
-	}
-	if t.pool == nil || t.pool.banned { // never listed here, or kept from it by hand: nothing can have been sent
+	if t.pool == nil { // never listed here: nothing can have been sent
 		t.pool = &pool{node: n, id: server, banned: true}
-		n.loop.Later(func() { n.finished(t, answer{outcome: policy.ConnectFailed}) })
-		return
 	}
-	if x := c.client; x == nil || x.conn.Left() {
-		// Guards against an attempt for a client that has gone, whose end stands in the system behind what had this one
-		// begin: an answer that gave it room, a time-out, another that was to fetch for it.
-		n.loop.Later(func() {
-			if x != nil {
-				x.away()
-			}
-			n.finished(t, answer{outcome: policy.Moot})
-		})
-		return
+	left := c.end - now
+	if wait > 0 {
+		left = min(left, wait)
 	}
-	if left <= 0 || c.answered {
-		n.loop.Later(func() { n.finished(t, answer{outcome: policy.Moot}) })
+	x := c.client
+	// Guards against an attempt for a client that has gone, whose end stands in the system behind what had this one begin: an
+	// answer that gave it room, a time-out, another that was to fetch for it.
+	gone := x == nil || x.conn.Left()
+	why := n.maySend(t, left, gone)
+	if why == safety.Allowed && left <= 0 {
+		why = safety.TimeOver
+	}
+	if why != safety.Allowed {
+		if gone && x != nil {
+			n.loop.Later(x.away)
+		}
+		n.refuseSend(t, why)
 		return
 	}
+	n.noteAttempt(attemptSent, t, 0, 0)
 	if c.upload == nil || c.upload.whole {
 		t.timer = n.loop.After(left, func() { t.pool.timeout(t) })
 	}
@@ -455,6 +470,7 @@
 	// roll+term+brink, reads of 5 s: unanswered at the kill 3.7 s after SIGTERM).
 	n.lastAnswer = n.loop.Now() + min(longest, mostGrace) + killAfter
 	n.hurry()
+	n.note(nodeLeaving, nil)
 	succeeded := n.succession.succeeded()
 	log.Printf("event=leaving open=%d clients=%d succeeded=%t", len(n.calls), len(n.clients.all), succeeded)
 	if n.announcer != nil { // whoever follows the nodes knows before the listener closes
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -28,6 +28,7 @@
 	routes := []control.Route{
 		{Method: "GET", Path: "/_ready", Do: func(string) control.Reply { return n.readiness() }},
 		{Method: "GET", Path: "/_vars", Do: func(string) control.Reply { return n.vars() }},
+		{Method: "GET", Path: "/_flight", Do: func(string) control.Reply { return n.flight() }},
 		{Method: "GET", Path: "/_view", Do: func(string) control.Reply { return n.view() }},
 		{Method: "POST", Path: "/_cache-servers/detach/", Do: func(id string) control.Reply { return n.ban(id, true) }},
 		{Method: "POST", Path: "/_cache-servers/attach/", Do: func(id string) control.Reply { return n.ban(id, false) }},
@@ -107,6 +108,7 @@
 		return
 	}
 	n.lame = on
+	n.note(nodeDrains, nil)
 	log.Printf("event=lameduck on=%t open=%d clients=%d", on, len(n.calls), len(n.clients.all))
 	if on {
 		n.lameUntil = n.loop.Now() - ago + lameAll
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/internal/loop"
 	"lapisshelf/policy"
 )
@@ -158,6 +159,9 @@
 	l.unrest()
 	t.link, t.wait = l, wait
 	l.tries = append(l.tries, t)
+	if why := n.maySend(t, wait, t.call.client == nil); why != safety.Allowed { // it was allowed a moment ago
+		n.violation("send", why, t.call.id, p.id)
+	}
 	l.write(t, wait)
 	if u := t.call.upload; u != nil {
 		t.last += int64(t.call.command.Long + len(p.proto.behind()))
@@ -185,6 +189,7 @@
 	t.first = l.conn.Queued()
 	t.last = t.first + int64(len(text)) // before writing: what a broken connection does not take was never written
 	l.conn.Write(text)
+	t.waits = l.conn.Written() <= t.first
 }
 
 // retell writes anew what has waited for the connection to come up, lest it tells its server of time that has passed since: that
@@ -194,7 +199,17 @@
 	if len(l.tries) == 0 || slices.ContainsFunc(l.tries, func(t *try) bool { return t != nil && t.call.upload != nil }) {
 		return // of a long value not all may be kept; it has the connection to itself
 	}
-	l.tries = slices.DeleteFunc(l.tries, func(t *try) bool { return t == nil })
+	l.tries = slices.DeleteFunc(l.tries, func(t *try) bool {
+		if t == nil {
+			return true
+		}
+		why := l.pool.node.maySend(t, t.wait-(now-t.at), t.call.client == nil)
+		if why != safety.Allowed {
+			t.link = nil
+			l.pool.node.refuseSend(t, why)
+		}
+		return why != safety.Allowed
+	})
 	for _, t := range l.tries {
 		l.write(t, t.wait-(now-t.at))
 		t.first, t.last = t.first-old, t.last-old
@@ -251,6 +266,10 @@
 		if t := l.tries[i]; t != nil && !t.whole && t.last <= l.conn.Written() {
 			t.whole = true
 			l.pool.node.count.written++
+			l.pool.node.noteAttempt(attemptWritten, t, 0, 0)
+			if t.waits && t.call.upload == nil {
+				l.pool.node.checkWritten(t)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/internal/node/recorder.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"lapisshelf/decide/safety"
+	"lapisshelf/internal/control"
+	"lapisshelf/policy"
+)
+
+// The flight recorder: the last transitions of requests, attempts and connections, in a ring that is written in place. It costs
+// no allocation on the serving path, is told whole to an operator who asks (GET /_flight), and what it knows of one request goes to
+// the log with each violation and each request that was overdue.
+
+const (
+	recorded  = 4096 // transitions that are kept
+	logFlight = 24   // of one request or connection that are logged at once, at most
+	// logEvery bounds how often a violation is logged with what led to it; all are counted.
+	logEvery = time.Second
+)
+
+// transition is what has happened.
+type transition uint8
+
+const (
+	requestTaken transition = iota
+	requestServed
+	requestRefused
+	requestFailed
+	requestAbandoned
+	requestOverdue
+	attemptSent
+	attemptWritten
+	attemptEnded
+	attemptRefused
+	clientOpened
+	clientClosed
+	nodeReady
+	nodeLeaving
+	nodeDrains
+	ruleViolated
+	transitions
+)
+
+var transitionNames = [transitions]string{"taken", "served", "refused", "failed", "abandoned", "overdue", "sent", "written", "ended",
+	"not_sent", "opened", "closed", "ready", "leaving", "drains", "violation"}
+
+// closing is why a client's connection was closed.
+type closing uint8
+
+const (
+	closedByClient closing = iota
+	closedIdle
+	closedOwing
+	closedForRoom
+	closedAfterAnswers
+	closedAtEnd
+	closedSlow
+	closedBroken
+	closedUnaccepted
+	closings
+)
+
+var closingNames = [closings]string{"by_client", "idle", "owes_a_command", "for_room", "after_its_answers", "node_ends_or_drains", "slow",
+	"answer_broken_off", "not_accepted"}
+
+// record is one transition. What does not belong to its kind is zero.
+type record struct {
+	at         time.Duration
+	transition transition
+	why        safety.Reason
+	outcome    policy.Outcome // of an attempt that has ended
+	closing    closing        // of a connection
+	attempt    int            // of the request, from 0
+	client     uint64         // the connection, by the order of opening
+	request    string
+	server     string
+}
+
+// recorder is the ring.
+type recorder struct {
+	list [recorded]record
+	next uint64 // how many were recorded
+}
+
+// add records a transition.
+func (r *recorder) add(x record) {
+	r.list[r.next%recorded] = x
+	r.next++
+}
+
+// each gives what is recorded, oldest first.
+func (r *recorder) each(f func(x *record)) {
+	first := uint64(0)
+	if r.next > recorded {
+		first = r.next - recorded
+	}
+	for i := first; i < r.next; i++ {
+		f(&r.list[i%recorded])
+	}
+}
+
+// text is a transition as key=value.
+func (x *record) text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "at=%d.%06d what=%s", x.at/time.Second, x.at%time.Second/time.Microsecond, transitionNames[x.transition])
+	if x.request != "" {
+		fmt.Fprintf(&b, " request=%q", x.request)
+	}
+	if x.client != 0 {
+		fmt.Fprintf(&b, " client=%d", x.client)
+	}
+	switch x.transition {
+	case attemptSent, attemptWritten, attemptEnded, attemptRefused:
+		fmt.Fprintf(&b, " attempt=%d server=%q", x.attempt, x.server)
+	case clientClosed:
+		fmt.Fprintf(&b, " why=%s", closingNames[x.closing])
+	}
+	if x.transition == attemptEnded {
+		fmt.Fprintf(&b, " outcome=%s", outcomeNames[x.outcome])
+	}
+	if x.why != safety.Allowed {
+		fmt.Fprintf(&b, " why=%s", x.why)
+	}
+	return b.String()
+}
+
+// flight gives all that is recorded, to an operator.
+func (n *Node) flight() control.Reply {
+	var b strings.Builder
+	n.recorder.each(func(x *record) {
+		b.WriteString(x.text())
+		b.WriteByte('\n')
+	})
+	return control.Reply{Status: 200, Body: []byte(b.String())}
+}
+
+// story is what is recorded of a request, the latest transitions of it.
+func (r *recorder) story(request string) (lines []string) {
+	r.each(func(x *record) {
+		if x.request == request {
+			lines = append(lines, x.text())
+		}
+	})
+	return lines[max(0, len(lines)-logFlight):]
+}
+
+// note records a transition of the node or of a request.
+func (n *Node) note(what transition, c *call) {
+	x := record{at: n.loop.Now(), transition: what}
+	if c != nil {
+		x.request = c.id
+		if c.client != nil {
+			x.client = c.client.number
+		}
+	}
+	n.recorder.add(x)
+}
+
+// noteAttempt records a transition of an attempt.
+func (n *Node) noteAttempt(what transition, t *try, why safety.Reason, o policy.Outcome) {
+	x := record{at: n.loop.Now(), transition: what, why: why, outcome: o, attempt: t.n, request: t.call.id, server: t.pool.id}
+	if c := t.call.client; c != nil {
+		x.client = c.number
+	}
+	n.recorder.add(x)
+}
+
+// noteClosed records and counts the end of a client's connection.
+func (n *Node) noteClosed(c *client, why closing) {
+	n.count.closings[why]++
+	n.recorder.add(record{at: n.loop.Now(), transition: clientClosed, closing: why, client: c.number})
+}
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -137,6 +137,7 @@
 	n.clock(c, now, n.within(max(leastWait, u.wait-(now-u.client.arrived)), now))
 	n.guard("came", func() { n.policy.Came(now, c.id, c.end-now) })
 	if t := u.try; t != nil {
+		t.began = now
 		t.timer = n.loop.After(c.end-now, func() { t.pool.timeout(t) })
 		u.finish()
 	}
@@ -195,8 +196,9 @@
 		}
 	case now-u.heard >= owesFor || now-u.begun >= uploadMost:
 		c.node.count.clientsBad++
+		c.node.noteClosed(c, closedOwing)
 		c.conn.Close()
-		c.End(nil)
+		c.ended()
 		return
 	}
 	u.timer = c.node.loop.After(uploadLook, u.look)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -21,19 +21,20 @@
 	"slices"
 	"strings"
 	"time"
+
+	"lapisshelf/decide/safety"
 )
 
 const ( // each for a reason that holds anywhere
-	failsToSkip = 3                      // straight failures that skip a server (design page)
-	skipSpell   = 5 * time.Second        // how long, before one trial (design page)
-	spillFactor = 2                      // times its share of what is out that makes a server crowded (design page)
-	spillFloor  = 2                      // never crowded with this few out (design page)
-	firstLimit  = 1                      // attempts out at a server of which nothing is known
-	lateQuant   = 0.95                   // the quantile of answer times that counts as late
-	strainPart  = 0.2                    // late ones for each answer that may be chance; beyond it, strain
-	heatSpan    = 4                      // requests remembered for each cache: a mean load goes unseen once in e^4
-	heldUp      = 150 * time.Millisecond // how long a process may stand still between reading its clock and writing (standing test)
-	coldSafety  = 0.5                    // part of the fall budget used: own counts are guesses of the fleet's
+	failsToSkip = 3               // straight failures that skip a server (design page)
+	skipSpell   = 5 * time.Second // how long, before one trial (design page)
+	spillFactor = 2               // times its share of what is out that makes a server crowded (design page)
+	spillFloor  = 2               // never crowded with this few out (design page)
+	firstLimit  = 1               // attempts out at a server of which nothing is known
+	lateQuant   = 0.95            // the quantile of answer times that counts as late
+	strainPart  = 0.2             // late ones for each answer that may be chance; beyond it, strain
+	heatSpan    = 4               // requests remembered for each cache: a mean load goes unseen once in e^4
+	coldSafety  = 0.5             // part of the fall budget used: own counts are guesses of the fleet's
 )
 
 // New starts a balancer without memory.
@@ -136,16 +137,25 @@
 		return false
 	}
 	for _, a := range r.tries {
-		if r.class.Effect == Safe || a.done && a.clean {
-			continue
-		}
-		if r.class.Effect == Unsafe || b.now-a.at >= r.class.Window-heldUp || !r.class.Scope.holds(a.srv, s) {
+		e := safety.Earlier{Done: a.done, NeverRan: a.clean, Age: b.now - a.at, SameGroup: r.class.Scope.holds(a.srv, s)}
+		if safety.Repeat(r.class.Effect.repeats(), r.class.Window, e) != safety.Allowed {
 			return false
 		}
 	}
 	return true
 }
 
+// repeats is the effect as decide/safety names it; an unknown one is the strictest.
+func (e Effect) repeats() safety.Effect {
+	switch e {
+	case Safe:
+		return safety.Safe
+	case Keyed:
+		return safety.Keyed
+	}
+	return safety.Unsafe
+}
+
 // mayRefuse reports whether a refusal, which promises that a retry is harmless, is true.
 func (r *request) mayRefuse() bool {
 	return r.class.Effect == Safe || !slices.ContainsFunc(r.tries, func(a *attempt) bool { return !a.clean })
