lapislab soak: drawn deployments whose troubles overlap, judged on real processes and sockets

A seed draws classes, limits, the kind of list and two clusters of two or three troubles that overlap, of 28 kinds, and system calls, disks and wall clocks that fail in nodes built with the tag faults. Judged by what clients and servers saw: the four rules, what attempts tell (new with the judge: told_too_much), violations, overdue, panics, crashes, readiness within 10 s, and service behind all troubles. A failing seed prints its schedule, is shrunk, and is played again by one command.

--- a/cmd/lapislab/main.go
+++ b/cmd/lapislab/main.go
@@ -37,7 +37,7 @@
 		SilenceUsage: true, SilenceErrors: true, Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(upCommand(), runCommand(), compareCommand(), listCommand(), planCommand(), modelCommand(), scaleCommand(),
+	root.AddCommand(upCommand(), runCommand(), compareCommand(), listCommand(), planCommand(), modelCommand(), scaleCommand(), soakCommand(),
 		scaleChild(scale.NodesRole), scaleChild(scale.ListRole))
 	root.SetArgs(args)
 	err := root.ExecuteContext(ctx)
--- /dev/null
+++ b/cmd/lapislab/soak.go
@@ -0,0 +1,217 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lapisshelf/lab/experiment"
+	"lapisshelf/lab/soak"
+)
+
+// soakFlags are what the command line says.
+type soakFlags struct {
+	seed      uint64
+	seeds     int
+	length    time.Duration
+	processes int
+	rate      float64
+	node      string
+	faults    bool
+	replay    string
+	files     string
+	csv       string
+	shrink    int
+}
+
+func soakCommand() *cobra.Command {
+	var f soakFlags
+	c := &cobra.Command{Use: "soak", Short: "Play drawn deployments whose troubles overlap, on real processes, and judge them", Args: cobra.NoArgs,
+		Long: "Each seed draws a deployment and a schedule in which two or three troubles overlap: processes that end, stop, are upgraded or reloaded, a list\n" +
+			"that is down or lies, servers and clients that misbehave, and, with --faults, system calls, disks and wall clocks that fail in the nodes.\n" +
+			"The rules are judged from what clients and servers saw. A seed that fails is shrunk, and its files are kept. Status 1: a seed failed;\n" +
+			"3: no seed could be judged, the machine was too busy.",
+		RunE: func(c *cobra.Command, _ []string) error { return f.run(c.Context(), c.OutOrStdout()) }}
+	l := c.Flags()
+	l.Uint64Var(&f.seed, "seed", 1, "the first seed")
+	l.IntVar(&f.seeds, "seeds", 1, "how many seeds, one after the other")
+	l.DurationVar(&f.length, "for", 20*time.Second, "how long the load of a seed lasts")
+	l.IntVar(&f.processes, "processes", 10, "nodes, 2 to 40")
+	l.Float64Var(&f.rate, "rate", 300, "first requests a second")
+	l.StringVar(&f.node, "node", "", "command that runs a node (default: one built from this module)")
+	l.BoolVar(&f.faults, "faults", true, "have system calls, disks and clocks fail: the node is built with the tag faults")
+	l.StringVar(&f.replay, "replay", "", "play this file, which a soak has kept, in place of seeds")
+	l.StringVar(&f.files, "files", "", "folder that keeps the files of seeds that fail (default: one for temporary files, which is named)")
+	l.StringVar(&f.csv, "csv", "", "write which pairs of troubles overlapped to this file")
+	l.IntVar(&f.shrink, "shrink", 6, "runs at most to shrink the schedule of a seed that fails")
+	return c
+}
+
+// build builds a node, with or without what makes its system calls fail.
+func (f *soakFlags) build(ctx context.Context, dir string) (string, error) {
+	if f.node != "" {
+		return f.node, exists(f.node)
+	}
+	out := filepath.Join(dir, "lapisshelf")
+	args := []string{"build", "-o", out}
+	if f.faults {
+		args = append(args, "-tags", "faults")
+	}
+	if text, err := exec.CommandContext(ctx, "go", append(args, "lapisshelf/cmd/lapisshelf")...).CombinedOutput(); err != nil {
+		return "", fmt.Errorf("building a node: %v: %s", err, text)
+	}
+	return out, nil
+}
+
+// tally is what came of all seeds.
+type tally struct {
+	judged, void, failed, requests, attempts, processes int
+	time                                                time.Duration
+	coverage                                            soak.Coverage
+}
+
+func (f *soakFlags) run(ctx context.Context, out io.Writer) error {
+	if f.processes < 2 || f.processes > 40 || f.seeds < 1 || f.length < 2*time.Second || f.length > 10*time.Minute || f.rate <= 0 {
+		return fmt.Errorf("--processes 2 to 40, --seeds from 1, --for 2s to 10m and --rate above 0 are allowed")
+	}
+	dir := f.files
+	if dir == "" {
+		var err error
+		if dir, err = os.MkdirTemp("", "lapissoak"); err != nil {
+			return err
+		}
+	} else if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	command, err := f.build(ctx, dir)
+	if err != nil {
+		return err
+	}
+	r := &soak.Runner{Command: command, Dir: dir}
+	if f.replay != "" {
+		return f.again(ctx, out, r)
+	}
+	var sum tally
+	for i := range f.seeds {
+		if ctx.Err() != nil {
+			break
+		}
+		p := soak.Draw(f.seed+uint64(i), soak.Options{Length: f.length, Processes: f.processes, Rate: f.rate, Faults: f.faults})
+		o, err := r.Play(ctx, p, fmt.Sprintf("seed-%d", p.Seed))
+		if err != nil {
+			return err
+		}
+		f.tell(out, o)
+		sum.add(o, f.length)
+		if o.Failed() && f.shrink > 0 {
+			small, err := r.Shrink(ctx, p, f.shrink)
+			if err != nil {
+				return err
+			}
+			kept := filepath.Join(o.Dir, "shrunk.toml")
+			if err := os.WriteFile(kept, []byte(small.Text()), 0o644); err != nil {
+				return err
+			}
+			fmt.Fprintf(out, "  %d of %d troubles are enough; replay: lapislab soak --replay %s\n", len(small.Troubles), len(p.Troubles), kept)
+		}
+		if !o.Failed() {
+			os.RemoveAll(o.Dir)
+		}
+	}
+	return sum.end(out, f.csv)
+}
+
+// again plays a file that was kept.
+func (f *soakFlags) again(ctx context.Context, out io.Writer, r *soak.Runner) error {
+	text, err := os.ReadFile(f.replay)
+	if err != nil {
+		return err
+	}
+	x, err := experiment.Read(f.replay, experiment.Options{})
+	if err != nil {
+		return err
+	}
+	var sum tally
+	o, err := r.PlayFile(ctx, f.replay, r.Dir, &soak.Plan{Seed: x.Seed, Calls: soak.CallsOf(string(text))})
+	if err != nil {
+		return err
+	}
+	f.tell(out, o)
+	sum.add(o, x.Length.D())
+	return sum.end(out, "")
+}
+
+// tell prints a seed's outcome, and the schedule of one that fails.
+func (f *soakFlags) tell(out io.Writer, o *soak.Outcome) {
+	verdict := "held"
+	switch {
+	case o.Void != "":
+		verdict = "void: " + o.Void
+	case o.Failed():
+		verdict = "FAILED"
+	}
+	fmt.Fprintf(out, "seed %d: %s; %d requests, %d attempts, %d processes, served %.3f, %d troubles\n", o.Plan.Seed, verdict, o.Requests, o.Attempts, o.Processes, o.Share,
+		len(o.Plan.Troubles))
+	if !o.Failed() {
+		return
+	}
+	for _, x := range o.Findings {
+		fmt.Fprintf(out, "  %s\n", x)
+	}
+	for _, t := range o.Plan.Troubles {
+		fmt.Fprintf(out, "  trouble %s at %v for %v\n", t.Kind, t.At, t.For)
+	}
+	if o.Plan.Calls != "" {
+		fmt.Fprintf(out, "  calls that fail: %s\n", o.Plan.Calls)
+	}
+	fmt.Fprintf(out, "  files: %s\n", o.Dir)
+}
+
+func (s *tally) add(o *soak.Outcome, length time.Duration) {
+	if o.Void != "" {
+		s.void++
+		return
+	}
+	s.judged++
+	if o.Failed() {
+		s.failed++
+	}
+	s.requests += o.Requests
+	s.attempts += o.Attempts
+	s.processes += o.Processes
+	s.time += o.Time
+	s.coverage.Add(o.Plan, length)
+}
+
+// end prints what came of all and gives the program's end.
+func (s *tally) end(out io.Writer, csvTo string) error {
+	missing := s.coverage.Missing(append(soak.Kinds(), soak.CallsFail))
+	fmt.Fprintf(out, "%d seeds judged, %d failed, %d void; %d requests, %d attempts, %d processes, %.2f process hours; %d pairs of troubles overlapped, %d never\n",
+		s.judged, s.failed, s.void, s.requests, s.attempts, s.processes, s.time.Hours(), len(s.coverage.Pairs), len(missing))
+	if csvTo != "" {
+		f, err := os.Create(csvTo)
+		if err != nil {
+			return err
+		}
+		if err := s.coverage.CSV(f); err != nil {
+			f.Close()
+			return err
+		}
+		if err := f.Close(); err != nil {
+			return err
+		}
+	}
+	switch {
+	case s.failed > 0:
+		return errStatus(statusShort)
+	case s.judged == 0:
+		return errStatus(statusVoid)
+	}
+	return nil
+}
--- a/internal/system/faults.go
+++ b/internal/system/faults.go
@@ -46,10 +46,11 @@
 	Every time.Duration // and begin again; 0: never
 	For   time.Duration // how long they last each time
 	Skew  time.Duration // of the wall clock
+	Drift time.Duration // drawn by each process: its wall clock is off by as much at most, either way
 	Calls map[Call]bool
 }
 
-// Parse reads a plan: name=value pairs between commas, seed, rate, after, every, for, skew, and calls with names between plus
+// Parse reads a plan: name=value pairs between commas, seed, rate, after, every, for, skew, drift, and calls with names between plus
 // signs. An unknown name, call or value is an error.
 func Parse(text string) (Plan, error) {
 	p := Plan{Rate: 1, Calls: map[Call]bool{}}
@@ -69,6 +70,8 @@
 			p.For, err = time.ParseDuration(value)
 		case "skew":
 			p.Skew, err = time.ParseDuration(value)
+		case "drift":
+			p.Drift, err = time.ParseDuration(value)
 		case "calls":
 			for _, c := range strings.Split(value, "+") {
 				if documented[Call(c)] == nil {
@@ -117,7 +120,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
-	injector.plan, injector.rng = plan, rand.New(rand.NewPCG(plan.Seed, 0x66617573))
+	injector.plan, injector.rng = plan, rand.New(rand.NewPCG(plan.Seed, uint64(os.Getpid())))
+	if plan.Drift > 0 {
+		injector.plan.Skew += time.Duration((2*injector.rng.Float64() - 1) * float64(plan.Drift))
+	}
 }
 
 // Inject has calls fail as fail says, and none for a nil one, in place of the process's plan.
--- a/lab/judge/judge.go
+++ b/lab/judge/judge.go
@@ -81,6 +81,7 @@
 	ToDraining   = "sent_to_drained" // a new attempt after the grace
 	ToBanned     = "sent_to_banned"  // a new attempt after the grace at a server banned by hand
 	NotDrained   = "not_drained"     // a node that was drained by hand keeps its clients
+	ToldTooMuch  = "told_too_much"   // an attempt told its server of more time than its client had left
 	PushedOver   = "cold_pushed"     // a cold server fell over
 	OriginStop   = "origin_stopped"  // by misses at cold servers
 )
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -123,6 +123,16 @@
 			unanswered(a, 131*ms)
 			r.further(a, 300*ms, same)
 		}, "one_answer sent_after_end"},
+		{"told what is left", func(r *run) { _, a := r.read("read"); a.Wait = 999 * ms }, ""},
+		{"told within the slack", func(r *run) { _, a := r.read("read"); a.Wait = 1149 * ms }, ""},
+		{"told more than is left", func(r *run) { _, a := r.read("read"); a.Wait = 1500 * ms }, "one_answer told_too_much"},
+		{"a further attempt told as much as the first", func(r *run) {
+			_, a := r.read("read")
+			a.Wait = 990 * ms
+			unanswered(a, 405*ms)
+			r.further(a, 410*ms, func(b *seen.Attempt) { b.Said = seen.Value })
+			r.rec.Tries[0].At = 422 * ms
+		}, "one_answer told_too_much"},
 		{"what no client asked", func(r *run) { _, a := r.read("read"); r.further(a, 110*ms, func(b *seen.Attempt) { b.Request = "x" }) }, "one_answer altered"},
 		{"another key goes on", func(r *run) {
 			_, a := r.read("read")
--- a/lab/judge/rules.go
+++ b/lab/judge/rules.go
@@ -68,6 +68,19 @@
 			}
 		}
 	}
+	c.toldTimes(t)
+}
+
+// toldSlack is by how much the time that an attempt tells may be over what its client has left.
+const toldSlack = 150 * time.Millisecond
+
+// toldTimes is the part of rule 1 on what attempts tell their servers.
+func (c *court) toldTimes(t *seen.Try) {
+	for _, a := range c.attempts[t.ID] {
+		if over := a.Wait - (t.Until - a.First); a.First > 0 && t.Sent > 0 && over > toldSlack+c.rules.Tolerance {
+			c.breach(OneAnswer, ToldTooMuch, a.First, t, a.Server, "an attempt told %v more than was left", over)
+		}
+	}
 }
 
 // servedBy reports whether a server had answered the request with a value or a receipt.
--- /dev/null
+++ b/lab/soak/draw.go
@@ -0,0 +1,236 @@
+// Package soak plays seeded deployments on real processes and sockets in which two or three troubles overlap in time, and judges
+// them by what clients and servers saw. A seed draws a deployment and a schedule of troubles, as an experiment file; the lab puts
+// it up and judges the four rules; the soak adds what must hold besides (oracle.go), counts which pairs of troubles overlapped
+// under load (coverage.go), and shrinks a schedule that fails (shrink.go).
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Options bound what a seed may draw.
+type Options struct {
+	Length    time.Duration // of the load
+	Processes int           // nodes
+	Rate      float64       // of first requests a second
+	Faults    bool          // the nodes are built to have system calls and clocks fail
+}
+
+// Trouble is one trouble of a schedule.
+type Trouble struct {
+	Kind   string
+	At     time.Duration
+	For    time.Duration
+	Detail string // further lines of its table in an experiment file
+}
+
+// end is when it is over; one that lasts for a moment counts as lasting for a moment's effects.
+func (t Trouble) end() time.Duration { return t.At + max(t.For, momentLasts) }
+
+// momentLasts is how long the effects of a trouble that is over at once are taken to last, for coverage.
+const momentLasts = 500 * time.Millisecond
+
+// Plan is what a seed has drawn.
+type Plan struct {
+	Seed       uint64
+	Deployment string // the experiment file without its troubles
+	Troubles   []Trouble
+	Calls      string // the plan of failing system calls and of the wall clock; empty: none
+}
+
+// Text is the plan as an experiment file.
+func (p *Plan) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "# Soak, seed %d: drawn, not written by hand.\n", p.Seed)
+	if p.Calls != "" {
+		fmt.Fprintf(&b, "# faults: %s\n", p.Calls)
+	}
+	b.WriteString(p.Deployment)
+	for _, t := range p.Troubles {
+		fmt.Fprintf(&b, "\n[[fault]]\nkind = %q\nat = %q\n", t.Kind, t.At)
+		if t.For > 0 {
+			fmt.Fprintf(&b, "for = %q\n", t.For)
+		}
+		b.WriteString(t.Detail)
+	}
+	return b.String()
+}
+
+// drawer draws one plan.
+type drawer struct {
+	rng    *rand.Rand
+	opt    Options
+	caches int
+	kind   string // of the list
+	free   []int  // nodes whose processes no trouble has been given yet
+}
+
+// between draws a time, in whole milliseconds.
+func (d *drawer) between(least, most time.Duration) time.Duration {
+	span := (most - least) / time.Millisecond
+	return least + time.Duration(d.rng.Int64N(int64(span)+1))*time.Millisecond
+}
+
+func (d *drawer) one(of ...string) string { return of[d.rng.IntN(len(of))] }
+
+// Draw draws the plan of a seed. The same seed and options draw the same plan.
+func Draw(seed uint64, opt Options) *Plan {
+	d := &drawer{rng: rand.New(rand.NewPCG(seed, 0x736f616b)), opt: opt}
+	for n := range opt.Processes {
+		d.free = append(d.free, n+1)
+	}
+	d.rng.Shuffle(len(d.free), func(i, j int) { d.free[i], d.free[j] = d.free[j], d.free[i] })
+	p := &Plan{Seed: seed, Deployment: d.deployment(seed)}
+	// Two clusters of two or three troubles that overlap, between a tenth and seven tenths of the load: behind them service
+	// has to come back.
+	for _, from := range []float64{0.1, 0.4} {
+		begin := time.Duration(from * float64(opt.Length))
+		for range 2 + d.rng.IntN(2) {
+			at := begin + d.between(0, opt.Length/10)
+			lasts := d.between(opt.Length/10, opt.Length/5)
+			if t, ok := d.trouble(at, lasts); ok {
+				p.Troubles = append(p.Troubles, t)
+			}
+		}
+	}
+	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	if opt.Faults && d.rng.IntN(3) > 0 {
+		p.Calls = d.calls(seed)
+	}
+	return p
+}
+
+// deployment draws classes, limits and the kind of list.
+func (d *drawer) deployment(seed uint64) string {
+	d.caches = 5 + d.rng.IntN(4)
+	d.kind = "discovery"
+	if d.rng.IntN(4) == 0 {
+		d.kind = d.one("etcd", "consul")
+	}
+	deadline := d.between(400*time.Millisecond, 1500*time.Millisecond)
+	var b strings.Builder
+	fmt.Fprintf(&b, "name = \"soak-%d\"\nlength = %q\nseed = %d\n", seed, d.opt.Length, seed)
+	fmt.Fprintf(&b, "\n[service]\nconn_idle = %q\ncancel = %t\nparallel = false\n", d.between(time.Second, 8*time.Second), d.rng.IntN(2) == 0)
+	fmt.Fprintf(&b, "\n[nodes]\ncount = %d\nmemory_mb = %d\nsockets = %d\n", d.opt.Processes, 96+32*d.rng.IntN(4), 96+32*d.rng.IntN(8))
+	fmt.Fprintf(&b, "\n[fleet]\ncount = %d\nslots = 16\nroom = 32\n", d.caches)
+	fmt.Fprintf(&b, "\n[list]\nkind = %q\n", d.kind)
+	fmt.Fprintf(&b, "\n[clients]\nrate = %g\nkeys = 2000\nleaves = %g\nretries = 1\n", d.opt.Rate, 0.02+0.1*d.rng.Float64())
+	class := func(name, effect string, share float64, write bool, more string) {
+		fmt.Fprintf(&b, "\n[[class]]\nname = %q\neffect = %q\nshare = %g\nwork = \"4ms\"\nsigma = 0.3\nsize = 600\naim = %q\ndeadline = %q\nworth = 2\nwrite = %t\n%s",
+			name, effect, share, deadline/3, deadline, write, more)
+	}
+	class("read", "safe", 0.8, false, "")
+	class("keyed", "keyed", 0.12, true, fmt.Sprintf("window = %q\nscope = %q\n", d.between(400*time.Millisecond, 1500*time.Millisecond), d.one("all", "zone")))
+	class("once", "unsafe", 0.08, true, "")
+	return b.String()
+}
+
+// servers draws some caches, as a line of a table.
+func (d *drawer) servers(most int) string {
+	names := map[string]bool{}
+	for range 1 + d.rng.IntN(most) {
+		names[fmt.Sprintf("%q", fmt.Sprint("c", 1+d.rng.IntN(d.caches)))] = true
+	}
+	var list []string
+	for name := range names {
+		list = append(list, name)
+	}
+	slices.Sort(list)
+	return "servers = [" + strings.Join(list, ", ") + "]\n"
+}
+
+// nodes takes some nodes whose processes no other trouble ends, upgrades or stops.
+func (d *drawer) nodes(most int) (string, bool) {
+	count := min(1+d.rng.IntN(most), len(d.free))
+	if count == 0 {
+		return "", false
+	}
+	taken := d.free[:count]
+	d.free = d.free[count:]
+	var list []string
+	for _, n := range taken {
+		list = append(list, fmt.Sprint(n))
+	}
+	return "nodes = [" + strings.Join(list, ", ") + "]\n", true
+}
+
+// Kinds are the kinds of troubles that a soak draws.
+func Kinds() []string {
+	return []string{"node_kill", "node_term", "node_freeze", "node_hup", "upgrade", "lameduck", "detach", "list_down", "list_garble", "list_lag", "list_cut",
+		"crash", "silent", "hang", "refuse", "busy", "reset", "garble", "surplus", "slow", "pause", "drain", "deploy",
+		"origin_slow", "origin_stop", "origin_garble", "rude", "surge"}
+}
+
+// trouble draws one trouble, unless the seed's nodes are all taken.
+func (d *drawer) trouble(at, lasts time.Duration) (Trouble, bool) {
+	kinds := Kinds()
+	t := Trouble{Kind: kinds[d.rng.IntN(len(kinds))], At: at, For: lasts}
+	ok := true
+	part := func(least, most float64) string {
+		return fmt.Sprintf("part = %.2f\n", least+(most-least)*d.rng.Float64())
+	}
+	switch t.Kind {
+	case "node_kill", "node_term":
+		t.For = d.between(500*time.Millisecond, 3*time.Second)
+		if t.Kind == "node_term" { // a planned end takes that long
+			t.For += 4 * time.Second
+		}
+		t.Detail, ok = d.nodes(max(1, d.opt.Processes/2))
+	case "node_freeze":
+		t.For = d.between(50*time.Millisecond, 3*time.Second)
+		t.Detail, ok = d.nodes(2)
+	case "upgrade":
+		t.For = 0
+		t.Detail, ok = d.nodes(3)
+	case "lameduck":
+		t.Detail, ok = d.nodes(1)
+	case "node_hup":
+		t.For = 0
+	case "list_cut":
+		t.Detail = fmt.Sprintf("nodes = [%d]\n", 1+d.rng.IntN(d.opt.Processes))
+	case "list_lag":
+		t.Detail = "factor = 1\n"
+		if d.kind != "discovery" {
+			t.Kind, t.Detail = "list_down", ""
+		}
+	case "detach":
+		t.Detail = d.servers(1)
+	case "crash", "drain", "silent", "hang", "refuse", "busy", "pause":
+		t.Detail = d.servers(2)
+	case "deploy":
+		t.Detail = "length = \"1s\"\ncount = 1\n" + d.servers(2)
+	case "reset", "garble", "surplus":
+		t.Detail = part(0.05, 0.4) + d.servers(3)
+	case "slow":
+		t.Detail = fmt.Sprintf("factor = %d\n", 3+d.rng.IntN(8)) + d.servers(2)
+	case "origin_slow":
+		t.Detail = "factor = 4\n"
+	case "origin_garble":
+		t.Detail = part(0.05, 0.3)
+	case "rude":
+		t.Detail = fmt.Sprintf("count = %d\n", 4+d.rng.IntN(20))
+	case "surge":
+		t.Detail = "factor = 2\n"
+	}
+	return t, ok
+}
+
+// calls draws which system calls fail and how far processes' wall clocks are off.
+func (d *drawer) calls(seed uint64) string {
+	sockets := []string{"accept", "socket", "connect", "epoll_wait", "epoll_add", "epoll_mod", "send", "recv", "peek"}
+	files := []string{"open", "write", "fsync", "rename", "read"}
+	var chosen []string
+	for range 1 + d.rng.IntN(3) {
+		chosen = append(chosen, sockets[d.rng.IntN(len(sockets))])
+	}
+	if d.rng.IntN(2) == 0 {
+		chosen = append(chosen, files[d.rng.IntN(len(files))])
+	}
+	slices.Sort(chosen)
+	return fmt.Sprintf("seed=%d,rate=%.3f,after=%s,every=%s,for=%s,drift=1h,calls=%s", seed, 0.002+0.03*d.rng.Float64(), d.between(500*time.Millisecond, 3*time.Second),
+		d.between(2*time.Second, 5*time.Second), d.between(200*time.Millisecond, time.Second), strings.Join(slices.Compact(chosen), "+"))
+}
--- /dev/null
+++ b/lab/soak/run.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"lapisshelf/lab/experiment"
+	"lapisshelf/lab/stage"
+)
+
+// faultsVariable names the plan of failing calls to the nodes, see internal/system.
+const faultsVariable = "LAPISSHELF_FAULTS"
+
+// Outcome is what came of one run.
+type Outcome struct {
+	Plan      *Plan
+	Findings  []string // what is wrong
+	Void      string   // why the run says nothing; empty: it does
+	Requests  int
+	Attempts  int
+	Processes int           // that were started
+	Time      time.Duration // of all processes together
+	Share     float64       // of the worth that was served
+	Dir       string        // with logs and the experiment file
+}
+
+// Failed reports whether the run found something.
+func (o *Outcome) Failed() bool { return o.Void == "" && len(o.Findings) > 0 }
+
+// Runner plays plans.
+type Runner struct {
+	Command string // that runs a node
+	Dir     string // for the files of runs
+}
+
+// Play plays a plan once.
+func (r *Runner) Play(ctx context.Context, p *Plan, name string) (*Outcome, error) {
+	dir := filepath.Join(r.Dir, name)
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "soak.toml")
+	if err := os.WriteFile(path, []byte(p.Text()), 0o644); err != nil {
+		return nil, err
+	}
+	return r.PlayFile(ctx, path, dir, p)
+}
+
+// PlayFile plays an experiment file as a soak; the plan may tell only its seed.
+func (r *Runner) PlayFile(ctx context.Context, path, dir string, p *Plan) (*Outcome, error) {
+	x, err := experiment.Read(path, experiment.Options{})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Setenv(faultsVariable, p.Calls); err != nil {
+		return nil, err
+	}
+	defer os.Unsetenv(faultsVariable)
+	s, err := stage.Open(x, stage.Options{Command: r.Command, Dir: dir})
+	if err != nil {
+		return nil, fmt.Errorf("seed %d: %w", p.Seed, err)
+	}
+	defer s.Close()
+	result := s.Run(ctx)
+	length := x.Length.D()
+	o := &Outcome{Plan: p, Void: result.Lab.Void, Requests: len(result.Record.Tries), Attempts: len(result.Record.Attempts), Processes: len(result.Record.Lives), Dir: dir}
+	if result.Cut {
+		o.Void = "interrupted"
+	}
+	for _, l := range result.Record.Lives {
+		end := l.End
+		if end == 0 {
+			end = length
+		}
+		o.Time += end - l.Start
+	}
+	worth, got := 0.0, 0.0
+	for _, c := range result.Verdict.Classes {
+		worth += c.Worth
+		got += c.Got
+	}
+	if worth > 0 {
+		o.Share = got / worth
+	}
+	o.Findings = judge(result, length)
+	return o, nil
+}
+
+// CallsOf reads the plan of failing calls off an experiment file that a soak has kept.
+func CallsOf(text string) string {
+	for _, line := range strings.Split(text, "\n") {
+		if rest, ok := strings.CutPrefix(line, "# faults: "); ok {
+			return rest
+		}
+	}
+	return ""
+}
+
+// Shrink drops troubles while the plan still fails, with so many runs at most, and gives the smallest plan that failed.
+func (r *Runner) Shrink(ctx context.Context, p *Plan, most int) (*Plan, error) {
+	smallest := p
+	for i := 0; i < len(smallest.Troubles) && most > 0 && ctx.Err() == nil; most-- {
+		less := *smallest
+		less.Troubles = append(append([]Trouble{}, smallest.Troubles[:i]...), smallest.Troubles[i+1:]...)
+		o, err := r.Play(ctx, &less, fmt.Sprintf("shrink-%d-%d", p.Seed, most))
+		if err != nil {
+			return smallest, err
+		}
+		if o.Failed() {
+			smallest = &less
+		} else {
+			i++
+		}
+	}
+	return smallest, nil
+}
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,92 @@
+package soak
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"lapisshelf/lab/experiment"
+	lawful "lapisshelf/lab/judge"
+	"lapisshelf/lab/seen"
+	"lapisshelf/lab/stage"
+)
+
+var usual = Options{Length: 20 * time.Second, Processes: 10, Rate: 300, Faults: true}
+
+// Every seed draws a deployment that can be put up, the same each time, and over some hundred seeds each kind of trouble is drawn
+// and each two kinds that can meet do.
+func TestDraw(t *testing.T) {
+	var c Coverage
+	calls := 0
+	const seeds = 3000
+	for seed := range uint64(seeds) {
+		p := Draw(seed, usual)
+		if again := Draw(seed, usual); again.Text() != p.Text() {
+			t.Fatalf("seed %d draws two plans", seed)
+		}
+		if p.Calls != "" {
+			calls++
+			if CallsOf(p.Text()) != p.Calls {
+				t.Fatalf("seed %d: the file tells %q of %q", seed, CallsOf(p.Text()), p.Calls)
+			}
+		}
+		c.Add(p, usual.Length)
+		if seed%20 > 0 {
+			continue
+		}
+		path := filepath.Join(t.TempDir(), "soak.toml")
+		if err := os.WriteFile(path, []byte(p.Text()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := experiment.Read(path, experiment.Options{}); err != nil {
+			t.Fatalf("seed %d: %v\n%s", seed, err, p.Text())
+		}
+	}
+	if missing := c.Missing(append(Kinds(), CallsFail)); len(missing) > 1 || len(missing) == 1 && missing[0] != (Pair{CallsFail, CallsFail}) {
+		t.Errorf("pairs that never meet: %v", missing)
+	}
+	if calls < seeds/2 || calls == seeds {
+		t.Errorf("calls fail in %d of %d", calls, seeds)
+	}
+	var b bytes.Buffer
+	if err := c.CSV(&b); err != nil || strings.Count(b.String(), "\n") != len(c.Pairs)+1 {
+		t.Errorf("%v: %d lines of %d pairs", err, strings.Count(b.String(), "\n"), len(c.Pairs))
+	}
+}
+
+// The oracle can fail: each thing that must hold besides the rules is found where it does not.
+func TestTheOracleFinds(t *testing.T) {
+	log := filepath.Join(t.TempDir(), "node.log")
+	if err := os.WriteFile(log, []byte("x event=start\nx event=violation rule=send why=answered\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for want, change := range map[string]func(r *stage.Result){
+		"":                           func(*stage.Result) {},
+		"node_crashes: 1":            func(r *stage.Result) { r.Verdict.Figures["node_crashes"] = 1 },
+		"said_overdue: 2":            func(r *stage.Result) { r.Verdict.Figures["said_overdue"] = 2 },
+		"said_violations: 1":         func(r *stage.Result) { r.Verdict.Figures["said_violations"] = 1 },
+		"rule=send why=answered":     func(r *stage.Result) { r.Record.Lives[0].Log = log },
+		"ready within 10s: 0 of 1":   func(r *stage.Result) { r.Record.Lives[0].Ready = 12 * time.Second },
+		"behind all troubles: 0.50":  func(r *stage.Result) { r.Verdict.Seconds[19].Service = 0 },
+		"one_answer lost at 3s: why": func(r *stage.Result) { r.Verdict.Breaches = append(r.Verdict.Breaches, breach()) },
+	} {
+		r := &stage.Result{Verdict: &lawful.Verdict{Figures: map[string]float64{}}, Record: &seen.Record{Lives: []*seen.Life{{Ready: time.Second}}}}
+		for i := range 20 {
+			r.Verdict.Seconds = append(r.Verdict.Seconds, lawful.Second{At: i, Asked: 100, Service: 0.99})
+		}
+		r.Verdict.Seconds[18].Service, r.Verdict.Seconds[17].Service = 1, 0.5
+		r.Verdict.Seconds[19].Service = 1
+		change(r)
+		got := judge(r, 20*time.Second)
+		if want == "" && len(got) > 0 || want != "" && (len(got) != 1 || !strings.Contains(got[0], want)) {
+			t.Errorf("%q: %q", want, got)
+		}
+	}
+}
+
+func breach() lawful.Breach {
+	return lawful.Breach{Rule: lawful.OneAnswer, What: lawful.Lost, At: 3 * time.Second, Why: "why"}
+}
