Planners too tell starts by what they saw, and a forwarder's restart by any other start

Cause: plan.Roster took a server's start for a time of the planner's clock, and a restart for one only with a later start; plan.Digest refused a forwarder that started anew after a step back until it had been silent for 5 s. Change: decide/starts, from the module's code, settles starts for both; a start other than the present one and the one before it is a restart. Tried and undone: taking a lower epoch once a view has faded, against TestWhateverComes (epochs never go back); a leader that starts anew after a step back stays refused until its epoch is past the highest taken: open.

--- a/decide/plan/plan.go
+++ b/decide/plan/plan.go
@@ -58,15 +58,20 @@
 		}
 		s := p.servers[e.ID]
 		if s == nil {
-			s = &server{factor: 1}
+			s = &server{factor: 1, begun: p.starts.Begun(now, e.ID, e.Started)}
 			p.servers[e.ID] = s
-		}
-		if e.Started > s.Started { // what was learned of the process before is void
-			s.factor, s.pooled, s.known, s.due = 1, tallied{}, 0, 0
+		} else if e.Started != s.Started { // what was learned of the process before is void, whatever its clock says
+			s.factor, s.pooled, s.known, s.due, s.begun = 1, tallied{}, 0, 0, p.starts.Begun(now, e.ID, e.Started)
 		}
 		s.Server, named[e.ID] = e, true
 	}
-	maps.DeleteFunc(p.servers, func(id string, _ *server) bool { return !named[id] })
+	p.starts.Watched()
+	maps.DeleteFunc(p.servers, func(id string, s *server) bool {
+		if !named[id] {
+			p.starts.Left(id, s.Started, s.begun)
+		}
+		return !named[id]
+	})
 	p.serving = p.serving[:0]
 	for _, id := range slices.Sorted(maps.Keys(p.servers)) {
 		if s := p.servers[id]; s.State == policy.Ready {
@@ -108,9 +113,12 @@
 	case f == nil:
 		f = &forwarder{start: d.Start}
 		p.forwarders[d.From], p.order = f, nil
-	case d.Start < f.start, d.Start == f.start && d.Seq <= f.seq:
+	case f.before != 0 && d.Start == f.before, d.Start == f.start && d.Seq <= f.seq:
 		return fmt.Errorf("older than what it said before")
 	}
+	if d.Start != f.start { // a restart, also where the wall clock was set back before it
+		f.before = f.start
+	}
 	// A restart changes nothing else: what it said before fades, and its grants run on, for they may have been used.
 	f.start, f.seq, f.heard = d.Start, d.Seq, now
 	if p.pending = append(p.pending, heardOf{f, d}); len(p.pending) >= 64+2*len(p.forwarders) {
--- a/decide/plan/plan_test.go
+++ b/decide/plan/plan_test.go
@@ -445,3 +445,42 @@
 		}
 	}
 }
+
+// A forwarder that starts anew after its machine's wall clock was set back is heard at once; what its process before sent late is not.
+func TestARestartAfterAStepBackIsHeard(t *testing.T) {
+	p := New(Config{})
+	say := func(now time.Duration, start int64, seq uint64) error {
+		return p.Digest(now, Digest{From: "n", Start: start, Seq: seq, Span: time.Second, Asked: 10, Answered: 10})
+	}
+	const old, anew = int64(2 * time.Hour), int64(time.Hour)
+	if err := say(time.Second, old, 5); err != nil {
+		t.Fatal(err)
+	}
+	if err := say(2*time.Second, anew, 1); err != nil {
+		t.Errorf("started anew: %v", err)
+	}
+	if err := say(3*time.Second, old, 6); err == nil {
+		t.Error("what the process before sent late is taken")
+	}
+	if err := say(3*time.Second, anew, 2); err != nil {
+		t.Errorf("its next: %v", err)
+	}
+}
+
+// A server that a planner sees start is cold from then on, whatever the clock that tells its start.
+func TestAServerSeenToStartIsColdHere(t *testing.T) {
+	const warmUp = 10 * time.Second
+	for _, skew := range []time.Duration{-time.Hour, 0, time.Hour} {
+		now := 2 * time.Hour
+		p := New(Config{ColdFrom: 0.2, WarmUp: warmUp})
+		list := []policy.Server{{ID: "a", Weight: 1}}
+		p.Roster(now, list)
+		p.Roster(now, append(list, policy.Server{ID: "b", Weight: 1, Started: now + skew}))
+		if got := p.warmth(now, p.servers["b"]); got != 0.2 {
+			t.Errorf("skew %v: warmth %v as it starts", skew, got)
+		}
+		if got := p.warmth(now+warmUp, p.servers["b"]); got != 1 {
+			t.Errorf("skew %v: warmth %v after the warm-up", skew, got)
+		}
+	}
+}
--- a/decide/plan/state.go
+++ b/decide/plan/state.go
@@ -6,12 +6,14 @@
 	"slices"
 	"time"
 
+	"lapisshelf/decide/starts"
 	"lapisshelf/policy"
 )
 
 // What a planner remembers, and its plain upkeep. Nothing is decided here.
 
 type state struct {
+	starts     starts.Book // of servers, as far as they were seen
 	cfg        Config
 	epoch      uint64
 	leader     string // by the leases; empty: nobody is known to hold one
@@ -50,6 +52,7 @@
 }
 
 type server struct {
+	begun time.Duration // its start as it counts here, see decide/starts
 	policy.Server
 	factor float64
 	base   float64 // of the requests that it should get: weight, factor and warmth; 0: it does not serve
@@ -87,8 +90,8 @@
 
 // warmth is the part of its capacity that a server is sure to have by now, as in policy.
 func (st *state) warmth(now time.Duration, s *server) float64 {
-	age := now - s.Started
-	if s.Started == 0 || age >= st.cfg.WarmUp {
+	age := now - s.begun
+	if s.begun == 0 || age >= st.cfg.WarmUp {
 		return 1
 	}
 	return st.cfg.ColdFrom + (1-st.cfg.ColdFrom)*max(0, float64(age)/float64(st.cfg.WarmUp))
@@ -96,7 +99,8 @@
 
 // forwarder is what one told. Its counts fade.
 type forwarder struct {
-	start      int64
+	start      int64 // of its process, by that one's clock: a name for it
+	before     int64 // of the process before that; 0: none is known
 	seq        uint64
 	heard      time.Duration
 	asked      float64 // requests
--- a/policy/state.go
+++ b/policy/state.go
@@ -15,12 +15,13 @@
 	"golang.org/x/crypto/blake2b"
 
 	"lapisshelf/decide/safety"
+	"lapisshelf/decide/starts"
 )
 
 type server struct {
 	Server
 	banned    bool          // by hand
-	begun     time.Duration // its start as it counts here, see begunAt
+	begun     time.Duration // its start as it counts here, see decide/starts
 	started   time.Duration // that, or when a ban was lifted since
 	weight    float64       // listed, or the mean where none is listed, times the factor of the view
 	allow     float64       // sends a second that the view leaves to this node; 0: no limit
@@ -99,30 +100,29 @@
 	servers map[string]*server
 	hands   map[string]Hand // by id, listed or not
 
-	watched  bool // the list has been told since the start: what changes from now on changes as it is told
-	departed departed
-	caches   []*server // ready, by id
-	weights  float64   // the sum of their weights as ranked last
-	steady   float64   // and of those that are warm
-	origin   *server
-	open     map[string]*request
-	order    []*request     // open requests by arrival
-	keyed    map[string]int // open requests by key
-	fetches  map[string]*fetch
-	hash     hash.Hash
-	scratch  []byte
-	ranked   []*server
-	recent   recent  // keys asked for last
-	asked    fading  // requests for caches taken lately
-	answers  fading  // reads answered lately
-	chilly   fading  // those of them by cold caches
-	past     fading  // and by the origin, with no miss before
-	lost     fading  // attempts at caches that timed out lately
-	out      int     // attempts out at caches
-	late     float64 // quantile lateQuant of answer times, ns
-	usual    float64 // mean of answer times, ns
-	askWait  time.Duration
-	within   time.Duration // longest spell without asking for the list
+	starts  starts.Book // of servers, as far as they were seen
+	caches  []*server   // ready, by id
+	weights float64     // the sum of their weights as ranked last
+	steady  float64     // and of those that are warm
+	origin  *server
+	open    map[string]*request
+	order   []*request     // open requests by arrival
+	keyed   map[string]int // open requests by key
+	fetches map[string]*fetch
+	hash    hash.Hash
+	scratch []byte
+	ranked  []*server
+	recent  recent  // keys asked for last
+	asked   fading  // requests for caches taken lately
+	answers fading  // reads answered lately
+	chilly  fading  // those of them by cold caches
+	past    fading  // and by the origin, with no miss before
+	lost    fading  // attempts at caches that timed out lately
+	out     int     // attempts out at caches
+	late    float64 // quantile lateQuant of answer times, ns
+	usual   float64 // mean of answer times, ns
+	askWait time.Duration
+	within  time.Duration // longest spell without asking for the list
 
 	shortest time.Duration       // of the classes' aims
 	period   time.Duration       // between looks at what is open
@@ -455,14 +455,16 @@
 	for _, e := range list {
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{limit: firstLimit, begun: b.begunAt(e)}
+			s = &server{limit: firstLimit, begun: b.starts.Begun(b.now, e.ID, e.Started)}
 			b.servers[e.ID] = s
 		} else if e.Started != s.Started { // a restart: what was learned of the old process is void
-			s.fails, s.skipUntil, s.begun = 0, 0, b.begunAt(e)
+			s.fails, s.skipUntil, s.begun = 0, 0, b.starts.Begun(b.now, e.ID, e.Started)
 		}
 		s.Server = e
 	}
-	b.watched = b.watched || kind == ListChanges || kind == ListWhole
+	if kind == ListChanges || kind == ListWhole {
+		b.starts.Watched()
+	}
 	b.reindex()
 }
 
@@ -477,7 +479,7 @@
 		s.banned, s.started = h.Banned, h.startedAt(s)
 		switch {
 		case s.State == Gone && len(s.sent) == 0 && len(s.queue) == 0:
-			b.departed.add(s.ID, startTime{told: s.Started, begun: s.begun})
+			b.starts.Left(s.ID, s.Started, s.begun)
 			delete(b.servers, s.ID) // a fleet that changes for days must not fill the memory
 		case !s.open():
 		case b.set.OriginKind != "" && s.Kind == b.set.OriginKind:
