Soak: state outlasts restarts, calls break no client's connection, resends at a killed node

A ban was expected to outlast a restart for which the lab empties the state directory, as the platform does: in the soak it lasts now, which asks for more. ETIMEDOUT at a send to a client ended its connection with no answer, which is what was injected: breaks are asked for by name.

--- a/internal/system/faults.go
+++ b/internal/system/faults.go
@@ -48,9 +48,12 @@
 	Skew  time.Duration // of the wall clock
 	Drift time.Duration // drawn by each process: its wall clock is off by as much at most, either way
 	Calls map[Call]bool
+	// Breaks has send and receive fail as broken connections do too. Off by default: who is at the other end of a connection that
+	// breaks so is not answered, which nobody can tell from a request that was lost.
+	Breaks bool
 }
 
-// Parse reads a plan: name=value pairs between commas, seed, rate, after, every, for, skew, drift, and calls with names between plus
+// Parse reads a plan: name=value pairs between commas, seed, rate, after, every, for, skew, drift, breaks, and calls with names between plus
 // signs. An unknown name, call or value is an error.
 func Parse(text string) (Plan, error) {
 	p := Plan{Rate: 1, Calls: map[Call]bool{}}
@@ -72,6 +75,8 @@
 			p.Skew, err = time.ParseDuration(value)
 		case "drift":
 			p.Drift, err = time.ParseDuration(value)
+		case "breaks":
+			p.Breaks, err = strconv.ParseBool(value)
 		case "calls":
 			for _, c := range strings.Split(value, "+") {
 				if documented[Call(c)] == nil {
@@ -151,7 +156,11 @@
 		return nil
 	}
 	list := documented[c]
-	return list[injector.rng.IntN(len(list))]
+	errno := list[injector.rng.IntN(len(list))]
+	if !p.Breaks && (c == CallSend || c == CallReceive) && (errno == unix.ETIMEDOUT || errno == unix.EHOSTUNREACH) {
+		return nil
+	}
+	return errno
 }
 
 func limit(c Call, length int) int {
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -59,6 +59,15 @@
 	r.rec.Attempts = append(r.rec.Attempts, &b)
 }
 
+// twice has a write take effect twice, and its node killed by the plan in the course of it; its client sent it once more, or not.
+func (r *run) twice(killed, first, second time.Duration, unread bool) {
+	t, a := r.read("put")
+	t.Unread = unread
+	r.rec.Lives[0].Killed, r.rec.Lives[0].End = true, killed
+	r.rec.Effects = append(r.rec.Effects, seen.Effect{At: first, Request: a.Request, Key: "k", Receipt: "R0"},
+		seen.Effect{At: second, Request: a.Request, Key: "k", Receipt: "R1"})
+}
+
 func same(*seen.Attempt) {}
 
 // unanswered makes an attempt one that the node gave up.
@@ -123,6 +132,9 @@
 			unanswered(a, 131*ms)
 			r.further(a, 300*ms, same)
 		}, "one_answer sent_after_end"},
+		{"sent twice by its client, whose node was killed between the effects", func(r *run) { r.twice(150*ms, 120*ms, 200*ms, true) }, ""},
+		{"the same, both effects before the kill", func(r *run) { r.twice(250*ms, 120*ms, 200*ms, true) }, "no_double doubled_effect"},
+		{"the same, its client did not send it twice", func(r *run) { r.twice(150*ms, 120*ms, 200*ms, false) }, "no_double doubled_effect"},
 		{"told what is left", func(r *run) { _, a := r.read("read"); a.Wait = 999 * ms }, ""},
 		{"told within the slack", func(r *run) { _, a := r.read("read"); a.Wait = 1149 * ms }, ""},
 		{"told more than is left", func(r *run) { _, a := r.read("read"); a.Wait = 1500 * ms }, "one_answer told_too_much"},
--- a/lab/soak/run.go
+++ b/lab/soak/run.go
@@ -60,7 +60,7 @@
 		return nil, err
 	}
 	defer os.Unsetenv(faultsVariable)
-	s, err := stage.Open(x, stage.Options{Command: r.Command, Dir: dir})
+	s, err := stage.Open(x, stage.Options{Command: r.Command, Dir: dir, Lasts: true})
 	if err != nil {
 		return nil, fmt.Errorf("seed %d: %w", p.Seed, err)
 	}
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -35,6 +35,7 @@
 type Options struct {
 	Command  string       // of the nodes
 	Dir      string       // for files; it must exist
+	Lasts    bool         // what nodes keep for their next processes outlasts restarts
 	Progress func(Moment) // told each second of a run; nil: nobody is
 }
 
@@ -264,7 +265,7 @@
 		}
 		opt := NodeOptions{Log: s.Log, Number: i, Command: s.opt.Command, Dir: s.opt.Dir, Listen: addr, List: s.list.Where(i)[0],
 			MemoryMB: x.Nodes.MemoryMB, Sockets: x.Nodes.Sockets, Seed: world.Stream(x.Seed, "node", fmt.Sprint(i)).Uint64(),
-			Settings: x.Settings(i), Longest: longest, Operated: true}
+			Settings: x.Settings(i), Longest: longest, Operated: true, Lasts: s.opt.Lasts}
 		if x.Nodes.Config != "" {
 			path := x.Nodes.Config
 			if !filepath.IsAbs(path) {
