An attempt that time has overtaken is refused and not written; the soak tells a breach's story

What was allowed as the module asked is asked again before a connection is chosen: where the process was held up in between, nothing is written, and that is no violation.

--- /dev/null
+++ b/cmd/lapislab/planted_test.go
@@ -0,0 +1,137 @@
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// planted has the soak play builds with a guard taken out, which takes minutes: go test ./cmd/lapislab -run SoakFinds -planted
+var planted = flag.Bool("planted", false, "have the soak find planted faults; each plays seeds of 12 s")
+
+// replacement is one place of a planted fault.
+type replacement struct{ file, old, new string }
+
+// plantedFault is a guard taken out, and within how many seeds the soak is to find it; 0: it is blind to it, for the reason told.
+type plantedFault struct {
+	name  string
+	seeds int
+	blind string
+	edits []replacement
+}
+
+// plantedFaults are those that the soak is tried on. Each build has one of them.
+var plantedFaults = []plantedFault{
+	{name: "unsafe requests are repeated", seeds: 4, edits: []replacement{
+		{"decide/safety/safety.go", "return MayHaveRun", "return Allowed"}}},
+	{name: "servers that leave get new requests", seeds: 6, edits: []replacement{
+		{"policy/state.go", "return s.State == Ready && !s.banned", "return s.State != Gone && !s.banned"},
+		{"internal/node/pool.go", "return p.ready && !p.banned", "return !p.banned"}}},
+	{name: "servers get more time told than is left", seeds: 2, edits: []replacement{
+		{"internal/node/caches.go", "return max(1, wait.Milliseconds())", "return max(1, wait.Milliseconds()+1000)"}}},
+	{name: "what stood unread counts from when it is read", seeds: 8, edits: []replacement{
+		{"internal/loop/loop.go", "func (l *Loop) Came() time.Duration { return l.came }", "func (l *Loop) Came() time.Duration { return l.Now() }"}}},
+	{name: "bans are not taken over", seeds: 12, edits: []replacement{
+		{"internal/node/succession.go", "n.guard(\"hand\", func() { n.policy.Hand(now, h) })", "_ = now"}}},
+	{name: "requests are not failed as their time ends", seeds: 6, edits: []replacement{
+		{"internal/node/node.go", "c.timer = n.loop.After(c.deadline-last-now, func() { n.overdue(c) })", "c.timer = n.loop.After(c.deadline+5*time.Second+0*last-now, func() { n.overdue(c) })"}}},
+	{name: "a planned end closes over open requests", seeds: 6, edits: []replacement{
+		{"internal/node/drain.go", "if len(c.calls) > 0 || c.conn.Pending() > 0 {", "if n.leaving && len(c.calls) > 0 {\n\t\t\tc.cut(closedAtEnd)\n\t\t\tcontinue\n\t\t}\n\t\tif len(c.calls) > 0 || c.conn.Pending() > 0 {"}}},
+	{name: "clients that leave are not seen", seeds: 6, edits: []replacement{
+		{"internal/loop/conn.go", "func (c *Conn) HeedEnd() {\n\tc.source.leaves = true", "func (c *Conn) HeedEnd() {\n\tc.source.leaves = false"},
+		{"internal/loop/conn.go", "case n == 0:\n\t\tc.end(io.EOF)", "case n == 0 && c.source.leaves:\n\t\tc.end(io.EOF)"}}},
+	{name: "an answer may be another request's", seeds: 8, edits: []replacement{
+		{"internal/node/caches.go", "case len(m.ID) > 0 && !bytes.Equal(m.ID, c.ID): // another request's answer\n\t\t\treturn answer{}, 0, meta.ErrAnswer", "case len(m.ID) > 0 && !bytes.Equal(m.ID, c.ID) && false:\n\t\t\treturn answer{}, 0, meta.ErrAnswer"}}},
+	{name: "a listener does not go on after a shortage", seeds: 12, edits: []replacement{
+		{"internal/loop/conn.go", "ln.short = false", "ln.short = true"}}},
+	{name: "a lost process is never replaced by one that is ready", seeds: 4, edits: []replacement{
+		{"internal/node/members.go", "readyWithin = 2 * time.Second", "readyWithin = 200 * time.Second"},
+		{"internal/node/members.go", "n.registry.Heard = n.listHeard", "n.registry.Heard = nil"}}},
+}
+
+// overlay writes a planted fault's files and gives the flag that builds with them. The place of each must be there once.
+func (p *plantedFault) overlay(t *testing.T, dir string) string {
+	t.Helper()
+	replace := map[string]string{}
+	for i, e := range p.edits {
+		path := filepath.Join(root, e.file)
+		from := path
+		if changed, is := replace[path]; is {
+			from = changed
+		}
+		text, err := os.ReadFile(from)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := strings.Count(string(text), e.old); n != 1 {
+			t.Fatalf("%s: %q stands %d times in %s", p.name, e.old, n, e.file)
+		}
+		to := filepath.Join(dir, fmt.Sprint(i, ".go"))
+		if err := os.WriteFile(to, []byte(strings.Replace(string(text), e.old, e.new, 1)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		replace[path] = to
+	}
+	text, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "overlay.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// Each planted fault's place is there, and the soak finds it within its number of seeds.
+func TestSoakFindsPlantedFaults(t *testing.T) {
+	for i := range plantedFaults {
+		p := &plantedFaults[i]
+		t.Run(p.name, func(t *testing.T) {
+			dir := t.TempDir()
+			overlay := p.overlay(t, dir)
+			if !*planted {
+				return // that its place is there is seen
+			}
+			node := filepath.Join(dir, "lapisshelf")
+			if out, err := exec.Command("go", "build", "-tags", "faults", "-overlay", overlay, "-o", node, "lapisshelf/cmd/lapisshelf").CombinedOutput(); err != nil {
+				t.Fatalf("%v: %s", err, out)
+			}
+			for seed := 1; seed <= p.seeds; seed++ {
+				out, err := exec.Command(filepath.Join(folder, "lapislab"), "soak", "--node", node, "--seed", fmt.Sprint(seed), "--for", "12s", "--shrink", "0", "--files", dir).CombinedOutput()
+				if exit, is := err.(*exec.ExitError); is && exit.ExitCode() == statusShort {
+					t.Logf("found by seed %d:\n%s", seed, out)
+					return
+				}
+			}
+			t.Errorf("not found within %d seeds", p.seeds)
+		})
+	}
+}
+
+// Two short seeds with few processes hold, with what they count: requests, attempts and troubles that overlapped.
+func TestSoakSeeds(t *testing.T) {
+	for _, seed := range []string{"7", "8"} {
+		t.Run(seed, func(t *testing.T) {
+			t.Parallel()
+			lanes <- true
+			defer func() { <-lanes }()
+			for range mostVoid {
+				out, err := exec.Command(filepath.Join(folder, "lapislab"), "soak", "--seed", seed, "--for", "8s", "--processes", "4", "--rate", "120", "--shrink", "0", "--files", t.TempDir()).CombinedOutput()
+				if exit, is := err.(*exec.ExitError); is && exit.ExitCode() == statusVoid {
+					continue
+				}
+				if err != nil || !strings.Contains(string(out), "1 seeds judged, 0 failed, 0 void") || strings.Contains(string(out), " 0 pairs") {
+					t.Errorf("%v: %s", err, out)
+				}
+				return
+			}
+			t.Fatal("the lab was late again and again: this machine is too busy")
+		})
+	}
+}
--- a/internal/node/check.go
+++ b/internal/node/check.go
@@ -49,12 +49,23 @@
 	switch why {
 	case safety.ServerClosed:
 		outcome = policy.ConnectFailed
-	case safety.StillOut, safety.MayHaveRun, safety.WindowOver, safety.OtherGroup:
+	case safety.StillOut, safety.MayHaveRun, safety.OtherGroup:
 		n.violation("repeat", why, t.call.id, t.pool.id) // the module asks before it sends
 	}
 	n.loop.Later(func() { n.finished(t, answer{outcome: outcome}) })
 }
 
+// refuseLate ends an attempt that was allowed a moment ago and may not be written now. Time may have passed, where the process was held
+// up; anything else is a violation.
+func (n *Node) refuseLate(t *try, why safety.Reason) {
+	switch why {
+	case safety.TimeOver, safety.ToldTooMuch, safety.WindowOver:
+	default:
+		n.violation("send", why, t.call.id, t.pool.id)
+	}
+	n.refuseSend(t, why)
+}
+
 // checkWritten checks an attempt that goes out after it had to wait.
 func (n *Node) checkWritten(t *try) {
 	switch why := n.maySend(t, 0, t.call.client == nil); why {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -142,6 +142,10 @@
 // send writes an attempt to a connection: an idle one, else a new one, else, with no descriptor left, behind another.
 func (p *pool) send(t *try, wait time.Duration) {
 	n := p.node
+	if why := n.maySend(t, wait, t.call.client == nil); why != safety.Allowed {
+		n.refuseLate(t, why)
+		return
+	}
 	l := p.fresh()
 	switch {
 	case l != nil:
@@ -159,9 +163,6 @@
 	l.unrest()
 	t.link, t.wait = l, wait
 	l.tries = append(l.tries, t)
-	if why := n.maySend(t, wait, t.call.client == nil); why != safety.Allowed { // it was allowed a moment ago
-		n.violation("send", why, t.call.id, p.id)
-	}
 	l.write(t, wait)
 	if u := t.call.upload; u != nil {
 		t.last += int64(t.call.command.Long + len(p.proto.behind()))
--- a/internal/node/recorder_test.go
+++ b/internal/node/recorder_test.go
@@ -67,12 +67,7 @@
 		safety.Answered:     func(b *bench, x *try) { x.call.answered = true; b.pool.send(x, 1) },
 		safety.ClientGone:   func(b *bench, x *try) { x.call.client = nil; b.pool.send(x, 1) },
 		safety.ServerClosed: func(b *bench, x *try) { b.pool.ready = false; b.pool.send(x, 1) },
-		safety.TimeOver:     func(b *bench, x *try) { x.call.deadline = b.node.loop.Now(); b.pool.send(x, 1) },
-		safety.ToldTooMuch: func(b *bench, x *try) {
-			x.call.deadline = b.node.loop.Now() + safety.Slack
-			b.pool.send(x, 3*safety.Slack)
-		},
-		safety.Unanswered: func(b *bench, x *try) { b.node.checkClose(&client{node: b.node, calls: []*call{x.call}}, false) },
+		safety.Unanswered:   func(b *bench, x *try) { b.node.checkClose(&client{node: b.node, calls: []*call{x.call}}, false) },
 	} {
 		b := newBench(t)
 		x := b.send("1")
@@ -83,12 +78,33 @@
 		if c := &b.node.count; c.violations != 1 || c.violated[why] != 1 {
 			t.Errorf("%v: %d violations, by reason %v", why, c.violations, c.violated)
 		}
+		if why != safety.Unanswered && (b.node.count.sendsRefused[why] != 1 || b.node.count.attempts != 1) {
+			t.Errorf("%v: %v refused, %d attempts", why, b.node.count.sendsRefused, b.node.count.attempts)
+		}
 		if line := b.node.count.line(b.node); !strings.Contains(line, "violations=1 ") || !strings.Contains(line, "violated_"+why.String()+"=1") {
 			t.Errorf("the counters tell %s", line)
 		}
 	}
 }
 
+// Time that has passed since an attempt was chosen has it refused, and is no violation.
+func TestAnAttemptThatComesTooLateIsRefused(t *testing.T) {
+	for why, late := range map[safety.Reason]func(b *bench, x *try){
+		safety.TimeOver: func(b *bench, x *try) { x.call.deadline = b.node.loop.Now(); b.pool.send(x, 1) },
+		safety.ToldTooMuch: func(b *bench, x *try) {
+			x.call.deadline = b.node.loop.Now() + safety.Slack
+			b.pool.send(x, 3*safety.Slack)
+		},
+	} {
+		b := newBench(t)
+		x := b.send("1")
+		late(b, &try{call: x.call, pool: b.pool, n: 1})
+		if c := &b.node.count; c.violations != 0 || c.sendsRefused[why] != 1 || c.attempts != 1 {
+			t.Errorf("%v: %d violations, %v refused, %d attempts", why, c.violations, c.sendsRefused, c.attempts)
+		}
+	}
+}
+
 // A repeat of a request that may have run and must not run twice is not sent, though the module asks for it.
 func TestARepeatAgainstTheRulesIsNotSent(t *testing.T) {
 	s := newStage(t, false, answering)
