--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -120,11 +120,13 @@
 	}
 	// Whoever asks goes before those who may be about to.
 	if c.seat(c.excess && n.clients.full() && !n.clients.evict(0)); c.excess {
+		n.count.full++
 		c.refuse(kind)
 		c.parting = true // its descriptor is wanted
 		return
 	}
 	if n.full(len(m.Value) + min(m.Long, bodyKept)) {
+		n.count.full++
 		c.refuse(kind)
 		return
 	}
@@ -179,7 +181,6 @@
 
 // refuse turns a request away that the module has not seen.
 func (c *client) refuse(kind *class) {
-	c.node.count.full++
 	c.node.end(kind, refused)
 	c.say(string(meta.AppendBusy(nil, 0)))
 }
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -169,12 +169,12 @@
 		u.sent(t)
 	}
 	l.wrote()
-	l.hasten(t)
+	l.boundWait(t)
 }
 
-// hasten takes an attempt back that waits behind others' bytes for too long. Guards against a server that has stopped reading and
+// boundWait takes an attempt back that waits behind others' bytes for too long. Guards against a server that has stopped reading and
 // goes on later: it would work for a client that has stopped waiting.
-func (l *link) hasten(t *try) {
+func (l *link) boundWait(t *try) {
 	if l.up && !t.whole && t.call.upload == nil {
 		t.stuck = l.pool.node.loop.After(writeWithin, func() {
 			if !t.done && t.link == l {
@@ -509,7 +509,7 @@
 	l.wrote()
 	for _, t := range l.tries {
 		if t != nil {
-			l.hasten(t)
+			l.boundWait(t)
 		}
 	}
 	l.rest()
