--- a/cmd/lapisshelf/stopped_test.go
+++ b/cmd/lapisshelf/stopped_test.go
@@ -33,7 +33,7 @@
 	for i, cl := range standing {
 		ids[fmt.Sprint("stands", i)] = cl
 	}
-	for i := range 5 {
+	for i := range 80 { // more than are accepted in a turn
 		ids[fmt.Sprint("new", i)] = n.dial()
 	}
 	for id, cl := range ids {
