--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -502,8 +502,8 @@
 	}
 	c.mu.Lock()
 	mine := c.cur == x
-	if mine {
-		c.cur = nil
+	if mine { // its answer may be on the way still: it is nobody's
+		c.cur, c.last = nil, nil
 		c.gone = true
 	}
 	c.mu.Unlock()
