--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -27,18 +27,18 @@
 
 // plantedFaults are those that the soak is tried on. Each build has one of them.
 var plantedFaults = []plantedFault{
-	{name: "unsafe requests are repeated", seeds: 4, edits: []replacement{
+	{name: "unsafe requests are repeated", seeds: 20, edits: []replacement{
 		{"decide/safety/safety.go", "return MayHaveRun", "return Allowed"}}},
 	{name: "servers that leave get new requests", seeds: 6, edits: []replacement{
 		{"policy/state.go", "return s.State == Ready && !s.banned", "return s.State != Gone && !s.banned"},
 		{"internal/node/pool.go", "return p.ready && !p.banned", "return !p.banned"}}},
 	{name: "servers get more time told than is left", seeds: 2, edits: []replacement{
 		{"internal/node/caches.go", "return max(1, wait.Milliseconds())", "return max(1, wait.Milliseconds()+1000)"}}},
-	{name: "what stood unread counts from when it is read", seeds: 8, edits: []replacement{
+	{name: "what stood unread counts from when it is read", seeds: 20, edits: []replacement{
 		{"internal/loop/loop.go", "func (l *Loop) Came() time.Duration { return l.came }", "func (l *Loop) Came() time.Duration { return l.Now() }"}}},
 	{name: "bans are not taken over", seeds: 12, edits: []replacement{
 		{"internal/node/succession.go", "n.guard(\"hand\", func() { n.policy.Hand(now, h) })", "_ = now"}}},
-	{name: "requests are not failed as their time ends", seeds: 6, edits: []replacement{
+	{name: "requests are not failed as their time ends", seeds: 20, edits: []replacement{
 		{"internal/node/node.go", "c.timer = n.loop.After(c.deadline-last-now, func() { n.overdue(c) })", "c.timer = n.loop.After(c.deadline+5*time.Second+0*last-now, func() { n.overdue(c) })"}}},
 	{name: "a planned end closes over open requests", seeds: 6, edits: []replacement{
 		{"internal/node/drain.go", "if len(c.calls) > 0 || c.conn.Pending() > 0 {", "if n.leaving && len(c.calls) > 0 {\n\t\t\tc.cut(closedAtEnd)\n\t\t\tcontinue\n\t\t}\n\t\tif len(c.calls) > 0 || c.conn.Pending() > 0 {"}}},
