What the kernel knows of the last data settles arrivals; planned ends do not refuse what waits

Causes: an attempt queued before a planned end cut its request's time was refused as its connection came up, since it told the time from before (now it tells what is left); a request that came just before a stopped process went on was refused as if it had come as that was stopped (TCP_INFO tells when data last came; without it the bound stands); the lock under which processes enter is a third file in the state directory, which the test now passes over by name; planted mistakes stand in other files, and one sends a request that does not know of its answer, since one that does is refused.

--- a/cmd/lapislab/lapislab_test.go
+++ b/cmd/lapislab/lapislab_test.go
@@ -177,7 +177,7 @@
 	for _, c := range []struct {
 		name, file, from, to, with, rule, what string
 	}{
-		{"an answer twice", "internal/node/clients.go", "		c.conn.Write(k.answer)\n",
+		{"an answer twice", "internal/node/connection.go", "		c.conn.Write(k.answer)\n",
 			"		c.conn.Write(k.answer)\n		if k.id != \"\" && k.id[0] == '7' {\n			c.conn.Write(k.answer)\n		}\n", calm, "one_answer", "twice"},
 		{"no answer", "internal/node/node.go", "	n.unclock(c)\n	c.answer = text\n",
 			"	n.unclock(c)\n	if c.id != \"\" && c.id[0] == '7' {\n		return\n	}\n	c.answer = text\n", calm, "one_answer", "lost"},
@@ -186,13 +186,13 @@
 		{"another id goes on", "internal/meta/meta.go", "	buf = append(buf, c.Line[:c.InfoPos]...)",
 			"	buf = append(buf, bytes.Replace(c.Line[:c.InfoPos], []byte(\" O7\"), []byte(\" O8\"), 1)...)", calm, "one_answer", "altered"},
 		{"sent after the answer", "internal/node/node.go", "	c := t.call\n	c.open--\n", "	c := t.call\n	c.open--\n" +
-			"	if x := *c; x.id[0] == '7' && t.n < 9 && a.outcome == policy.OK && x.command.Kind == meta.Get {\n		x.open, x.answered = 9, true\n" +
+			"	if x := *c; x.id[0] == '7' && t.n < 9 && a.outcome == policy.OK && x.command.Kind == meta.Get {\n		x.open, x.answered, x.deadline, x.end = 9, false, n.loop.Now()+9*time.Second, n.loop.Now()+9*time.Second\n" +
 			"		n.loop.After(150*time.Millisecond, func() { t.pool.send(&try{call: &x, n: 9, pool: t.pool, at: n.loop.Now()}, time.Second) })\n	}\n",
 			calm, "one_answer", "sent_after_end"},
-		{"a keyed repeat past its window", "policy/policy.go", "b.now-a.at >= r.class.Window || ", "", spoilt, "no_double", "past_window"},
-		{"an unsafe repeat", "policy/policy.go", "		if r.class.Effect == Unsafe || b.now-a.at", "		if b.now-a.at > time.Hour || r.class.Effect == Keyed && b.now-a.at", spoilt,
+		{"a keyed repeat past its window", "decide/safety/safety.go", "	case e.Age >= window-Slack:\n		return WindowOver\n", "", spoilt, "no_double", "past_window"},
+		{"an unsafe repeat", "decide/safety/safety.go", "		return MayHaveRun\n", "		return Allowed\n", spoilt,
 			"no_double", "repeat_may_run"},
-		{"and the effects of it", "policy/policy.go", "		if r.class.Effect == Unsafe || b.now-a.at", "		if b.now-a.at > time.Hour || r.class.Effect == Keyed && b.now-a.at", spoilt,
+		{"and the effects of it", "decide/safety/safety.go", "		return MayHaveRun\n", "		return Allowed\n", spoilt,
 			"no_double", "doubled_effect"},
 		{"a refusal that is not true", "policy/policy.go", "return r.class.Effect == Safe || !slices", "return true || !slices", spoilt, "no_double", "false_refusal"},
 		{"two attempts at once", "internal/node/pool.go", "		l.over()\n	}\n	p.node.finished(t, end)\n",
@@ -200,7 +200,7 @@
 		{"a send after the drain's grace", "internal/registry/entry.go", `"DRAINING": policy.Draining`, `"DRAINING": policy.Ready`, drain, "drains", "sent_to_drained"},
 		{"a ban that is only said", "internal/node/operate.go", "	n.guard(\"ban\", func() { n.policy.Ban(n.loop.Now(), id, on) })\n", "", banned, "drains", "sent_to_banned"},
 		{"a drain that keeps its clients", "internal/node/operate.go", "		n.clients.drain(false)\n", "", lame, "one_answer", "not_drained"},
-		{"a drain that is not told", "internal/node/clients.go", "		case n.lame:\n", "		case false:\n", lame, "one_answer", "not_drained"},
+		{"a drain that is not told", "internal/node/commands.go", "		case n.lame:\n", "		case false:\n", lame, "one_answer", "not_drained"},
 		{"a burst at a cold cache", "policy/policy.go", "	age := b.now - s.started\n	if s.started == 0 || age >= b.set.WarmUp {",
 			"	age := b.now - s.started\n	if s.started == 0 || age >= 0 {", cold, "cold", "cold_pushed"},
 	} {
--- a/cmd/lapisshelf/upgrade_test.go
+++ b/cmd/lapisshelf/upgrade_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -169,7 +170,9 @@
 		t.Errorf("%d served, %d turned back unheard, %d refused", served, turned, crowd.refused.Load())
 	}
 	t.Logf("%d served, %d turned back unheard, %d refused", crowd.served.Load(), crowd.turned.Load(), crowd.refused.Load())
-	if files, _ := filepath.Glob(filepath.Join(old.tmp, "*")); len(files) != 2 {
+	files, _ := filepath.Glob(filepath.Join(old.tmp, "*"))
+	files = slices.DeleteFunc(files, func(path string) bool { return strings.HasSuffix(path, ".entry") }) // the lock under which all enter
+	if len(files) != 2 {
 		t.Errorf("left behind: %v", files)
 	}
 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -236,6 +236,18 @@
 	return !errors.Is(err, unix.EAGAIN) // what can't be looked at is not known to be idle
 }
 
+// LastData is how long ago bytes last came from the other end, read or not, as far as the system knows.
+func (c *Conn) LastData() (ago time.Duration, known bool) {
+	if c.closed {
+		return 0, false
+	}
+	info, err := unix.GetsockoptTCPInfo(c.source.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond, true
+}
+
 // Close gives the connection back at once, without a call to End.
 func (c *Conn) Close() { c.release() }
 
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -18,10 +18,7 @@
 		return
 	}
 	c.used = c.node.loop.Now()
-	// What came with the connection may have been there as long as that: it is read in the turn behind.
-	if came := c.node.loop.Came(); c.asked || came > c.opened+withOpening {
-		c.arrived = came
-	}
+	c.settleArrival()
 	if c.skip > 0 {
 		n := min(c.skip, len(data))
 		c.skip -= n
@@ -35,6 +32,21 @@
 	c.flush()
 }
 
+// settleArrival settles since when what is being read may have been there: as long as its connection waited for being accepted, if
+// it is read soon after; else since the loop can't say that nothing was there. Where that is long, because the process stood
+// still, the system may know better.
+func (c *client) settleArrival() {
+	if came := c.node.loop.Came(); c.asked || came > c.opened+withOpening {
+		c.arrived = came
+	}
+	if c.used-c.arrived <= withOpening {
+		return
+	}
+	if ago, known := c.conn.LastData(); known {
+		c.arrived = max(c.arrived, c.used-ago)
+	}
+}
+
 // keepRest keeps what has not been taken yet.
 func (c *client) keepRest(rest []byte) {
 	switch {
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -306,7 +306,7 @@
 	s.taken(1)
 	s.node.links = s.node.linkMost() // what follows shares the connection
 	for _, id := range []string{"off", "two"} {
-		c := &call{id: id, class: s.node.classes["read"], client: &client{node: s.node, gone: true}, deadline: s.node.loop.Now() + 25*time.Second, counted: true}
+		c := &call{id: id, class: s.node.classes["read"], client: &client{node: s.node, gone: true}, deadline: s.node.loop.Now() + 25*time.Second, end: s.node.loop.Now() + 25*time.Second, counted: true}
 		s.node.inFlight++
 		m, _, err := meta.Next([]byte("mg key v O"+id+" Pc=read,d=25000\r\n"), meta.MaxValue, meta.MaxLong)
 		if err != nil {
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -193,6 +193,9 @@
 	t.waits = l.conn.Written() <= t.first
 }
 
+// waitsStill is how long the node waits for an attempt that was queued and goes out now. A planned end may have cut that.
+func (t *try) waitsStill(now time.Duration) time.Duration { return min(t.wait-(now-t.at), t.call.end-now) }
+
 // retell writes anew what has waited for the connection to come up, lest it tells its server of time that has passed since: that
 // would work for those who have stopped waiting. What was called off meanwhile is not written at all.
 func (l *link) retell() {
@@ -204,7 +207,7 @@
 		if t == nil {
 			return true
 		}
-		why := l.pool.node.maySend(t, t.wait-(now-t.at), t.call.client == nil)
+		why := l.pool.node.maySend(t, t.waitsStill(now), t.call.client == nil)
 		if why != safety.Allowed {
 			t.link = nil
 			l.pool.node.refuseSend(t, why)
@@ -212,7 +215,7 @@
 		return why != safety.Allowed
 	})
 	for _, t := range l.tries {
-		l.write(t, t.wait-(now-t.at))
+		l.write(t, t.waitsStill(now))
 		t.first, t.last = t.first-old, t.last-old
 	}
 	l.conn.TakeBack(0, old) // nothing has been handed to the system yet
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -90,6 +90,7 @@
 	c.command, c.open = keep(m), 1
 	if c.deadline == 0 {
 		c.deadline = b.node.loop.Now() + time.Minute
+		c.end = c.deadline
 		c.counted = true
 		b.node.inFlight++
 	}
