--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -194,7 +194,9 @@
 }
 
 // waitsStill is how long the node waits for an attempt that was queued and goes out now. A planned end may have cut that.
-func (t *try) waitsStill(now time.Duration) time.Duration { return min(t.wait-(now-t.at), t.call.end-now) }
+func (t *try) waitsStill(now time.Duration) time.Duration {
+	return min(t.wait-(now-t.at), t.call.end-now)
+}
 
 // retell writes anew what has waited for the connection to come up, lest it tells its server of time that has passed since: that
 // would work for those who have stopped waiting. What was called off meanwhile is not written at all.
