--- a/internal/node/check.go
+++ b/internal/node/check.go
@@ -59,8 +59,7 @@
 // up; anything else is a violation.
 func (n *Node) refuseLate(t *try, why safety.Reason) {
 	switch why {
-	case safety.TimeOver, safety.ToldTooMuch, safety.WindowOver:
-	default:
+	case safety.Answered, safety.ClientGone, safety.ServerClosed: // refuseSend tells of repeats
 		n.violation("send", why, t.call.id, t.pool.id)
 	}
 	n.refuseSend(t, why)
@@ -74,8 +73,8 @@
 	}
 }
 
-// checkClose checks a connection that the node closes by itself; broken is one of which nothing more is to be read.
-func (n *Node) checkClose(c *client, broken bool) {
+// checkClose checks that a connection which the node closes by itself carries no request that is unanswered.
+func (n *Node) checkClose(c *client) {
 	unanswered, id := 0, ""
 	for _, k := range c.calls {
 		if !k.answered && k.counted {
@@ -83,10 +82,7 @@
 			id = k.id
 		}
 	}
-	if unanswered == 0 {
-		return
-	}
-	if why := safety.Close(safety.Connection{Unanswered: unanswered, Broken: broken}); why != safety.Allowed {
+	if why := safety.Close(safety.Connection{Unanswered: unanswered}); why != safety.Allowed {
 		n.violation("close", why, id, "")
 	}
 }
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -161,7 +161,7 @@
 
 // cut closes a connection that is owed nothing at once, whatever may still come on it.
 func (c *client) cut(why closing) {
-	c.node.checkClose(c, true)
+	c.node.checkClose(c)
 	c.node.noteClosed(c, why)
 	c.conn.Close()
 	c.drop()
@@ -170,7 +170,7 @@
 // finish closes the connection between requests.
 func (c *client) finish(why closing) {
 	if !c.gone {
-		c.node.checkClose(c, c.last)
+		c.node.checkClose(c)
 		c.node.noteClosed(c, why)
 		linger := lingerFor
 		if c.bad > 0 || !c.asked { // whose next bytes nobody wants
--- a/internal/node/recorder_test.go
+++ b/internal/node/recorder_test.go
@@ -67,7 +67,7 @@
 		safety.Answered:     func(b *bench, x *try) { x.call.answered = true; b.pool.send(x, 1) },
 		safety.ClientGone:   func(b *bench, x *try) { x.call.client = nil; b.pool.send(x, 1) },
 		safety.ServerClosed: func(b *bench, x *try) { b.pool.ready = false; b.pool.send(x, 1) },
-		safety.Unanswered:   func(b *bench, x *try) { b.node.checkClose(&client{node: b.node, calls: []*call{x.call}}, false) },
+		safety.Unanswered:   func(b *bench, x *try) { b.node.checkClose(&client{node: b.node, calls: []*call{x.call}}) },
 	} {
 		b := newBench(t)
 		x := b.send("1")
