--- a/review/.standins/reviewrig/main.go
+++ b/review/.standins/reviewrig/main.go
@@ -68,10 +68,10 @@
 	defer os.RemoveAll(dir)
 	r := &rig{start: time.Now(), record: bufio.NewWriter(file), dir: dir, rng: rand.New(rand.NewPCG(seed(), 43))}
 	defer r.record.Flush()
-	defer r.stopNode()
+	defer r.stopNodes()
 	guard := time.AfterFunc(110*time.Second, func() {
 		r.note("result: could not run: it took too long")
-		r.stopNode()
+		r.stopNodes()
 		r.mu.Lock()
 		r.record.Flush()
 		os.RemoveAll(dir)
@@ -80,7 +80,7 @@
 	defer guard.Stop()
 	r.note("case %s trouble=%t seed=%d", name, trouble(), seed())
 	broken, err := cases[name](r)
-	r.stopNode()
+	r.stopNodes()
 	status := 0
 	switch {
 	case err != nil:
@@ -104,8 +104,9 @@
 	last   string
 	dir    string
 	rng    *rand.Rand // used by one goroutine only
-	node   *exec.Cmd
+	nodes  []*exec.Cmd
 	listen string
+	config map[string]any // of the node
 }
 
 // now is the time since the start of the run.
@@ -129,6 +130,7 @@
 // site is what differs between the settings of the deployments, as their site files have it.
 type site struct {
 	mode                                                 string // of membership
+	control                                              string // the second address; empty: none
 	attempts, streams                                    int
 	parallel                                             bool
 	drainGrace, warmUp, fall, idle, connect, advice, ask time.Duration
@@ -205,42 +207,31 @@
 	return world.Member{ID: id, Addr: addr, Zone: "a", Kind: kind, Weight: 1}
 }
 
-// startNode starts the node with the command of the deploy file and waits until it answers mn with MN.
-func (r *rig) startNode(discovery string, memoryMB, sockets int, s site) error {
+// freeAddr returns a loopback address that nobody listens on.
+func freeAddr() (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+// startNode starts the node and waits until it answers mn with MN.
+func (r *rig) startNode(discovery string, memoryMB, sockets int, s site) (err error) {
+	if r.listen, err = freeAddr(); err != nil {
 		return err
 	}
-	r.listen = ln.Addr().String()
-	ln.Close()
-	config, err := json.Marshal(map[string]any{"name": "n1", "listen": r.listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed()),
+	r.config = map[string]any{"name": "n1", "listen": r.listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed()),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"known":    map[string]any{"revision": 0, "complete": true, "members": []any{}},
-		"settings": s.settings()})
-	if err != nil {
+		"settings": s.settings()}
+	if err := os.Mkdir(filepath.Join(r.dir, "tmp"), 0o700); err != nil {
 		return err
 	}
-	path := filepath.Join(r.dir, "config.json")
-	if err := os.WriteFile(path, config, 0o600); err != nil {
-		return err
-	}
-	tmp := filepath.Join(r.dir, "tmp")
-	if err := os.Mkdir(tmp, 0o700); err != nil {
-		return err
-	}
-	logFile, err := os.Create(filepath.Join(r.dir, "node.log"))
-	if err != nil {
+	if _, err := r.launch(s.control); err != nil {
 		return err
 	}
-	defer logFile.Close()
-	cmd := exec.Command("/bin/sh", "-c", "exec bin/lapisshelf") // run, as in the deploy file
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "TMPDIR="+tmp)
-	cmd.Stdout, cmd.Stderr = logFile, logFile
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		return err
-	}
-	r.node = cmd
 	for range 200 {
 		if conn, err := net.Dial("tcp", r.listen); err == nil {
 			conn.SetDeadline(time.Now().Add(time.Second))
@@ -257,29 +248,59 @@
 	return fmt.Errorf("%w: the node is not ready", errCannotRun)
 }
 
-// stopNode ends the node's process and copies the lines of its log that tell of trouble to the record.
-func (r *rig) stopNode() {
+// launch starts a process of the node with the command of the deploy file. All processes share TMPDIR.
+func (r *rig) launch(control string) (*exec.Cmd, error) {
+	if control != "" {
+		r.config["control"] = control
+	}
+	config, err := json.Marshal(r.config)
+	if err != nil {
+		return nil, err
+	}
+	name := filepath.Join(r.dir, fmt.Sprintf("node%d", len(r.nodes)))
+	if err := os.WriteFile(name+".json", config, 0o600); err != nil {
+		return nil, err
+	}
+	logFile, err := os.Create(name + ".log")
+	if err != nil {
+		return nil, err
+	}
+	defer logFile.Close()
+	cmd := exec.Command("/bin/sh", "-c", "exec bin/lapisshelf") // run, as in the deploy file
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+name+".json", "TMPDIR="+filepath.Join(r.dir, "tmp"))
+	cmd.Stdout, cmd.Stderr = logFile, logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return nil, err
+	}
 	r.mu.Lock()
-	cmd := r.node
-	r.node = nil
+	r.nodes = append(r.nodes, cmd)
 	r.mu.Unlock()
-	if cmd == nil {
-		return
-	}
-	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-	for line := range strings.Lines(string(status)) {
-		if strings.HasPrefix(line, "VmHWM:") {
-			r.note("node's peak memory: %s", strings.Join(strings.Fields(line)[1:], " "))
+	return cmd, nil
+}
+
+// stopNodes ends the node's processes and copies their logs to the record.
+func (r *rig) stopNodes() {
+	r.mu.Lock()
+	nodes := r.nodes
+	r.nodes = nil
+	r.mu.Unlock()
+	for i, cmd := range nodes {
+		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+		for line := range strings.Lines(string(status)) {
+			if strings.HasPrefix(line, "VmHWM:") {
+				r.note("node's process %d: peak memory %s", i, strings.Join(strings.Fields(line)[1:], " "))
+			}
 		}
-	}
-	cmd.Process.Signal(syscall.SIGUSR1)
-	time.Sleep(100 * time.Millisecond)
-	cmd.Process.Kill()
-	cmd.Wait()
-	text, _ := os.ReadFile(filepath.Join(r.dir, "node.log"))
-	for line := range strings.Lines(string(text)) {
-		if _, after, ok := strings.Cut(line, "event="); ok && !strings.HasPrefix(after, "start") {
-			r.note("node's log: event=%s", strings.TrimSpace(after))
+		cmd.Process.Signal(syscall.SIGUSR1)
+		time.Sleep(100 * time.Millisecond)
+		cmd.Process.Kill()
+		cmd.Wait()
+		text, _ := os.ReadFile(filepath.Join(r.dir, fmt.Sprintf("node%d.log", i)))
+		for line := range strings.Lines(string(text)) {
+			if _, after, ok := strings.Cut(line, "event="); ok && !strings.HasPrefix(after, "start") {
+				r.note("node's process %d: event=%s", i, strings.TrimSpace(after))
+			}
 		}
 	}
 }
