--- a/review/.standins/reviewrig/main.go
+++ b/review/.standins/reviewrig/main.go
@@ -42,7 +42,7 @@
 	return n
 }
 
-// cases maps the names of the cases to what plays them. The result is the number of requests for which the rule was broken.
+// cases maps the names of the cases, and of further probes that REPORT.md names, to what plays them. The result is the number of requests for which the rule was broken.
 var cases = map[string]func(r *rig) (broken int, err error){}
 
 func main() {
@@ -68,10 +68,10 @@
 	defer os.RemoveAll(dir)
 	r := &rig{start: time.Now(), record: bufio.NewWriter(file), dir: dir, rng: rand.New(rand.NewPCG(seed(), 43))}
 	defer r.record.Flush()
-	defer r.stopNodes()
+	defer r.stopNode()
 	guard := time.AfterFunc(110*time.Second, func() {
 		r.note("result: could not run: it took too long")
-		r.stopNodes()
+		r.stopNode()
 		r.mu.Lock()
 		r.record.Flush()
 		os.RemoveAll(dir)
@@ -80,7 +80,7 @@
 	defer guard.Stop()
 	r.note("case %s trouble=%t seed=%d", name, trouble(), seed())
 	broken, err := cases[name](r)
-	r.stopNodes()
+	r.stopNode()
 	status := 0
 	switch {
 	case err != nil:
@@ -104,9 +104,8 @@
 	last   string
 	dir    string
 	rng    *rand.Rand // used by one goroutine only
-	nodes  []*exec.Cmd
+	node   *exec.Cmd
 	listen string
-	config map[string]any // of the node
 }
 
 // now is the time since the start of the run.
@@ -130,7 +129,6 @@
 // site is what differs between the settings of the deployments, as their site files have it.
 type site struct {
 	mode                                                 string // of membership
-	control                                              string // the second address; empty: none
 	attempts, streams                                    int
 	parallel                                             bool
 	drainGrace, warmUp, fall, idle, connect, advice, ask time.Duration
@@ -222,14 +220,11 @@
 	if r.listen, err = freeAddr(); err != nil {
 		return err
 	}
-	r.config = map[string]any{"name": "n1", "listen": r.listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed()),
+	config := map[string]any{"name": "n1", "listen": r.listen, "discovery": discovery, "seed": fmt.Sprintf("%016x", seed()),
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": memoryMB, "sockets": sockets},
 		"known":    map[string]any{"revision": 0, "complete": true, "members": []any{}},
 		"settings": s.settings()}
-	if err := os.Mkdir(filepath.Join(r.dir, "tmp"), 0o700); err != nil {
-		return err
-	}
-	if _, err := r.launch(s.control); err != nil {
+	if err := r.launch(config); err != nil {
 		return err
 	}
 	for range 200 {
@@ -248,59 +243,63 @@
 	return fmt.Errorf("%w: the node is not ready", errCannotRun)
 }
 
-// launch starts a process of the node with the command of the deploy file. All processes share TMPDIR.
-func (r *rig) launch(control string) (*exec.Cmd, error) {
-	if control != "" {
-		r.config["control"] = control
-	}
-	config, err := json.Marshal(r.config)
+// launch starts the node's process with the command of the deploy file.
+func (r *rig) launch(config map[string]any) error {
+	text, err := json.Marshal(config)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	name := filepath.Join(r.dir, fmt.Sprintf("node%d", len(r.nodes)))
-	if err := os.WriteFile(name+".json", config, 0o600); err != nil {
-		return nil, err
+	path, tmp := filepath.Join(r.dir, "config.json"), filepath.Join(r.dir, "tmp")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	if err := os.Mkdir(tmp, 0o700); err != nil {
+		return err
 	}
-	logFile, err := os.Create(name + ".log")
+	logFile, err := os.Create(r.logPath())
 	if err != nil {
-		return nil, err
+		return err
 	}
 	defer logFile.Close()
 	cmd := exec.Command("/bin/sh", "-c", "exec bin/lapisshelf") // run, as in the deploy file
-	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+name+".json", "TMPDIR="+filepath.Join(r.dir, "tmp"))
+	cmd.Env = append(os.Environ(), "EDGE_CONFIG="+path, "TMPDIR="+tmp)
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
-		return nil, err
+		return err
 	}
 	r.mu.Lock()
-	r.nodes = append(r.nodes, cmd)
+	r.node = cmd
 	r.mu.Unlock()
-	return cmd, nil
+	return nil
 }
 
-// stopNodes ends the node's processes and copies their logs to the record.
-func (r *rig) stopNodes() {
+// logPath is where the node's log goes.
+func (r *rig) logPath() string { return filepath.Join(r.dir, "node.log") }
+
+// stopNode ends the node's process and copies its log to the record.
+func (r *rig) stopNode() {
 	r.mu.Lock()
-	nodes := r.nodes
-	r.nodes = nil
+	cmd := r.node
+	r.node = nil
 	r.mu.Unlock()
-	for i, cmd := range nodes {
-		status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
-		for line := range strings.Lines(string(status)) {
-			if strings.HasPrefix(line, "VmHWM:") {
-				r.note("node's process %d: peak memory %s", i, strings.Join(strings.Fields(line)[1:], " "))
-			}
+	if cmd == nil {
+		return
+	}
+	status, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", cmd.Process.Pid))
+	for line := range strings.Lines(string(status)) {
+		if strings.HasPrefix(line, "VmHWM:") {
+			r.note("node's peak memory: %s", strings.Join(strings.Fields(line)[1:], " "))
 		}
-		cmd.Process.Signal(syscall.SIGUSR1)
-		time.Sleep(100 * time.Millisecond)
-		cmd.Process.Kill()
-		cmd.Wait()
-		text, _ := os.ReadFile(filepath.Join(r.dir, fmt.Sprintf("node%d.log", i)))
-		for line := range strings.Lines(string(text)) {
-			if _, after, ok := strings.Cut(line, "event="); ok && !strings.HasPrefix(after, "start") {
-				r.note("node's process %d: event=%s", i, strings.TrimSpace(after))
-			}
+	}
+	cmd.Process.Signal(syscall.SIGUSR1)
+	time.Sleep(100 * time.Millisecond)
+	cmd.Process.Kill()
+	cmd.Wait()
+	text, _ := os.ReadFile(r.logPath())
+	for line := range strings.Lines(string(text)) {
+		if _, after, ok := strings.Cut(line, "event="); ok && !strings.HasPrefix(after, "start") {
+			r.note("node's log: event=%s", strings.TrimSpace(after))
 		}
 	}
 }
