--- /dev/null
+++ b/internal/node/answers.go
@@ -0,0 +1,180 @@
+package node
+
+// Answers: reads the bytes of servers and matches answers with the attempts that wait for them.
+
+import (
+	"cmp"
+	"log"
+	"time"
+
+	"lapisshelf/policy"
+)
+
+// updateBuffered updates the node's count of the bytes buffered for incomplete answers.
+func (l *serverConn) updateBuffered() {
+	held := cap(l.input)
+	if l.body != nil {
+		held += cap(l.body.buffered)
+	}
+	l.pool.node.responseBytes += held - l.accountedBytes
+	l.accountedBytes = held
+}
+
+// End implements loop.Handler.
+func (l *serverConn) End(error) {
+	l.retiring = true
+	if l.body == nil && len(l.attempts) > 0 && l.attempts[0] != nil && len(l.input) > 0 { // end of stream may delimit an answer
+		if a, used, err := l.pool.proto.parseAnswer(l.input, l.attempts[0], l.pool.node.maxResponseSize(), true); err == nil && used > 0 && a.longSize == 0 {
+			t := l.attempts[0]
+			l.attempts = l.attempts[1:]
+			l.finishAttempt(t, a)
+		}
+	}
+	l.closeAndFail()
+}
+
+// Data implements loop.Handler.
+func (l *serverConn) Data(data []byte) {
+	l.pool.lastReceived = l.pool.node.loop.Now()
+	if len(l.attempts) > 0 {
+		l.timer.Stop()
+	}
+	maxValue, buffered := l.pool.node.maxResponseSize(), len(l.input) > 0
+	if buffered {
+		l.input = append(l.input, data...)
+		data = l.input
+	}
+	for len(data) > 0 && !l.closed {
+		if l.body != nil {
+			used, ok := l.body.consume(data)
+			if l.closed { // passing the value on has closed the client's connection and cancelled the attempt
+				return
+			}
+			if !ok {
+				l.closeMalformed("long value does not end where it should")
+				return
+			}
+			if data = data[used:]; l.body.complete() {
+				l.finishBody(len(data) == 0)
+			}
+			continue
+		}
+		if len(l.attempts) == 0 {
+			// Bytes after a valid answer do not invalidate it, but must never be taken as the answer to the next request.
+			l.pool.node.count.surplusAnswers++
+			l.closeAndFail()
+			return
+		}
+		t := l.attempts[0]
+		a, used, err := l.pool.proto.parseAnswer(data, t, maxValue, false)
+		if err != nil || used == 0 && len(data) > maxValue+maxAnswerOverhead {
+			l.closeMalformed("malformed answer")
+			return
+		}
+		if a.longSize > 0 && t != nil && len(data)-used < minBodyPrefix {
+			used = 0 // wait for more before the request is bound to this value; the stall timeout replaces that of the attempt
+			t.timer.Stop()
+		}
+		if used > 0 && l.upload != nil { // the server answers before it has the whole value, so nothing has run
+			if a.outcome != policy.Full {
+				a.outcome = policy.ConnectFailed
+			}
+			l.attempts = l.attempts[1:]
+			l.close()
+			l.finishAttempt(t, response{outcome: a.outcome})
+			return
+		}
+		if used > 0 && t != nil && t.endOffset > l.conn.Written() {
+			l.closeMalformed("answer before its request") // surplus bytes after the previous answer
+			return
+		}
+		if used == 0 {
+			break
+		}
+		data = data[used:]
+		l.hasAnswered = true
+		if a.longSize > 0 {
+			l.input, buffered = nil, false
+			l.receiveBody(t, a)
+			continue
+		}
+		l.attempts = l.attempts[1:]
+		l.retiring = l.retiring || a.close
+		if len(data) == 0 {
+			l.input = nil
+			if !a.close { // before the policy is notified of the answer, so that the next attempt can use the connection
+				l.markIdle()
+			}
+		}
+		if t != nil {
+			l.finishAttempt(t, a)
+		}
+		if a.close {
+			l.closeAndFail()
+		}
+	}
+	if l.closed {
+		return
+	}
+	switch {
+	case len(data) == 0:
+		l.input = nil
+	case buffered:
+		l.input = l.input[:copy(l.input, data)]
+	default:
+		l.input = append([]byte(nil), data...)
+	}
+	l.updateBuffered()
+	if l.pool.node.responseBytes > l.pool.node.maxHeldBytes() {
+		l.closeMalformed("too many bytes of incomplete answers")
+		return
+	}
+	if len(l.input) > 0 && l.body == nil {
+		// Guards against an answer that is shorter than the length it states: its connection stays open and silent, and without
+		// this timer the attempt would last until its timeout.
+		l.timer = l.pool.node.loop.After(l.pool.node.stallTimeout(), func() { l.closeMalformed("incomplete answer makes no progress") })
+	}
+	if len(l.attempts) > 0 && !l.hasOutstanding() && l.body == nil { // guards against keeping a descriptor for answers that nobody waits for
+		l.closeAndFail()
+	}
+	l.markIdle()
+}
+
+// finishBody ends the attempt whose long value has been received completely. last reports that no bytes follow the value.
+func (l *serverConn) finishBody(last bool) {
+	b := l.body
+	l.body = nil
+	b.timer.Stop()
+	l.conn.SetPaused(false)
+	l.readPaused = false
+	t := l.attempts[0]
+	l.attempts = l.attempts[1:]
+	l.retiring = l.retiring || b.close
+	if last && !b.close {
+		l.markIdle()
+	}
+	if t != nil {
+		l.finishAttempt(t, response{outcome: policy.OK})
+	}
+	if b.close {
+		l.closeAndFail()
+	}
+}
+
+// stallTimeout returns how long an incomplete answer may make no progress.
+func (n *Node) stallTimeout() time.Duration {
+	return cmp.Or(n.cfg.Transport.ConnectTimeout, defaultStallTimeout)
+}
+
+// finishAttempt ends an attempt with the answer received on this connection.
+func (l *serverConn) finishAttempt(t *attempt, a response) {
+	t.link = nil
+	l.pool.node.attemptFinished(t, a)
+}
+
+// closeMalformed closes a connection after a malformed answer: later bytes cannot be attributed to requests any more.
+func (l *serverConn) closeMalformed(why string) {
+	l.pool.node.count.badAnswers++
+	log.Printf("event=bad_answer server=%s why=%q", l.pool.id, why)
+	l.closeAndFail()
+}
