Let connections whose answers name no request settle before they are used again

Cause: serverConn.Data gave a connection back as an answer was whole and pool.send took the one used last at once. An origin's answer names no request; a second copy that was still on its way was taken for the answer to the next request, and each answer behind it went to the one after. The look before reuse (Conn.Stale) sees only what has come. Change: safety.CheckReuse, asked by pool.takeIdle. Related, by reading: SERVER_ERROR lines of cache servers name no request either. A late copy of a refusal was proof that the next write had not run, also on shared connections. Writes wait for such a connection to settle, and safety.TrustRefusal takes the proof away. Tests changed: newSharedFetch waited for two idle connections, the third being used again within milliseconds; now for three that may be used again, which is what it wants them for.

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -48,6 +48,11 @@
 		{"internal/loop/conn.go", "case n == 0:\n\t\tc.end(io.EOF)", "case n == 0 && c.source.watchPeerClose:\n\t\tc.end(io.EOF)"}}},
 	{name: "an answer may be another request's", seeds: 8, edits: []sourceEdit{
 		{"internal/node/caches.go", "case len(m.ID) > 0 && !bytes.Equal(m.ID, c.ID): // another request's answer\n\t\t\treturn response{}, 0, meta.ErrResponse", "case len(m.ID) > 0 && !bytes.Equal(m.ID, c.ID) && false:\n\t\t\treturn response{}, 0, meta.ErrResponse"}}},
+	{name: "an origin's connection is used again at once", blind: "the soak's origin sends no late second copies yet", edits: []sourceEdit{
+		{"decide/safety/reuse.go", "return Unsettled", "return Allowed"},
+		{"decide/safety/reuse.go", "return SurplusExpected", "return Allowed"}}},
+	{name: "a copy of a refusal proves that the next write has not run", blind: "the soak's cache servers send no late second copies yet", edits: []sourceEdit{
+		{"decide/safety/reuse.go", "return effect == Safe || !earlierUnnamed || sinceEarlier >= settleTime", "return true"}}},
 	{name: "a listener does not go on after a shortage", seeds: 12, edits: []sourceEdit{
 		{"internal/loop/conn.go", "ln.resourceShortage = false", "ln.resourceShortage = true"}}},
 	{name: "a lost process is never replaced by one that is ready", seeds: 4, edits: []sourceEdit{
--- a/decide/safety/safety.go
+++ b/decide/safety/safety.go
@@ -1,5 +1,5 @@
 // Package safety decides whether a request may be started, sent or repeated, and whether a connection may be closed, at this
-// moment. It is pure: it maps the facts of a request, an attempt or a connection to a reason. The policy and the node both use it;
+// moment, and whether a connection to a server may carry another request. It is pure: it maps the facts of a request, an attempt or a connection to a reason. The policy and the node both use it;
 // the node checks again immediately before bytes are written to the system, where any answer other than Allowed is a violation: an
 // earlier check has failed.
 //
@@ -28,6 +28,8 @@
 	UnreadInput              // the connection has received bytes that have not been read
 	DuplicateID              // another request with the same id is open or was open recently
 	AtCapacity               // the node is at its limit
+	Unsettled                // bytes that belong to an earlier answer may still arrive on the connection
+	SurplusExpected          // the server has lately sent more than it was asked for
 	NumReasons               // number of reasons
 )
 
@@ -62,6 +64,10 @@
 		return "same_id"
 	case AtCapacity:
 		return "full"
+	case Unsettled:
+		return "unsettled"
+	case SurplusExpected:
+		return "surplus_expected"
 	}
 	return "unknown"
 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -237,6 +237,16 @@
 	return !errors.Is(err, unix.EAGAIN) // a connection that cannot be checked is not known to be idle
 }
 
+// Unread reports whether bytes have been received that have not been read.
+func (c *Conn) Unread() bool {
+	if c.closed || !c.connected {
+		return false
+	}
+	var b [1]byte
+	n, err := system.Peek(c.source.fd, b[:])
+	return err == nil && n > 0
+}
+
 // SinceLastData returns the time since bytes were last received from the peer, read or not, if the kernel can tell.
 func (c *Conn) SinceLastData() (ago time.Duration, known bool) {
 	if c.closed {
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -7,6 +7,7 @@
 	"log"
 	"time"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/policy"
 )
 
@@ -35,7 +36,8 @@
 
 // Data implements loop.Handler.
 func (l *serverConn) Data(data []byte) {
-	l.pool.lastReceived = l.pool.node.loop.Now()
+	l.lastReceived = l.pool.node.loop.Now()
+	l.pool.lastReceived = l.lastReceived
 	if len(l.attempts) > 0 {
 		l.timer.Stop()
 	}
@@ -44,6 +46,7 @@
 		l.input = append(l.input, data...)
 		data = l.input
 	}
+	begins := !buffered // data begins an answer
 	for len(data) > 0 && !l.closed {
 		if l.body != nil {
 			used, ok := l.body.consume(data)
@@ -61,7 +64,7 @@
 		}
 		if len(l.attempts) == 0 {
 			// Bytes after a valid answer do not invalidate it, but must never be taken as the answer to the next request.
-			l.pool.node.count.surplusAnswers++
+			l.pool.noteSurplus()
 			l.closeAndFail()
 			return
 		}
@@ -84,15 +87,19 @@
 			l.finishAttempt(t, response{outcome: a.outcome})
 			return
 		}
-		if used > 0 && t != nil && t.endOffset > l.conn.Written() {
-			l.closeMalformed("answer before its request") // surplus bytes after the previous answer
+		if used > 0 && t != nil && t.endOffset > l.conn.Written() || begins && !a.named && l.precedesRequest(t) {
+			l.pool.noteSurplus()
+			l.pool.node.reportViolation("reuse", safety.Unsettled, t.request.id, l.pool.id)
+			l.closeMalformed("answer before its request")
 			return
 		}
 		if used == 0 {
 			break
 		}
 		data = data[used:]
-		l.hasAnswered = true
+		a = l.checkRefusal(t, a)
+		l.noteAnswer(t, a)
+		begins = true
 		if a.longSize > 0 {
 			l.input, buffered = nil, false
 			l.receiveBody(t, a)
@@ -140,6 +147,33 @@
 	l.markIdle()
 }
 
+// precedesRequest reports whether the server sent the bytes just received before it had any of an attempt's request: it acknowledges
+// the request with its answer at the latest. Such bytes belong to an earlier request on the connection.
+func (l *serverConn) precedesRequest(t *attempt) bool {
+	return t != nil && l.hasAnswered && l.upload == nil && l.conn.Acknowledged() <= t.startOffset
+}
+
+// checkRefusal returns the answer to an attempt, without the promise that the request has not run if that may be a copy of an earlier
+// refusal on the connection.
+func (l *serverConn) checkRefusal(t *attempt, a response) response {
+	if t == nil || a.outcome != policy.Full || a.named {
+		return a
+	}
+	if !safety.TrustRefusal(t.request.class.effect, l.unnamedSeen, t.startedAt-l.unnamedAt, l.pool.node.settleTime()) {
+		a.outcome = policy.Errored
+	}
+	return a
+}
+
+// noteAnswer notes whether an answer named its request. That to an aborted attempt is not compared with the request's id.
+func (l *serverConn) noteAnswer(t *attempt, a response) {
+	l.hasAnswered = true
+	l.lastNamed = a.named && t != nil
+	if !l.lastNamed {
+		l.unnamedSeen, l.unnamedAt = true, l.lastReceived
+	}
+}
+
 // finishBody ends the attempt whose long value has been received completely. last reports that no bytes follow the value.
 func (l *serverConn) finishBody(last bool) {
 	b := l.body
--- a/internal/node/caches.go
+++ b/internal/node/caches.go
@@ -11,6 +11,8 @@
 // cacheProtocol is the text protocol of cache servers (package meta).
 type cacheProtocol struct{ maxPipelined int }
 
+func (cacheProtocol) namesRequests() bool { return true }
+
 func (p cacheProtocol) canPipeline() bool { return p.maxPipelined > 1 }
 
 // appendRequest forwards the client's command unchanged but for the timeout, which is how long the node waits.
@@ -37,7 +39,7 @@
 			return response{}, 0, meta.ErrResponse // answer to another kind of request
 		}
 	}
-	a := response{value: m.Value, receipt: m.Receipt, longSize: m.LongSize, trailer: "\r\n"}
+	a := response{value: m.Value, receipt: m.Receipt, longSize: m.LongSize, trailer: "\r\n", named: len(m.ID) > 0}
 	switch m.Status {
 	case meta.Value:
 		a.outcome = policy.OK
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -2,24 +2,74 @@
 
 // Connections to servers: how many may be open, and which of them an attempt gets.
 
-import "slices"
+import (
+	"slices"
+	"time"
 
-// lastIdle returns the most recently used idle connection that the server has not closed, or nil. It closes the stale ones it finds.
-func (p *pool) lastIdle() *serverConn {
-	for len(p.idle) > 0 {
-		l := p.idle[len(p.idle)-1]
-		if !l.conn.Stale() {
+	"lapisshelf/decide/safety"
+)
+
+// maxSettleTime bounds the time that a connection settles where connections may take longer to be established.
+const maxSettleTime = 250 * time.Millisecond
+
+// takeIdle returns an idle connection on which an attempt may be written, and removes it from the idle ones; nil if there is none. It
+// takes the one used last, since the server may be about to close the others; for an unsafe request the one that has been quiet longest.
+// It closes the stale ones it finds.
+func (p *pool) takeIdle(t *attempt) *serverConn {
+	candidates := slices.Clone(p.idle)
+	if t.request.class.effect != safety.Unsafe {
+		slices.Reverse(candidates)
+	}
+	for _, l := range candidates {
+		switch {
+		case l.mayCarry(t.request.class.effect) != safety.Allowed:
+		case l.conn.Stale():
+			l.closeStale()
+		default:
+			l.unmarkIdle()
 			return l
 		}
-		l.close() // guards against a request on a connection that the server has already closed, which may count as run
 	}
 	return nil
 }
 
+// closeStale closes an idle connection that the server has closed, or on which it has sent bytes that nobody asked for. Guards against
+// a request on a connection that the server has already closed, which may count as run.
+func (l *serverConn) closeStale() {
+	if l.conn.Unread() {
+		l.pool.noteSurplus()
+	}
+	l.close()
+}
+
+// mayCarry checks whether a request with this effect may be written on the connection: its answer must not be mistaken for an earlier
+// one's.
+func (l *serverConn) mayCarry(effect safety.Effect) safety.Reason {
+	p := l.pool
+	now := p.node.loop.Now()
+	return safety.CheckReuse(safety.Reuse{LastNamed: l.lastNamed, ServerNames: p.proto.namesRequests(), Effect: effect,
+		Quiet: now - l.lastReceived, SettleTime: p.node.settleTime(), SurplusSeen: p.surplusSeen, SinceSurplus: now - p.surplusAt})
+}
+
+// settleTime returns how long after an answer a connection settles: bytes of it that have not arrived by then are taken not to come. The
+// same bound ends an answer that stops in the middle.
+func (n *Node) settleTime() time.Duration { return min(n.stallTimeout(), maxSettleTime) }
+
+// mayIdle reports whether any attempt may be written on the connection later.
+func (l *serverConn) mayIdle() bool {
+	return l.pool.proto.namesRequests() || l.mayCarry(safety.Safe) != safety.SurplusExpected
+}
+
+// noteSurplus notes that the server has sent bytes that nobody asked for.
+func (p *pool) noteSurplus() {
+	p.node.count.surplusAnswers++
+	p.surplusSeen, p.surplusAt = true, p.node.loop.Now()
+}
+
 // dial opens a connection. It returns nil if that fails immediately.
 func (p *pool) dial() *serverConn {
 	n := p.node
-	l := &serverConn{pool: p}
+	l := &serverConn{pool: p, lastNamed: true}
 	conn, err := n.loop.Dial(p.addr, l)
 	if err != nil {
 		n.count.dialsFailed++
@@ -100,7 +150,7 @@
 		return
 	}
 	p := l.pool
-	if l.retiring || !p.available() || len(l.input) > 0 {
+	if l.retiring || !p.available() || len(l.input) > 0 || !l.mayIdle() {
 		l.close()
 		return
 	}
--- a/internal/node/leave_turn_test.go
+++ b/internal/node/leave_turn_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lapisshelf/decide/roster"
+	"lapisshelf/decide/safety"
 	"lapisshelf/internal/meta"
 	"lapisshelf/lab/standin"
 	"lapisshelf/policy"
@@ -218,7 +219,10 @@
 	s.sendReads("warm-2")
 	s.runUntil("both are outstanding", func() bool { return len(all()) == 3 })
 	close(both)
-	s.runUntil("both are served", func() bool { return s.outcomes(policy.OK) == 3 && len(s.node.pools["o-1"].idle) == 2 })
+	origin := s.node.pools["o-1"]
+	s.runUntil("both are served, and their connections may be used again", func() bool {
+		return s.outcomes(policy.OK) == 3 && len(origin.idle) == 3 && !slices.ContainsFunc(origin.idle, func(l *serverConn) bool { return l.mayCarry(safety.Unsafe) != safety.Allowed })
+	})
 	return s, func() []string { return all()[3:] }, gate
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,6 +140,7 @@
 	longSize    int    // size of a long value that follows
 	trailer     string // what must follow the long value
 	close       bool   // the server closes the connection after it
+	named       bool   // it carries the id of its request
 	reusedConn  bool   // with Reset: the connection had carried a response before
 }
 
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -14,6 +14,8 @@
 // originProtocol is HTTP/1.1 without pipelining, for the origin.
 type originProtocol struct{ host string }
 
+func (originProtocol) namesRequests() bool { return false }
+
 func (originProtocol) canPipeline() bool { return false }
 
 // appendRequest appends a GET or PUT of the key. The request's name=value fields are forwarded unchanged but for the timeout, which is
--- a/internal/node/pool.go
+++ b/internal/node/pool.go
@@ -18,6 +18,8 @@
 	// parseAnswer parses the first answer in data, whose value may have at most maxValue bytes. used is 0 if the answer is incomplete.
 	// If the answer states a value length of more than meta.MaxValue, the value is not waited for: it follows the used bytes.
 	parseAnswer(data []byte, t *attempt, maxValue int, eof bool) (a response, used int, err error)
+	// namesRequests reports whether values and receipts carry the id of their request. Otherwise answers are told apart by order alone.
+	namesRequests() bool
 	// canPipeline reports whether a request may be written while another on the same connection is unanswered.
 	canPipeline() bool
 }
@@ -44,6 +46,8 @@
 	banned       bool          // by an operator
 	weight       float64       // from the server list
 	lastReceived time.Duration // when a connection was last established or bytes were last received
+	surplusSeen  bool          // the server has sent more than it was asked for
+	surplusAt    time.Duration // when it last did
 	conns        []*serverConn
 	idle         []*serverConn // those of conns without attempts, longest idle first
 }
@@ -114,7 +118,7 @@
 		n.refuseLate(t, why)
 		return
 	}
-	l := p.lastIdle()
+	l := p.takeIdle(t)
 	switch {
 	case l != nil:
 	case n.mayDial() || n.closeOldestIdle():
@@ -128,7 +132,6 @@
 		return
 	}
 	n.count.attempts++
-	l.unmarkIdle()
 	t.link, t.timeout = l, wait
 	l.attempts = append(l.attempts, t)
 	l.writeRequest(t, wait)
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -104,6 +104,7 @@
 // accept accepts the node's next connection and reads the lines of its first attempts.
 func (b *harness) accept(lines int) net.Conn {
 	b.t.Helper()
+	b.ln.(*net.TCPListener).SetDeadline(time.Now().Add(10 * time.Second)) // a connection that does not come fails the test
 	conn, err := b.ln.Accept()
 	if err != nil {
 		b.t.Fatal(err)
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -22,11 +22,15 @@
 	idleSince      time.Duration
 	connected      bool
 	closed         bool
-	hasAnswered    bool    // an answer has been received on it
-	body           *body   // long value being received
-	upload         *upload // long value being sent
-	readPaused     bool    // backpressure: the client of the long value does not read
-	retiring       bool    // the server has moved or the connection is ending: it gets no new attempts
+	hasAnswered    bool          // an answer has been received on it
+	lastNamed      bool          // the last answer named its request; true before the first one
+	unnamedSeen    bool          // an answer has not named its request
+	unnamedAt      time.Duration // when the last such answer was received
+	lastReceived   time.Duration // when bytes were last received on it
+	body           *body         // long value being received
+	upload         *upload       // long value being sent
+	readPaused     bool          // backpressure: the client of the long value does not read
+	retiring       bool          // the server has moved or the connection is ending: it gets no new attempts
 }
 
 // drain ends a connection that is still being established, and withdraws the attempts on an established one of which nothing has
