Keep slow readers' connections: read less for them, give up queued answers, wait at closes

Cause: nothing bounded what answers would hold. At a quarter of the memory updateHeldBytes closed the client that held most, though it read: 64 KB of a long value, and three answers that waited behind that. Change: decide/admit. Beyond half of the limit 4 KiB are read at a time of long values and of clients, and a request with earlier ones on its connection is refused; beyond the limit reads are failed whose answers wait unwritten, and no further answer begins. An answer goes to the system only once it has taken those before. Closed are only who owes a command, and who has taken nothing for 2.5 s. Idle closes ask what the client has acknowledged; a closing connection waits while its client takes something, for 5 s if it does not. Too many bytes of incomplete answers of servers end the largest one, a value that waits for its turn first. A request is counted as ended when its answer is written, since it may still be given up. Why it works: what each reader can add beyond half of the limit is 4 KiB; 341 of those and half of a quarter of 32 MB are within the quarter. Tests of internal/node, internal/loop and cmd/lapisshelf pass.

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -53,6 +53,13 @@
 		{"decide/safety/reuse.go", "return SurplusExpected", "return Allowed"}}},
 	{name: "a copy of a refusal proves that the next write has not run", blind: "the soak's cache servers send no late second copies yet", edits: []sourceEdit{
 		{"decide/safety/reuse.go", "return effect == Safe || !earlierUnnamed || sinceEarlier >= settleTime", "return true"}}},
+	{name: "long values are read in large pieces however much is held", blind: "the soak has no slow readers of long values yet", edits: []sourceEdit{
+		{"decide/admit/memory.go", "		return SmallPiece", "		return LargePiece"}}},
+	{name: "answers that wait are never given up", blind: "the soak has no slow readers of long values yet", edits: []sourceEdit{
+		{"internal/node/memory.go", "		worst.giveUpAnswers()\n", "		worst.closeSlow()\n"}}},
+	{name: "a client that still reads counts as idle", blind: "the soak has no slow readers of long values yet", edits: []sourceEdit{
+		{"internal/node/memory.go", "return c.conn.Acknowledged() < c.conn.WriteOffset() && !c.progressStopped(slowReaderTimeout)", "return false"},
+		{"internal/loop/conn.go", "if acknowledged >= c.WriteOffset() || c.linger.stalled >= maxLingerStall {", "if true {"}}},
 	{name: "a listener does not go on after a shortage", seeds: 12, edits: []sourceEdit{
 		{"internal/loop/conn.go", "ln.resourceShortage = false", "ln.resourceShortage = true"}}},
 	{name: "a lost process is never replaced by one that is ready", seeds: 4, edits: []sourceEdit{
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -43,12 +43,24 @@
 	paused      bool
 	closed      bool
 	endPending  bool   // an error has occurred; the handler is notified once the running callback returns
+	readLimit   int    // bytes read at a time; 0: as many as the loop's buffer holds
 	lingerTimer *Timer // set once the connection only waits for the peer to close
+	linger      linger
 	discarded   int    // bytes discarded since then
 	closing     bool   // CloseGracefully was called: no more writes; the sending side is shut down once writeBuffer is empty
 	onRelease   func() // called when the descriptor is closed
 }
 
+// linger is the state of a connection that has been closed on this side and waits for the peer to take what was written.
+type linger struct {
+	timeout      time.Duration // of a single wait
+	acknowledged int64         // bytes that the peer had acknowledged at the end of the last wait
+	stalled      time.Duration // how long it has acknowledged nothing
+}
+
+// maxLingerStall is how long a lingering connection is kept whose peer acknowledges nothing of what it still has to come.
+const maxLingerStall = 5 * time.Second
+
 // Prioritize makes the loop handle the events of this connection before all others of a turn.
 func (c *Conn) Prioritize() { c.source.urgent = true }
 
@@ -189,6 +201,9 @@
 	}
 }
 
+// SetReadLimit limits how many bytes are read at a time, at most 64 KiB.
+func (c *Conn) SetReadLimit(bytes int) { c.readLimit = bytes }
+
 // WatchPeerClose makes the connection end as soon as the peer has closed or reset it, even while reading is paused, and discards
 // what was received before and has not been read. It is meant for clients, which have left when they close. These ends are handled
 // before all other events of a turn that are not prioritized.
@@ -263,21 +278,37 @@
 func (c *Conn) Close() { c.release() }
 
 // CloseGracefully closes the connection once the peer has everything that was written: it flushes the write buffer, shuts down the
-// sending side, then discards received bytes until the peer closes too or the timeout expires. Closing immediately with unread bytes
-// would make the kernel reset the connection and drop data in transit. The handler is not called any more.
+// sending side, then discards received bytes until the peer closes too or the timeout expires. While the peer still takes what was
+// written, the timeout starts anew: closing with unread bytes, or receiving bytes after the close, would make the kernel reset the
+// connection and drop data in transit. The handler is not called any more.
 func (c *Conn) CloseGracefully(timeout time.Duration) {
 	if c.closed || c.closing {
 		return
 	}
 	c.closing, c.handler = true, discardHandler{}
 	c.source.watchPeerClose = false // received bytes are discarded up to the end of the stream
-	c.lingerTimer = c.loop.After(timeout, c.release)
+	c.linger = linger{timeout: timeout, acknowledged: c.Acknowledged()}
+	c.lingerTimer = c.loop.After(timeout, c.lingerExpired)
 	c.SetPaused(false)
 	if len(c.writeBuffer) == 0 && c.connected {
 		unix.Shutdown(c.source.fd, unix.SHUT_WR)
 	}
 }
 
+// lingerExpired closes a lingering connection, or waits on for a peer that still takes what was written.
+func (c *Conn) lingerExpired() {
+	acknowledged := c.Acknowledged()
+	c.linger.stalled += c.linger.timeout
+	if acknowledged > c.linger.acknowledged {
+		c.linger.acknowledged, c.linger.stalled = acknowledged, 0
+	}
+	if acknowledged >= c.WriteOffset() || c.linger.stalled >= maxLingerStall {
+		c.release()
+		return
+	}
+	c.lingerTimer = c.loop.After(c.linger.timeout, c.lingerExpired)
+}
+
 // discardHandler ignores all events.
 type discardHandler struct{}
 
@@ -364,7 +395,11 @@
 
 // read receives what is available and passes it to the handler.
 func (c *Conn) read() {
-	n, err := system.Receive(c.source.fd, c.loop.buffer)
+	buffer := c.loop.buffer
+	if c.readLimit > 0 && c.readLimit < len(buffer) {
+		buffer = buffer[:c.readLimit]
+	}
+	n, err := system.Receive(c.source.fd, buffer)
 	switch {
 	case errors.Is(err, unix.EAGAIN), errors.Is(err, unix.EINTR), errors.Is(err, unix.ENOMEM): // epoll reports it again
 	case err != nil:
@@ -373,11 +408,16 @@
 		c.end(io.EOF)
 	case c.closing:
 		// Guards against a peer that keeps sending at full speed on a connection that is being closed.
-		if c.discarded += n; c.discarded > maxDiscardedBytes {
-			c.release()
+		if c.discarded += n; c.discarded <= maxDiscardedBytes {
+			return
 		}
+		if c.Acknowledged() < c.WriteOffset() {
+			c.SetPaused(true) // closing with unread bytes would drop what the peer has still to come
+			return
+		}
+		c.release()
 	default:
-		c.handler.Data(c.loop.buffer[:n])
+		c.handler.Data(buffer[:n])
 	}
 }
 
--- a/internal/loop/leave_test.go
+++ b/internal/loop/leave_test.go
@@ -219,3 +219,74 @@
 		t.Errorf("%q, want %q", list, want)
 	}
 }
+
+// Guards against closing on a peer that has not taken everything yet: bytes that it sends would reset the connection and drop the rest.
+// The wait goes on beyond its timeout, and ends if the peer takes nothing for maxLingerStall.
+func TestCloseGracefullyWaitsForASlowPeer(t *testing.T) {
+	const size, timeout = 128 << 10, 5 * time.Millisecond
+	l := newLoop(t)
+	r := &recordingHandler{}
+	c, peer := dial(t, l, r)
+	peer.SetReadBuffer(4 << 10)
+	c.Write(make([]byte, size))
+	c.Write(make([]byte, size))
+	c.CloseGracefully(timeout)
+	runUntil(t, l, "several timeouts have passed", func() bool { return c.linger.stalled >= 5*timeout })
+	if c.closed {
+		t.Fatal("closed while the peer had bytes to come")
+	}
+	peer.SetWriteDeadline(time.Now().Add(10 * time.Second))
+	sent := make(chan error, 1)
+	go func() {
+		_, err := peer.Write(make([]byte, 2*maxDiscardedBytes)) // more than is discarded
+		sent <- err
+	}()
+	runUntil(t, l, "more has come than is discarded", func() bool { return c.paused || c.closed })
+	got := make(chan int64, 1)
+	go func() {
+		n, _ := io.Copy(io.Discard, peer)
+		got <- n
+	}()
+	runUntil(t, l, "it is closed", func() bool { return c.closed })
+	if n := <-got; n != 2*size {
+		t.Errorf("the peer got %d bytes of %d", n, 2*size)
+	}
+	<-sent
+}
+
+// A lingering connection is given back when its peer takes nothing any more.
+func TestCloseGracefullyGivesUpAPeerThatStopsReading(t *testing.T) {
+	l := newLoop(t)
+	c, peer := dial(t, l, &recordingHandler{})
+	peer.SetReadBuffer(4 << 10)
+	c.Write(make([]byte, 16<<20)) // more than the system takes
+	c.CloseGracefully(time.Millisecond)
+	c.linger.stalled = maxLingerStall
+	runUntil(t, l, "it is closed", func() bool { return c.closed })
+}
+
+// SetReadLimit bounds what is received at a time, and nothing is lost by it.
+func TestReadLimit(t *testing.T) {
+	const size, limit = 100_000, 4 << 10
+	l := newLoop(t)
+	r := &largestData{}
+	c, peer := dial(t, l, &r.recordingHandler)
+	c.handler = r
+	c.SetReadLimit(limit)
+	go peer.Write(make([]byte, size))
+	runUntil(t, l, "all has been received", func() bool { return len(r.data) == size })
+	if r.largest > limit {
+		t.Errorf("%d bytes at a time", r.largest)
+	}
+}
+
+// largestData records the largest number of bytes received at a time.
+type largestData struct {
+	recordingHandler
+	largest int
+}
+
+func (d *largestData) Data(b []byte) {
+	d.largest = max(d.largest, len(b))
+	d.recordingHandler.Data(b)
+}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -7,6 +7,7 @@
 	"log"
 	"time"
 
+	"lapisshelf/decide/admit"
 	"lapisshelf/decide/safety"
 	"lapisshelf/policy"
 )
@@ -132,9 +133,8 @@
 		l.input = append([]byte(nil), data...)
 	}
 	l.updateBuffered()
-	if l.pool.node.responseBytes > l.pool.node.maxHeldBytes() {
-		l.closeMalformed("too many bytes of incomplete answers")
-		return
+	if n := l.pool.node; n.responseBytes > n.maxHeldBytes() {
+		n.loop.Defer(n.relieveResponses)
 	}
 	if len(l.input) > 0 && l.body == nil {
 		// Guards against an answer that is shorter than the length it states: its connection stays open and silent, and without
@@ -180,6 +180,7 @@
 	l.body = nil
 	b.timer.Stop()
 	l.conn.SetPaused(false)
+	l.conn.SetReadLimit(admit.LargePiece)
 	l.readPaused = false
 	t := l.attempts[0]
 	l.attempts = l.attempts[1:]
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -4,6 +4,7 @@
 	"log"
 	"time"
 
+	"lapisshelf/decide/admit"
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
 )
@@ -100,16 +101,19 @@
 
 // updatePaused stops reading from the server while the client has not taken what it was sent, or the buffer is full.
 func (b *body) updatePaused() {
-	pause := false
+	n := b.link.pool.node
+	pause, piece := false, admit.LargePiece
 	if b.attempt != nil {
 		if c := b.attempt.request.client; b.started {
-			pause = c.conn.Pending() > 0
+			pause, piece = c.conn.Pending() > 0, n.clientMemory().PieceSize()
 		} else {
-			pause = len(b.buffered) >= maxBufferedBody
+			piece = n.responseMemory().PieceSize()
+			pause = len(b.buffered) >= min(maxBufferedBody, piece)
 		}
 	}
+	b.link.conn.SetReadLimit(piece)
 	if !pause {
-		b.lastProgress = b.link.pool.node.loop.Now()
+		b.lastProgress = n.loop.Now()
 	}
 	b.link.conn.SetPaused(pause)
 	b.link.readPaused = pause
@@ -117,6 +121,11 @@
 
 // startAnswer writes the beginning of the value to the client, when the answer is next in order.
 func (b *body) startAnswer(c *client) {
+	n := c.node
+	if n.giveUpAnswers(); n.clientBytes > n.maxHeldBytes() {
+		n.loop.Defer(b.giveUp)
+		return
+	}
 	b.started = true
 	head := meta.AppendValueLine(make([]byte, 0, len(b.buffered)+64), b.attempt.request.command.ID, b.size)
 	c.conn.Write(append(head, b.buffered...))
@@ -126,6 +135,14 @@
 	b.updatePaused()
 }
 
+// giveUp ends the attempt of a value of which nothing has been written to its client; the request fails.
+func (b *body) giveUp() {
+	if t := b.attempt; t != nil && !b.started && !t.done {
+		b.link.pool.node.count.answersDropped++
+		t.pool.cancel(t)
+	}
+}
+
 // growSendBuffer has the rest of a value from a draining, gone or banned server read at once, however slowly the client reads.
 // Guards against a restart of that server, which loses what it has sent and nobody has read (1 of 169 values, in one run of
 // four).
@@ -164,7 +181,7 @@
 	id := c.command.ID
 	switch {
 	case whole && !b.started:
-		n.reply(c, append(append(meta.AppendValueLine(nil, id, b.size), b.buffered...), "\r\n"...), served)
+		n.replyValue(c, append(append(meta.AppendValueLine(nil, id, b.size), b.buffered...), "\r\n"...))
 	case whole:
 		n.reply(c, []byte("\r\n"), served)
 	case !b.started:
@@ -190,7 +207,7 @@
 // Guards against a process that is killed while a slow client still reads: what the kernel has taken is delivered without the
 // process (2 to 4 long values of 235 were cut off, with 0.5 MB of 3 MB not taken).
 func (c *client) growSendBuffer() {
-	n, unsent := c.node, c.conn.Pending()
+	n, unsent := c.node, c.conn.Pending()+c.queuedBytes
 	if len(c.requests) > 0 && c.requests[0].body != nil {
 		unsent += c.requests[0].body.remaining
 	}
--- a/internal/node/capacity.go
+++ b/internal/node/capacity.go
@@ -3,12 +3,9 @@
 import (
 	"container/list"
 	"time"
-
-	"lapisshelf/internal/meta"
 )
 
-// Capacity: how many clients may connect, how many bytes may be held for them, and which connections are closed when there is no
-// room.
+// Capacity: how many clients may connect, and which connections are closed when there is no room.
 
 // full reports whether there is no room for one more client. Clients may use all descriptors of the room but those that server
 // connections use or must be left.
@@ -56,7 +53,7 @@
 	if s.full() {
 		// A connection used a moment ago is not idle: clients open another one only when all of theirs are busy, so its next
 		// request is likely on its way and would be lost by closing (787 of 19119 requests in an overload with 80 descriptors).
-		if oldest := front(s.idle); oldest != nil && oldest.quiet() {
+		if oldest := s.oldestQuiet(); oldest != nil {
 			s.node.count.clientsShed++
 			oldest.closeGracefully(closedForCapacity)
 		} else if s.node.serverConns > s.node.minServerConns() {
@@ -72,6 +69,20 @@
 	}
 }
 
+// oldestQuiet returns the idle connection that has been quiet longest and may be closed, or nil.
+func (s *clients) oldestQuiet() *client {
+	for e := s.idle.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*client)
+		if s.node.loop.Now()-c.lastActive < quietPeriod {
+			return nil
+		}
+		if c.mayClose() && !c.delivering() {
+			return c
+		}
+	}
+	return nil
+}
+
 // front returns the first client of a list, nil if the list is empty.
 func front(l *list.List) *client {
 	if e := l.Front(); e != nil {
@@ -95,12 +106,17 @@
 // evictLingering closes the connection that has lingered longest, if that is over shortLingerTimeout and the client has
 // acknowledged all that it was sent.
 func (s *clients) evictLingering() bool {
-	c := front(s.lingering)
-	if c == nil || s.node.loop.Now()-c.lastActive < shortLingerTimeout || c.conn.Acknowledged() < c.conn.WriteOffset() {
-		return false
+	for e := s.lingering.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*client)
+		if s.node.loop.Now()-c.lastActive < shortLingerTimeout {
+			return false
+		}
+		if c.conn.Acknowledged() >= c.conn.WriteOffset() {
+			c.conn.Close()
+			return true
+		}
 	}
-	c.conn.Close()
-	return true
+	return false
 }
 
 // closeTimedOut closes connections whose command has been incomplete, or that have been idle, for too long, so that neither
@@ -119,6 +135,11 @@
 		if !c.mayClose() {
 			break // its next request or its end has arrived: it is read next
 		}
+		if c.delivering() {
+			c.lastActive = now
+			s.idle.MoveToBack(c.listElem)
+			continue
+		}
 		s.node.count.clientsIdle++
 		c.closeGracefully(closedIdle)
 	}
@@ -143,50 +164,3 @@
 	}
 	return maxIdleTimeout
 }
-
-// atCapacity reports whether the node has no room for a request with a value of this size.
-func (n *Node) atCapacity(value int) bool {
-	limit := n.cfg.Transport.MaxRequests
-	return limit > 0 && len(n.requests) >= limit || n.writeBytes+n.clientBytes+value > n.maxHeldBytes()
-}
-
-// maxHeldBytes is the limit on the bytes held for clients; the limit on buffered responses is the same again.
-func (n *Node) maxHeldBytes() int { return n.memoryMB() << 20 / heldMemoryDivisor }
-
-// maxResponseSize is the limit on a response that is buffered whole because its length is not announced; it leaves room for many
-// at once. Values above the usual size do occur: some of up to 360 KB were taken for malformed responses, and their servers were
-// skipped.
-func (n *Node) maxResponseSize() int {
-	return max(meta.MaxValue, n.cfg.MemoryMB<<20/responseMemoryDivisor)
-}
-
-// updateHeldBytes updates the count of bytes held for clients: unsent answers and incomplete commands. If the total is over its
-// limit, the client that holds most is closed.
-func (c *client) updateHeldBytes() {
-	n := c.node
-	owed := c.queuedBytes + c.conn.Pending() + cap(c.input)
-	if c.upload != nil {
-		owed += c.upload.bufferedBytes()
-	}
-	if c.closed {
-		owed = 0
-	}
-	n.clientBytes += owed - c.heldBytes
-	c.heldBytes = owed
-	if n.clientBytes <= n.maxHeldBytes() || n.shedding {
-		return
-	}
-	n.shedding = true
-	n.loop.Defer(func() {
-		n.shedding = false
-		worst := c
-		for x := range n.clients.all {
-			if x.heldBytes > worst.heldBytes {
-				worst = x
-			}
-		}
-		if n.clientBytes > n.maxHeldBytes() && !worst.closed {
-			worst.closeSlow()
-		}
-	})
-}
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -61,7 +61,7 @@
 func (c *client) parse(data []byte) []byte {
 	c.parsing = true
 	defer func() { c.parsing = false }()
-	for len(data) > 0 && !c.closed && !c.noMoreInput && (c.upload != nil || len(c.requests) < maxPipelined && c.conn.Pending() < maxUnsentBytes) {
+	for len(data) > 0 && !c.closed && !c.noMoreInput && (c.upload != nil || len(c.requests) < maxPipelined && c.unsentBytes() < maxUnsentBytes) {
 		if u := c.upload; u != nil {
 			used, ok := u.consume(data)
 			data = data[used:]
@@ -137,7 +137,7 @@
 		c.closeWhenIdle = true // to free its descriptor
 		return
 	}
-	if n.atCapacity(len(m.Value) + min(m.LongSize, maxBufferedBody)) {
+	if n.atCapacity(c, len(m.Value)+min(m.LongSize, maxBufferedBody)) {
 		n.count.refusedFull++
 		c.refuse(class)
 		return
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -10,21 +10,16 @@
 // Connected implements loop.Handler.
 func (c *client) Connected() {}
 
-// flush writes the answers that are next in order, then continues with the input that had to wait for them.
+// flush writes the answers that are next in order, then continues with the input that had to wait for them. An answer is written once
+// the system has taken those before it: until then it can still be given up.
 func (c *client) flush() {
 	if c.closed {
 		return
 	}
-	for len(c.requests) > 0 && c.requests[0].answered {
-		k := c.requests[0]
-		c.requests[0] = nil
-		c.requests = c.requests[1:]
-		c.queuedBytes -= len(k.answer)
-		c.lastActive = c.node.loop.Now()
-		c.conn.Write(k.answer)
-		k.answer, k.client = nil, nil
+	for len(c.requests) > 0 && c.requests[0].answered && c.conn.Pending() == 0 {
+		c.writeAnswer()
 	}
-	if len(c.requests) > 0 && c.requests[0].body != nil {
+	if len(c.requests) > 0 && c.requests[0].body != nil && (c.conn.Pending() == 0 || c.requests[0].body.started) {
 		if b := c.requests[0].body; b.started {
 			b.updatePaused()
 		} else {
@@ -54,7 +49,8 @@
 	if len(c.requests) == 0 {
 		c.requests = nil
 	}
-	blocked := len(c.requests) >= maxPipelined || c.conn.Pending() >= maxUnsentBytes
+	blocked := len(c.requests) >= maxPipelined || c.unsentBytes() >= maxUnsentBytes
+	c.limitPieces()
 	if c.upload != nil {
 		c.upload.updatePaused()
 		return
@@ -66,6 +62,33 @@
 	}
 }
 
+// writeAnswer writes the answer that is next in order.
+func (c *client) writeAnswer() {
+	n, k := c.node, c.requests[0]
+	if k.droppable && n.clientBytes > n.maxHeldBytes() {
+		if n.giveUpAnswers(); k.droppable && n.clientBytes > n.maxHeldBytes() {
+			k.dropAnswer()
+		}
+	}
+	c.requests[0] = nil
+	c.requests = c.requests[1:]
+	c.queuedBytes -= len(k.answer)
+	c.lastActive = n.loop.Now()
+	if k.class != nil {
+		n.countEnding(k.class, k.how)
+	}
+	c.conn.Write(k.answer)
+	k.answer, k.client, k.droppable = nil, nil, false
+}
+
+// unsentBytes returns the number of bytes of answers that wait for the client to read.
+func (c *client) unsentBytes() int {
+	if pending := c.conn.Pending(); pending > 0 {
+		return pending + c.queuedBytes
+	}
+	return 0
+}
+
 // moveTo moves the connection to the list of idle or of incomplete ones. The time limit of an incomplete command counts from this
 // move, that of a new connection from the accept.
 func (c *client) moveTo(l *list.List) {
@@ -106,11 +129,7 @@
 	c.slowTimer = c.node.loop.After(slowReaderTimeout/5, func() {
 		// Guards against taking a slow reader for a dead one: the kernel delivers what it has buffered long before it accepts
 		// more, so only the bytes that the client has acknowledged show progress.
-		now, taken := c.node.loop.Now(), c.conn.Acknowledged()
-		if taken != c.acknowledged {
-			c.acknowledged, c.progressAt = taken, now
-		}
-		if now-c.progressAt >= slowReaderTimeout {
+		if c.progressStopped(slowReaderTimeout) {
 			c.closeSlow()
 			return
 		}
@@ -147,6 +166,9 @@
 		k.client = nil
 	}
 	for _, k := range calls {
+		if k.answered && k.class != nil { // its answer was not written
+			c.node.count.abandoned++
+		}
 		k.answer = nil
 		c.node.abandon(k)
 	}
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -18,7 +18,7 @@
 	surplusAnswers, reloads, reloadsFailed                                  int64
 	longValues, brokenOff, longWrites                                       int64
 	clientsBad, clientsIdle, duplicateIDs                                   int64
-	violations, tooLate                                                     int64
+	violations, tooLate, answersDropped                                     int64
 	outcomes                                                                [policy.NotSent + 1]int64
 	sendsRefused, violated                                                  [safety.NumReasons]int64
 	closings                                                                [closeReasons]int64
@@ -111,6 +111,7 @@
 	put("panics", c.panics)
 	put("violations", c.violations)
 	put("too_late", c.tooLate)
+	put("answers_dropped", c.answersDropped)
 	for why := safety.Allowed + 1; why < safety.NumReasons; why++ {
 		if c.sendsRefused[why] > 0 {
 			put("not_sent_"+why.String(), c.sendsRefused[why])
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -1,7 +1,5 @@
 package node
 
-import ()
-
 // Draining: how clients are sent away, at a graceful shutdown or when an operator drains the node.
 
 // drain sends the clients away. The node serves on as before for lameDuckPeriod; then a connection closes with its next answer,
@@ -46,7 +44,7 @@
 			c.closeGracefully(closedByDrain)
 		}
 	}
-	if n.shuttingDown && len(s.all) == 0 && (s.listener.Closed() || n.loop.Now() >= n.answerDeadline) {
+	if n.shuttingDown && len(s.all) == 0 && (s.listener.Closed() && !s.lingeringReads() || n.loop.Now() >= n.answerDeadline) {
 		n.loop.After(lingerTimeout/4, n.loop.Stop)
 		return
 	}
@@ -54,6 +52,16 @@
 	s.drainTimer = n.loop.After(capacityCheckInterval, s.closeQuiet)
 }
 
+// lingeringReads reports whether a client whose connection has been closed on this side still has bytes to come.
+func (s *clients) lingeringReads() bool {
+	for e := s.lingering.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*client).conn; c.Acknowledged() < c.WriteOffset() {
+			return true
+		}
+	}
+	return false
+}
+
 // stopDrain ends a drain. Connections that are closing gracefully still close.
 func (s *clients) stopDrain() {
 	s.drainTimer.Stop()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -105,6 +105,8 @@
 	upload        *upload       // the long value of a write
 	received      bool          // it has arrived whole, and its deadline counts
 	answered      bool
+	how           ending // how it ended, once it is answered
+	droppable     bool   // its answer is a value of which nothing has been written
 	attempts      []*attempt
 	openAttempts  int
 	timer         *loop.Timer
@@ -279,18 +281,27 @@
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
 }
 
-// reply answers a request, once.
+// replyValue answers a read with a value, once. Until it is written it may be given up for want of memory.
+func (n *Node) replyValue(c *request, text []byte) {
+	c.droppable = !c.answered
+	n.reply(c, text, served)
+}
+
+// reply answers a request, once. How it ended is counted when the answer is written.
 func (n *Node) reply(c *request, text []byte, how ending) {
 	if c.answered {
 		return
 	}
-	n.countEnding(c.class, how)
 	n.recordTransition(endingTransitions[how], c)
 	n.stopClock(c)
 	c.answer = text
-	if c.client != nil {
+	c.how = how
+	if c.client != nil && !c.client.closed {
 		c.client.queuedBytes += len(text)
+		c.client.updateHeldBytes()
 		c.client.flush()
+	} else {
+		n.countEnding(c.class, how)
 	}
 	n.withdrawAttempts(c)
 	n.removeIfDone(c)
@@ -360,13 +371,12 @@
 	if b := c.body; b != nil && b.attempt == t {
 		b.finish(c, a.outcome == policy.OK)
 	} else if a.outcome == policy.OK && !c.answered && b == nil {
-		var text []byte
 		if id := c.command.ID; a.stored {
-			text = meta.AppendStored(nil, id, a.receipt)
+			n.reply(c, meta.AppendStored(nil, id, a.receipt), served)
 		} else {
-			text = meta.AppendValue(make([]byte, 0, len(a.value)+len(id)+24), id, a.value)
+			text := meta.AppendValue(make([]byte, 0, len(a.value)+len(id)+24), id, a.value)
+			n.replyValue(c, text)
 		}
-		n.reply(c, text, served)
 	}
 	res := policy.Result{ID: c.id, N: t.number, Server: t.pool.id, Outcome: a.outcome, CacheStatus: a.cacheStatus, Final: c.answered,
 		ReusedConn: a.reusedConn, BodyDiscarded: c.upload != nil && c.upload.bufferDropped}
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -342,13 +342,24 @@
 		b.t.Fatal(err)
 	}
 	b.t.Cleanup(func() { peer.Close() })
-	b.runUntil("it is accepted", func() bool { return len(b.node.clients.all) == 1 })
-	for c = range b.node.clients.all {
-	}
+	c = b.newestClient()
 	c.sentCommand = true
 	return peer, c
 }
 
+// newestClient waits until the node has accepted a client and returns it.
+func (b *harness) newestClient() (newest *client) {
+	b.t.Helper()
+	before := b.node.count.clientsAccepted
+	b.runUntil("it is accepted", func() bool { return b.node.count.clientsAccepted > before })
+	for c := range b.node.clients.all {
+		if newest == nil || c.number > newest.number {
+			newest = c
+		}
+	}
+	return newest
+}
+
 // The rest of a long value is fetched from a banned server at once, however slowly the client reads, because the server is going to be
 // restarted.
 func TestABanFetchesWhatIsLeftOfALongValue(t *testing.T) {
