Count a request's time from its arrival also where the node did not read its connection

Cause: while a long write waits for room its client is not read (upload.shouldPause), and the rest of the value stands in the node's machine. upload.received counted from Loop.EarliestArrival, which tells of events that epoll reports; it reports none of a paused connection. So the time that the write was held was given to it once more. Change: Conn keeps since when bytes may stand unread: from a pause, or from a read that did not take all; a pause that ends with nothing unread is forgotten. Conn.EarliestArrival is that time, Conn.LastArrival the kernel's for the last byte (TCP_INFO), used for the request that ends the data. Any other counts from the earliest moment at which it may have been there. Further reads of more than 64 KiB, and a process that stands still while a connection is paused, go by the same record.

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -60,6 +60,8 @@
 	{name: "a client that still reads counts as idle", blind: "the soak has no slow readers of long values yet", edits: []sourceEdit{
 		{"internal/node/memory.go", "return c.conn.Acknowledged() < c.conn.WriteOffset() && !c.progressStopped(slowReaderTimeout)", "return false"},
 		{"internal/loop/conn.go", "if acknowledged >= c.WriteOffset() || c.linger.stalled >= maxLingerStall {", "if true {"}}},
+	{name: "what stood unread on a paused connection counts from when it is read", blind: "the soak has no long writes at a server that hangs yet", edits: []sourceEdit{
+		{"internal/loop/conn.go", "c.readArrival = min(c.readArrival, c.unread.since)", "_ = c.unread.since"}}},
 	{name: "a listener does not go on after a shortage", seeds: 12, edits: []sourceEdit{
 		{"internal/loop/conn.go", "ln.resourceShortage = false", "ln.resourceShortage = true"}}},
 	{name: "a lost process is never replaced by one that is ready", seeds: 4, edits: []sourceEdit{
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -42,15 +42,24 @@
 	connected   bool
 	paused      bool
 	closed      bool
-	endPending  bool   // an error has occurred; the handler is notified once the running callback returns
-	readLimit   int    // bytes read at a time; 0: as many as the loop's buffer holds
-	lingerTimer *Timer // set once the connection only waits for the peer to close
+	endPending  bool // an error has occurred; the handler is notified once the running callback returns
+	readLimit   int  // bytes read at a time; 0: as many as the loop's buffer holds
+	unread      unread
+	readArrival time.Duration // the earliest time at which the bytes last read may have arrived
+	drained     bool          // the last read took all that had arrived
+	lingerTimer *Timer        // set once the connection only waits for the peer to close
 	linger      linger
 	discarded   int    // bytes discarded since then
 	closing     bool   // CloseGracefully was called: no more writes; the sending side is shut down once writeBuffer is empty
 	onRelease   func() // called when the descriptor is closed
 }
 
+// unread tells since when received bytes may have been waiting to be read. While reading is paused epoll does not report them.
+type unread struct {
+	possible bool
+	since    time.Duration
+}
+
 // linger is the state of a connection that has been closed on this side and waits for the peer to take what was written.
 type linger struct {
 	timeout      time.Duration // of a single wait
@@ -195,10 +204,17 @@
 
 // SetPaused stops or resumes reading.
 func (c *Conn) SetPaused(pause bool) {
-	if c.paused != pause && !c.closed {
-		c.paused = pause
-		c.updateEvents()
+	if c.paused == pause || c.closed {
+		return
 	}
+	c.paused = pause
+	switch {
+	case pause && !c.unread.possible:
+		c.unread = unread{possible: true, since: c.loop.EarliestArrival()}
+	case !pause && !c.Unread():
+		c.unread.possible = false
+	}
+	c.updateEvents()
 }
 
 // SetReadLimit limits how many bytes are read at a time, at most 64 KiB.
@@ -417,10 +433,31 @@
 		}
 		c.release()
 	default:
+		c.noteRead(n < len(buffer))
 		c.handler.Data(buffer[:n])
 	}
 }
 
+// noteRead notes when the bytes just read may have arrived. A read that did not fill its buffer has drained the connection.
+func (c *Conn) noteRead(drained bool) {
+	c.readArrival = c.loop.EarliestArrival()
+	if c.unread.possible {
+		c.readArrival = min(c.readArrival, c.unread.since)
+	}
+	c.drained = drained
+	c.unread = unread{possible: !drained, since: c.readArrival}
+}
+
+// EarliestArrival returns the earliest time at which the bytes last passed to Data may have arrived. It is clearly before now if they
+// waited: the process was suspended or busy, reading was paused, or more had arrived than is read at a time.
+func (c *Conn) EarliestArrival() time.Duration { return c.readArrival }
+
+// LastArrival returns when the last of the bytes passed to Data arrived, if the kernel can tell.
+func (c *Conn) LastArrival() (at time.Duration, known bool) {
+	ago, known := c.SinceLastData()
+	return c.loop.Now() - ago, known && c.drained
+}
+
 // Listener accepts connections.
 type Listener struct {
 	loop              *Loop
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -60,6 +60,7 @@
 	lastActive      time.Duration // when bytes last went in either direction
 	incompleteSince time.Duration // since when its command is incomplete
 	arrivedAt       time.Duration // the earliest time at which the data being read may have arrived
+	lastByteAt      time.Duration // the same of its last byte
 	openedAt        time.Duration // when the loop polled the event of the connection
 	number          uint64        // counts connections in the order of opening
 	badCommands     int           // malformed commands
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -34,19 +34,30 @@
 
 // updateArrival sets the earliest time at which the data being read may have arrived. A connection that is read right after its
 // accept may have had data for as long as it waited in the listen queue; otherwise the event loop knows since when nothing had
-// been there. If that is long ago because the process stood still, the system may know a later time.
+// been there. If that is long ago, because the process stood still or the connection was not read, the system may know when the last
+// byte arrived.
 func (c *client) updateArrival() {
-	if arrived := c.node.loop.EarliestArrival(); c.sentCommand || arrived > c.openedAt+acceptReadWindow {
+	if arrived := c.conn.EarliestArrival(); c.sentCommand || arrived > c.openedAt+acceptReadWindow {
 		c.arrivedAt = arrived
 	}
+	c.lastByteAt = c.arrivedAt
 	if c.lastActive-c.arrivedAt <= acceptReadWindow {
 		return
 	}
-	if ago, known := c.conn.SinceLastData(); known {
-		c.arrivedAt = max(c.arrivedAt, c.lastActive-ago)
+	if last, known := c.conn.LastArrival(); known {
+		c.lastByteAt = max(c.arrivedAt, last)
 	}
 }
 
+// arrivalOf returns the earliest time at which a request may have arrived whose last byte is in the data being read; last reports that
+// nothing follows it there.
+func (c *client) arrivalOf(last bool) time.Duration {
+	if last {
+		return c.lastByteAt
+	}
+	return c.arrivedAt
+}
+
 // bufferRest keeps the input that has not been parsed.
 func (c *client) bufferRest(rest []byte) {
 	switch {
@@ -71,7 +82,7 @@
 			}
 			if u.remaining == 0 && u.trailer == "" {
 				c.upload = nil
-				u.received()
+				u.received(c.arrivalOf(len(data) == 0))
 			}
 			continue
 		}
@@ -88,7 +99,7 @@
 			return data
 		default:
 			data = data[used:]
-			if c.handleCommand(m); m.LongSize > 0 && c.upload == nil { // rejected, so its value is skipped
+			if c.handleCommand(m, len(data) == 0); m.LongSize > 0 && c.upload == nil { // rejected, so its value is skipped
 				data = c.skipBytes(data, m.LongSize+len("\r\n"))
 			}
 		}
@@ -103,8 +114,8 @@
 	return data[n:]
 }
 
-// handleCommand handles one whole command, or the line of one with a long value.
-func (c *client) handleCommand(m meta.Command) {
+// handleCommand handles one whole command, or the line of one with a long value. last reports that it ends the data being read.
+func (c *client) handleCommand(m meta.Command, last bool) {
 	n := c.node
 	c.sentCommand = true
 	c.removeFromList() // it is complete, so evictIncomplete must not take it below
@@ -146,7 +157,7 @@
 	// Guards against forwarding time that has passed while the request was unread, in a process that was stopped or busy: servers
 	// would work for a client that has stopped waiting.
 	if m.LongSize == 0 {
-		timeout -= now - c.arrivedAt
+		timeout -= now - c.arrivalOf(last)
 		if safety.CheckStart(safety.Request{Remaining: timeout}) != safety.Allowed {
 			n.count.tooLate++
 			c.refuse(class)
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -126,8 +126,9 @@
 	l.markWritten()
 }
 
-// received handles the end of the value: the request counts as taken, and its time budget starts.
-func (u *upload) received() {
+// received handles the end of the value, which arrived at this time or later: the request counts as taken, and its time budget started
+// then. Guards against counting it from the read: while there was no room for the write, its client was not read.
+func (u *upload) received(arrivedAt time.Duration) {
 	c, n := u.request, u.client.node
 	u.complete = true
 	u.timer.Stop()
@@ -135,7 +136,7 @@
 		return
 	}
 	now := n.loop.Now()
-	n.startClock(c, now, n.capTimeout(max(minRemaining, u.timeout-(now-u.client.arrivedAt)), now))
+	n.startClock(c, now, n.capTimeout(max(minRemaining, u.timeout-(now-arrivedAt)), now))
 	n.guard("came", func() { n.policy.BodyReceived(now, c.id, c.attemptsUntil-now) })
 	if t := u.attempt; t != nil {
 		t.runnableAt = now
