Forward an origin's answer with no length if the origin closes behind it

Cause: originProtocol.parseAnswer took each 200 without a length for spoilt, and serverConn.End did not look at how the connection ended, so an orderly close and a reset were alike. Change: an orderly end (io.EOF) ends such an answer; a reset, any other error and the node's own close do not. A refusal (503, 504) with no length that is reset counts as a reset as well, which it did not. httpc.Response.SelfDelimited has no reader left and goes.

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -62,6 +62,8 @@
 		{"internal/loop/conn.go", "if acknowledged >= c.WriteOffset() || c.linger.stalled >= maxLingerStall {", "if true {"}}},
 	{name: "what stood unread on a paused connection counts from when it is read", blind: "the soak has no long writes at a server that hangs yet", edits: []sourceEdit{
 		{"internal/loop/conn.go", "c.readArrival = min(c.readArrival, c.unread.since)", "_ = c.unread.since"}}},
+	{name: "a reset ends an answer with no length", blind: "the soak's origin states the length of each answer", edits: []sourceEdit{
+		{"internal/node/answers.go", "if errors.Is(err, io.EOF) && l.body == nil", "if l.body == nil"}}},
 	{name: "a listener does not go on after a shortage", seeds: 12, edits: []sourceEdit{
 		{"internal/loop/conn.go", "ln.resourceShortage = false", "ln.resourceShortage = true"}}},
 	{name: "a lost process is never replaced by one that is ready", seeds: 4, edits: []sourceEdit{
--- a/internal/httpc/httpc.go
+++ b/internal/httpc/httpc.go
@@ -21,11 +21,10 @@
 
 // Response is a parsed response. Its slices refer to the parsed bytes, except for a chunked body, which is a copy.
 type Response struct {
-	Status        int
-	Body          []byte
-	Close         bool   // the connection cannot be used after this response
-	SelfDelimited bool   // Content-Length or chunked coding determines the end of the body, not the end of the connection
-	head          []byte // the header lines
+	Status int
+	Body   []byte
+	Close  bool   // the connection cannot be used after this response
+	head   []byte // the header lines
 }
 
 // Header returns the value of a header, or nil if it is missing.
@@ -171,7 +170,6 @@
 	if lengths+codings > 1 {
 		return 0, ErrFraming
 	}
-	a.SelfDelimited = lengths+codings == 1
 	if codings > 0 {
 		if !bytes.EqualFold(coding, []byte("chunked")) {
 			return 0, ErrMalformed
--- a/internal/httpc/stream.go
+++ b/internal/httpc/stream.go
@@ -163,13 +163,13 @@
 		if !bytes.EqualFold(coding, []byte("chunked")) {
 			return ErrMalformed
 		}
-		a.SelfDelimited, s.state = true, inChunkSize
+		s.state = inChunkSize
 	case lengths > 0:
 		n, err := strconv.ParseUint(string(text), 10, 31)
 		if err != nil {
 			return ErrMalformed
 		}
-		a.SelfDelimited, s.state, s.remaining = true, inBody, int64(n)
+		s.state, s.remaining = inBody, int64(n)
 		s.Done = n == 0
 	default:
 		a.Close, s.state, s.remaining = true, inBody, -1
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -4,6 +4,8 @@
 
 import (
 	"cmp"
+	"errors"
+	"io"
 	"log"
 	"time"
 
@@ -22,10 +24,11 @@
 	l.accountedBytes = held
 }
 
-// End implements loop.Handler.
-func (l *serverConn) End(error) {
+// End implements loop.Handler. An answer without a stated length ends with the stream, if the server has closed that; a connection that
+// was reset, or broke otherwise, ends none.
+func (l *serverConn) End(err error) {
 	l.retiring = true
-	if l.body == nil && len(l.attempts) > 0 && l.attempts[0] != nil && len(l.input) > 0 { // end of stream may delimit an answer
+	if errors.Is(err, io.EOF) && l.body == nil && len(l.attempts) > 0 && l.attempts[0] != nil && len(l.input) > 0 {
 		if a, used, err := l.pool.proto.parseAnswer(l.input, l.attempts[0], l.pool.node.maxResponseSize(), true); err == nil && used > 0 && a.longSize == 0 {
 			t := l.attempts[0]
 			l.attempts = l.attempts[1:]
--- a/internal/node/origin.go
+++ b/internal/node/origin.go
@@ -51,8 +51,6 @@
 	}
 	a := response{close: h.Close}
 	switch {
-	case h.Status == 200 && !h.SelfDelimited:
-		return response{}, 0, meta.ErrResponse // guards against a value that is truncated because the connection broke
 	case h.Status == 200 && t != nil && t.request.command.Kind == meta.Set:
 		a.outcome, a.stored, a.receipt = policy.OK, true, bytes.TrimSpace(h.Body)
 		if bytes.ContainsFunc(a.receipt, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
