Choose an idle connection without copying the list; count broken answers once

takeIdle cloned the list of idle connections for each attempt; nextIdle walks it. Tests of internal/node pass (-count=1).

--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -166,7 +166,7 @@
 		k.client = nil
 	}
 	for _, k := range calls {
-		if k.answered && k.class != nil { // its answer was not written
+		if len(k.answer) > 0 && k.class != nil { // it was not written, so it is not counted yet
 			c.node.count.abandoned++
 		}
 		k.answer = nil
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -16,19 +16,29 @@
 // takes the one used last, since the server may be about to close the others; for an unsafe request the one that has been quiet longest.
 // It closes the stale ones it finds.
 func (p *pool) takeIdle(t *attempt) *serverConn {
-	candidates := slices.Clone(p.idle)
-	if t.request.class.effect != safety.Unsafe {
-		slices.Reverse(candidates)
-	}
-	for _, l := range candidates {
-		switch {
-		case l.mayCarry(t.request.class.effect) != safety.Allowed:
-		case l.conn.Stale():
-			l.closeStale()
-		default:
+	for l := p.nextIdle(t.request.class.effect); l != nil; l = p.nextIdle(t.request.class.effect) {
+		if !l.conn.Stale() {
 			l.unmarkIdle()
 			return l
 		}
+		l.closeStale()
+	}
+	return nil
+}
+
+// nextIdle returns the idle connection that a request with this effect is to use, or nil.
+func (p *pool) nextIdle(effect safety.Effect) *serverConn {
+	mayCarry := func(l *serverConn) bool { return l.mayCarry(effect) == safety.Allowed }
+	if effect == safety.Unsafe {
+		if i := slices.IndexFunc(p.idle, mayCarry); i >= 0 {
+			return p.idle[i]
+		}
+		return nil
+	}
+	for _, l := range slices.Backward(p.idle) {
+		if mayCarry(l) {
+			return l
+		}
 	}
 	return nil
 }
