--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -140,9 +140,9 @@
 	}
 }
 
-// Two short seeds with few processes hold, and the summary counts pairs of faults that overlapped.
+// Six short seeds with few processes hold, and the summary counts pairs of faults that overlapped.
 func TestSoakSeeds(t *testing.T) {
-	for _, seed := range []string{"7", "8"} {
+	for _, seed := range []string{"7", "8", "9", "10", "11", "12"} {
 		t.Run(seed, func(t *testing.T) {
 			t.Parallel()
 			runSlots <- true
