--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -91,12 +91,16 @@
 			l.finishAttempt(t, response{outcome: a.outcome})
 			return
 		}
-		if used > 0 && t != nil && t.endOffset > l.conn.Written() || begins && !a.named && l.precedesRequest(t) {
+		if begins && !a.named && l.precedesRequest(t) {
 			l.pool.noteSurplus()
 			l.pool.node.reportViolation("reuse", safety.Unsettled, t.request.id, l.pool.id)
 			l.closeMalformed("answer before its request")
 			return
 		}
+		if used > 0 && t != nil && t.endOffset > l.conn.Written() {
+			l.closeMalformed("answer before the end of its request")
+			return
+		}
 		if used == 0 {
 			break
 		}
--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -135,12 +135,15 @@
 	b.updatePaused()
 }
 
-// giveUp ends the attempt of a value of which nothing has been written to its client; the request fails.
+// giveUp fails the request of a value of which nothing has been written to its client, and ends its attempt.
 func (b *body) giveUp() {
-	if t := b.attempt; t != nil && !b.started && !t.done {
-		b.link.pool.node.count.answersDropped++
-		t.pool.cancel(t)
+	t := b.attempt
+	if t == nil || b.started || t.done {
+		return
 	}
+	b.link.pool.node.count.answersDropped++
+	b.finish(t.request, false) // before the attempt ends, which discards the value
+	t.pool.cancel(t)
 }
 
 // growSendBuffer has the rest of a value from a draining, gone or banned server read at once, however slowly the client reads.
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -141,6 +141,47 @@
 	}
 }
 
+// Guards against leaving a request without an answer when its long value is given up: one that waits for its turn, as too many bytes of
+// responses are held, and one whose turn has come, as too many are held for clients. Its server gets no bad name for it.
+func TestALongValueThatIsGivenUpFailsItsRequest(t *testing.T) {
+	const size = 1 << 20
+	for _, ownTurn := range []bool{false, true} {
+		b := newHarness(t)
+		n := b.node
+		n.classes["read"] = &class{name: "read", maxDeadline: time.Minute}
+		peer, c := b.connectClient()
+		servers := b.readsOf(c, "0", "1")
+		fmt.Fprintf(servers[1], "VA %d O1\r\n%s", size, strings.Repeat("x", 8<<10))
+		second := c.requests[1]
+		b.runUntil("the value waits for its turn", func() bool { return second.body != nil && n.responseBytes > 0 })
+		others := n.maxHeldBytes()
+		if ownTurn {
+			n.clientBytes += others
+		} else {
+			n.responseBytes += others
+			n.loop.Defer(func() {
+				n.relieveResponses()
+				n.responseBytes -= others
+			})
+		}
+		fmt.Fprintf(servers[0], "EN O0\r\n")
+		b.runUntil("the first attempt ends", func() bool { return b.outcomes(policy.Miss) == 1 })
+		n.reply(c.requests[0], []byte("SERVER_ERROR busy\r\n"), refused) // as the policy would
+		b.runUntil("both are answered", func() bool { return len(c.requests) == 0 })
+		if ownTurn {
+			n.clientBytes -= others
+		}
+		got := make([]byte, len("SERVER_ERROR busy\r\n"+failedAnswer))
+		if _, err := io.ReadFull(peer, got); err != nil || string(got) != "SERVER_ERROR busy\r\n"+failedAnswer {
+			t.Errorf("own turn %t: %q, %v", ownTurn, got, err)
+		}
+		if n.count.answersDropped != 1 || n.count.badAnswers != 0 || b.outcomes(policy.Cancelled) != 1 || len(n.requests) != 0 || n.responseBytes != 0 {
+			t.Errorf("own turn %t: %d dropped, %d bad answers, %v, %d requests open, %d bytes held", ownTurn, n.count.answersDropped, n.count.badAnswers,
+				n.count.outcomes, len(n.requests), n.responseBytes)
+		}
+	}
+}
+
 // Guards against closing a connection as idle while the system still delivers an answer to its client: a request that crosses the
 // close would reset the connection, and the end of the answer would be lost.
 func TestAClientThatStillReadsIsNotIdle(t *testing.T) {
