--- a/cmd/lapislab/lapislab_test.go
+++ b/cmd/lapislab/lapislab_test.go
@@ -177,12 +177,12 @@
 	for _, c := range []struct {
 		name, file, from, to, with, rule, what string
 	}{
-		{"an answer twice", "internal/node/connection.go", "		c.conn.Write(k.answer)\n",
-			"		c.conn.Write(k.answer)\n		if k.id != \"\" && k.id[0] == '7' {\n			c.conn.Write(k.answer)\n		}\n", calm, "one_answer", "twice"},
+		{"an answer twice", "internal/node/connection.go", "	c.conn.Write(k.answer)\n",
+			"	c.conn.Write(k.answer)\n	if k.id != \"\" && k.id[0] == '7' {\n		c.conn.Write(k.answer)\n	}\n", calm, "one_answer", "twice"},
 		{"no answer", "internal/node/node.go", "	n.stopClock(c)\n	c.answer = text\n",
 			"	n.stopClock(c)\n	if c.id != \"\" && c.id[0] == '7' {\n		return\n	}\n	c.answer = text\n", calm, "one_answer", "lost"},
-		{"a value cut short", "internal/node/node.go", "text = meta.AppendValue(make([]byte, 0, len(a.value)+len(id)+24), id, a.value)",
-			"text = meta.AppendValue(nil, id, a.value[:len(a.value)-min(len(a.value), int(c.id[0]&1)*290)])", calm, "one_answer", "wrong_value"},
+		{"a value cut short", "internal/node/node.go", "text := meta.AppendValue(make([]byte, 0, len(a.value)+len(id)+24), id, a.value)",
+			"text := meta.AppendValue(nil, id, a.value[:len(a.value)-min(len(a.value), int(c.id[0]&1)*290)])", calm, "one_answer", "wrong_value"},
 		{"another id goes on", "internal/meta/meta.go", "	buf = append(buf, c.Line[:c.InfoOffset]...)",
 			"	buf = append(buf, bytes.Replace(c.Line[:c.InfoOffset], []byte(\" O7\"), []byte(\" O8\"), 1)...)", calm, "one_answer", "altered"},
 		{"sent after the answer", "internal/node/node.go", "	c := t.request\n	c.openAttempts--\n", "	c := t.request\n	c.openAttempts--\n" +
