Count a long write's time from when it may have been sent, at its first attempt too

Cause: the first attempt of a long write told all of its client's time, however long the value had stood unread. On related paths: a new connection's wait in the listen queue counted for its first read only; what a client's machine still held since the receive window was closed counted from when it came (0.6 s of 0.6 s); an interrupted look at the end of a pause forgot the pause.

Change: internal/loop backlog keeps since when the bytes that are yet to be read may have been waiting: in the listen queue, while reading was paused or the process stood still, or at the peer until it has been quiet with the window open. The node counts the first attempt's time from there.

Evidence: TestALongWriteThatIsReadLateTellsWhatIsLeft failed before (24.999 s told with 24.4 s left), TestALongWriteLargerThanTheReceiveBufferIsAnsweredInTime too (0.603 s late).

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -61,7 +61,12 @@
 		{"internal/node/memory.go", "return c.conn.Acknowledged() < c.conn.WriteOffset() && !c.progressStopped(slowReaderTimeout)", "return false"},
 		{"internal/loop/conn.go", "if acknowledged >= c.WriteOffset() || c.linger.stalled >= maxLingerStall {", "if true {"}}},
 	{name: "what stood unread on a paused connection counts from when it is read", blind: "the soak has no long writes at a server that hangs yet", edits: []sourceEdit{
-		{"internal/loop/conn.go", "c.readArrival = min(c.readArrival, c.unread.since)", "_ = c.unread.since"}}},
+		{"internal/loop/backlog.go", "b.since = min(b.since, earliest)", "b.since = earliest"}}},
+	{name: "what the peer's machine held back counts from when it comes", blind: "the soak has no long writes at a server that hangs yet", edits: []sourceEdit{
+		{"internal/loop/backlog.go", "case b.size < minFullWindow || now-b.since <= maxUncountedWait:", "default:"},
+		{"internal/loop/backlog.go", "	case b.drainedAt == 0 || b.lateSize >= minFullWindow:\n		b.drainedAt, b.lateSize = now, 0\n", ""}}},
+	{name: "a long write tells what was left before its connection came up", blind: "the soak has no long writes over connections that come up late yet", edits: []sourceEdit{
+		{"internal/node/serverconn.go", "		l.rewriteLongWrite(t)\n", ""}}},
 	{name: "a reset ends an answer with no length", blind: "the soak's origin states the length of each answer", edits: []sourceEdit{
 		{"internal/node/answers.go", "if errors.Is(err, io.EOF) && l.body == nil", "if l.body == nil"}}},
 	{name: "a listener does not go on after a shortage", seeds: 12, edits: []sourceEdit{
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -44,8 +44,10 @@
 	closed      bool
 	endPending  bool // an error has occurred; the handler is notified once the running callback returns
 	readLimit   int  // bytes read at a time; 0: as many as the loop's buffer holds
-	unread      unread
+	backlog     backlog
 	readArrival time.Duration // the earliest time at which the bytes last read may have arrived
+	acceptedAt  time.Duration // when the loop polled the connection's arrival, until the first read; 0: not known to have waited
+	readFrom    time.Duration // when reading what had been waiting began
 	drained     bool          // the last read took all that had arrived
 	lingerTimer *Timer        // set once the connection only waits for the peer to close
 	linger      linger
@@ -54,12 +56,6 @@
 	onRelease   func() // called when the descriptor is closed
 }
 
-// unread tells since when received bytes may have been waiting to be read. While reading is paused epoll does not report them.
-type unread struct {
-	possible bool
-	since    time.Duration
-}
-
 // linger is the state of a connection that has been closed on this side and waits for the peer to take what was written.
 type linger struct {
 	timeout      time.Duration // of a single wait
@@ -212,15 +208,21 @@
 		return
 	}
 	c.paused = pause
-	switch {
-	case pause && !c.unread.possible:
-		c.unread = unread{possible: true, since: c.loop.EarliestArrival()}
-	case !pause && !c.Unread():
-		c.unread.possible = false
+	if pause {
+		c.backlog.begin(c.loop.EarliestArrival())
+	} else {
+		_, err := c.peek()
+		c.backlog.resume(c.loop.Now(), errors.Is(err, unix.EAGAIN))
 	}
 	c.updateEvents()
 }
 
+// MayHaveWaited notes that an accepted connection may have stood in the listen queue since then, with bytes.
+func (c *Conn) MayHaveWaited(since time.Duration) {
+	c.backlog.begin(since)
+	c.acceptedAt = c.loop.polledAt
+}
+
 // SetReadLimit limits how many bytes are read at a time, at most 64 KiB.
 func (c *Conn) SetReadLimit(bytes int) { c.readLimit = bytes }
 
@@ -264,11 +266,7 @@
 	if c.closed || c.endPending || !c.connected {
 		return true
 	}
-	var b [1]byte
-	_, err := system.Peek(c.source.fd, b[:])
-	for tries := 0; errors.Is(err, unix.EINTR) && tries < maxInterruptRetries; tries++ {
-		_, err = system.Peek(c.source.fd, b[:])
-	}
+	_, err := c.peek()
 	return !errors.Is(err, unix.EAGAIN) // a connection that cannot be checked is not known to be idle
 }
 
@@ -277,11 +275,20 @@
 	if c.closed || !c.connected {
 		return false
 	}
-	var b [1]byte
-	n, err := system.Peek(c.source.fd, b[:])
+	n, err := c.peek()
 	return err == nil && n > 0
 }
 
+// peek looks for a received byte without taking it. It returns EAGAIN if there is none, and 0 at the end of the stream.
+func (c *Conn) peek() (n int, err error) {
+	var b [1]byte
+	n, err = system.Peek(c.source.fd, b[:])
+	for tries := 0; errors.Is(err, unix.EINTR) && tries < maxInterruptRetries; tries++ {
+		n, err = system.Peek(c.source.fd, b[:])
+	}
+	return n, err
+}
+
 // SinceLastData returns the time since bytes were last received from the peer, read or not, if the kernel can tell.
 func (c *Conn) SinceLastData() (ago time.Duration, known bool) {
 	if c.closed {
@@ -437,29 +444,44 @@
 		}
 		c.release()
 	default:
-		c.noteRead(n < len(buffer))
+		c.noteRead(n, n < len(buffer))
 		c.handler.Data(buffer[:n])
 	}
 }
 
 // noteRead notes when the bytes just read may have arrived. A read that did not fill its buffer has drained the connection.
-func (c *Conn) noteRead(drained bool) {
-	c.readArrival = c.loop.EarliestArrival()
-	if c.unread.possible {
-		c.readArrival = min(c.readArrival, c.unread.since)
-	}
+func (c *Conn) noteRead(bytes int, drained bool) {
+	now, earliest := c.loop.Now(), c.loop.EarliestArrival()
+	switch b := &c.backlog; {
+	case b.drainedAt > 0 && b.ended(now, c.roundTrip()):
+		*b = backlog{}
+	case c.acceptedAt > 0 && earliest > c.acceptedAt+acceptReadWindow: // the loop has looked in between, and nothing was there
+		*b = backlog{}
+	}
+	c.acceptedAt = 0
 	c.drained = drained
-	c.unread = unread{possible: !drained, since: c.readArrival}
+	c.readArrival, c.readFrom = c.backlog.read(bytes, drained, now, earliest)
+}
+
+// roundTrip returns the kernel's estimate of the round trip time, 0 if it has none.
+func (c *Conn) roundTrip() time.Duration {
+	info, err := unix.GetsockoptTCPInfo(c.source.fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(info.Rtt) * time.Microsecond
 }
 
 // EarliestArrival returns the earliest time at which the bytes last passed to Data may have arrived. It is clearly before now if they
 // waited: the process was suspended or busy, reading was paused, or more had arrived than is read at a time.
 func (c *Conn) EarliestArrival() time.Duration { return c.readArrival }
 
-// LastArrival returns when the last of the bytes passed to Data arrived, if the kernel can tell.
+// LastArrival returns when the last of the bytes passed to Data arrived, if the kernel can tell and the peer's machine cannot have held
+// them back.
 func (c *Conn) LastArrival() (at time.Duration, known bool) {
 	ago, known := c.SinceLastData()
-	return c.loop.Now() - ago, known && c.drained
+	at = c.loop.Now() - ago
+	return at, known && c.drained && receivedBeforeReading(at, c.readFrom)
 }
 
 // Listener accepts connections.
--- a/internal/loop/faults_test.go
+++ b/internal/loop/faults_test.go
@@ -187,6 +187,27 @@
 	}
 }
 
+// Guards against counting bytes that stood unread during a pause from when they are read, because the look at its end is interrupted.
+func TestAnInterruptedPeekKeepsThePause(t *testing.T) {
+	for _, errno := range []unix.Errno{unix.EINTR, unix.ENOMEM} {
+		l := newLoop(t)
+		r := &recordingHandler{}
+		c, peer := dial(t, l, r)
+		c.SetPaused(true)
+		began := l.Now()
+		if _, err := peer.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(30 * time.Millisecond)
+		failCalls(t, system.CallPeek, 0, 1, errno)
+		c.SetPaused(false)
+		runUntil(t, l, "the byte is read", func() bool { return string(r.data) == "x" })
+		if c.EarliestArrival() > began {
+			t.Errorf("%v: it counts from %v after the pause began", errno, c.EarliestArrival()-began)
+		}
+	}
+}
+
 // Connecting, sending and receiving continue after a transient error, whatever the sizes of partial transfers.
 func TestTransientFailuresKeepTheConnection(t *testing.T) {
 	system.LimitTransfers(func(_ system.Call, length int) int { return length/3 + 1 })
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -210,9 +210,6 @@
 // process was suspended or busy.
 func (l *Loop) EarliestArrival() time.Duration { return l.earliestArrival }
 
-// PolledAt returns when epoll returned the events of the running turn.
-func (l *Loop) PolledAt() time.Duration { return l.polledAt }
-
 // poll asks epoll for events, waits at most so many milliseconds for them, and notes which peers have closed.
 func (l *Loop) poll(events []unix.EpollEvent, timeoutMS int) ([]unix.EpollEvent, error) {
 	began := l.Now()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -26,7 +26,7 @@
 	clientSocketsDivisor  = 3                      // clients may use this fraction of the descriptors for requests
 	timeoutCheckInterval  = 50 * time.Millisecond  // how often idle and incomplete connections are checked
 	maxBadCommands        = 16                     // malformed commands after which a connection is closed
-	acceptReadWindow      = 20 * time.Millisecond  // data read this soon after the accept may have arrived together with the connection
+	lateRead              = 20 * time.Millisecond  // data read this long after its earliest arrival is worth a look when it came
 	maxListenTries        = 20
 	listenRetryInterval   = 100 * time.Millisecond
 )
@@ -61,7 +61,6 @@
 	incompleteSince time.Duration // since when its command is incomplete
 	arrivedAt       time.Duration // the earliest time at which the data being read may have arrived
 	lastByteAt      time.Duration // the same of its last byte
-	openedAt        time.Duration // when the loop polled the event of the connection
 	number          uint64        // counts connections in the order of opening
 	badCommands     int           // malformed commands
 	sentCommand     bool          // it has sent a whole command
@@ -119,7 +118,7 @@
 // in the listen queue would be lost.
 func (s *clients) accept(fd int) {
 	now := s.node.loop.Now()
-	c := &client{node: s.node, lastActive: now, incompleteSince: now, arrivedAt: s.listener.EarliestArrival(), openedAt: s.node.loop.PolledAt()}
+	c := &client{node: s.node, lastActive: now, incompleteSince: now}
 	shed := s.closing && s.reserveFull() // the whole listen queue is accepted when the listener closes
 	conn, err := s.node.loop.Accept(fd, c)
 	if err != nil {
@@ -136,6 +135,7 @@
 	// Guards against a client that leaves while its connection is not read: the end of the stream would stay behind its unread
 	// requests, and these would be sent on as if it still waited.
 	conn.WatchPeerClose()
+	conn.MayHaveWaited(s.listener.EarliestArrival())
 	s.all[c] = true
 	c.moveTo(s.incomplete)
 	s.node.count.clientsAccepted++
--- a/internal/node/commands.go
+++ b/internal/node/commands.go
@@ -32,16 +32,12 @@
 	c.flush()
 }
 
-// updateArrival sets the earliest time at which the data being read may have arrived. A connection that is read right after its
-// accept may have had data for as long as it waited in the listen queue; otherwise the event loop knows since when nothing had
-// been there. If that is long ago, because the process stood still or the connection was not read, the system may know when the last
-// byte arrived.
+// updateArrival sets the earliest time at which the data being read may have arrived. If that is long ago, because the process stood
+// still or the connection was not read, the system may know when the last byte arrived.
 func (c *client) updateArrival() {
-	if arrived := c.conn.EarliestArrival(); c.sentCommand || arrived > c.openedAt+acceptReadWindow {
-		c.arrivedAt = arrived
-	}
+	c.arrivedAt = c.conn.EarliestArrival()
 	c.lastByteAt = c.arrivedAt
-	if c.lastActive-c.arrivedAt <= acceptReadWindow {
+	if c.lastActive-c.arrivedAt <= lateRead {
 		return
 	}
 	if last, known := c.conn.LastArrival(); known {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,7 @@
 	if c.upload == nil {
 		n.startClock(c, now, c.deadline-now)
 	} else { // the deadline does not count until the value is complete; this is how long it may wait for an attempt
-		c.attemptsUntil = now + c.upload.timeout
+		c.attemptsUntil = now + max(minRemaining, c.upload.timeout-(now-c.client.lastByteAt))
 	}
 	n.guard("request", func() {
 		n.policy.Request(now, policy.Request{ID: c.id, Class: c.class.name, Tenant: meta.FieldValue(info, "t"),
--- a/internal/node/upload_time_test.go
+++ b/internal/node/upload_time_test.go
@@ -63,3 +63,47 @@
 		s.runUntil("the next is served", func() bool { return s.outcomes(policy.OK) == 2 })
 	}
 }
+
+// Guards against a long write that tells its server more than its client has left, because it stood unread: the process was stopped.
+func TestALongWriteThatIsReadLateTellsWhatIsLeft(t *testing.T) {
+	for _, size := range []int{80 << 10, 1 << 20} {
+		s := newFixture(t, false, answerAny)
+		s.sendReads("first")
+		s.runUntil("the first is served", func() bool { return s.outcomes(policy.OK) == 1 })
+		s.sendLongWrite("long", size)
+		time.Sleep(stallTime)
+		s.runUntil("it is served", func() bool { return s.outcomes(policy.OK) == 2 })
+		if got := s.timeoutSent("long"); got > longWriteTimeout-stallTime+tolerance || got <= 0 {
+			t.Errorf("%d bytes: forwarded a timeout of %v with %v left", size, got, longWriteTimeout-stallTime)
+		}
+	}
+}
+
+// Guards against a long write whose deadline counts anew for the part that its client's machine holds, where the receive buffer of the
+// node was full.
+func TestALongWriteLargerThanTheReceiveBufferIsAnsweredInTime(t *testing.T) {
+	gate, hold := make(chan struct{}), make(chan struct{})
+	s := newFixture(t, false, func(line string, v []byte) string {
+		if strings.Contains(line, "Olong") {
+			<-hold
+		}
+		<-gate
+		return answerAny(line, v)
+	})
+	s.sendReads("first")
+	s.waitTaken(1)
+	s.sendLongWrite("long", 2<<20)
+	sentAt := s.node.loop.Now()
+	s.waitTaken(2)
+	k := s.node.requests["long"]
+	s.runFor(stallTime)
+	if k.received {
+		t.Fatal("the value was read without room for it")
+	}
+	close(gate)
+	s.runUntil("all of it has been read", func() bool { return k.received })
+	if late := k.deadline - (sentAt + longWriteTimeout); late > tolerance {
+		t.Errorf("its time ends %v late", late)
+	}
+	close(hold)
+}
