--- a/cmd/lapisshelf/copies_test.go
+++ b/cmd/lapisshelf/copies_test.go
@@ -86,24 +86,7 @@
 }
 
 // start listens and returns the address.
-func (o *copyingOrigin) start(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go o.serve(conn)
-		}
-	}()
-	return ln.Addr().String()
-}
+func (o *copyingOrigin) start(t *testing.T) string { return acceptAll(t, o.serve) }
 
 // Guards against serving a request with the second copy of another's answer, whether it is met at rest or on its way as the next
 // request goes out: some milliseconds late, at an origin beside the node or in another data centre.
--- a/cmd/lapisshelf/harness_test.go
+++ b/cmd/lapisshelf/harness_test.go
@@ -82,6 +82,26 @@
 	}
 }
 
+// acceptAll listens until the test ends, passes each connection to serve on a goroutine of its own, and returns the address.
+func acceptAll(t *testing.T, serve func(net.Conn)) (addr string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return ln.Addr().String()
+}
+
 // startCache starts a cache server that answers with reply, which is given the command's line and value.
 func startCache(t *testing.T, reply standin.Script) *standin.Cache {
 	t.Helper()
--- a/cmd/lapisshelf/large_test.go
+++ b/cmd/lapisshelf/large_test.go
@@ -22,29 +22,15 @@
 // connection if handle returns true.
 func startRawServer(t *testing.T, handle func(conn net.Conn, line string) (closes bool)) (addr string) {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
+	return acceptAll(t, func(conn net.Conn) {
+		defer conn.Close()
+		for in := bufio.NewReader(conn); ; {
+			line, err := in.ReadString('\n')
+			if err != nil || handle(conn, strings.TrimRight(line, "\r\n")) {
 				return
 			}
-			go func() {
-				defer conn.Close()
-				for in := bufio.NewReader(conn); ; {
-					line, err := in.ReadString('\n')
-					if err != nil || handle(conn, strings.TrimRight(line, "\r\n")) {
-						return
-					}
-				}
-			}()
 		}
-	}()
-	return ln.Addr().String()
+	})
 }
 
 // longValue returns a value for a key in which the content depends on the position, so that misplaced bytes are noticed.
--- a/internal/node/memory_test.go
+++ b/internal/node/memory_test.go
@@ -232,3 +232,22 @@
 		t.Error("it stays")
 	}
 }
+
+// Guards against failing reads whose answers are no longer than the failure: giving them up frees nothing.
+func TestShortAnswersAreNotGivenUp(t *testing.T) {
+	for _, size := range []int{1, 100} {
+		b := newHarness(t)
+		n := b.node
+		_, c := b.connectClient()
+		first, second := &request{id: "1", client: c}, &request{id: "2", client: c}
+		c.requests = append(c.requests, first, second)
+		n.replyValue(second, fmt.Appendf(nil, "VA %d O2\r\n%s\r\n", size, strings.Repeat("x", size)))
+		n.clientBytes += n.maxHeldBytes()
+		n.giveUpAnswers()
+		n.clientBytes -= n.maxHeldBytes()
+		if dropped, long := n.count.answersDropped == 1, size > len(failedAnswer); dropped != long {
+			t.Errorf("an answer of %d bytes: given up %t", size, dropped)
+		}
+		second.answered, c.requests = true, nil
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -281,9 +281,9 @@
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
 }
 
-// replyValue answers a read with a value, once. Until it is written it may be given up for want of memory.
+// replyValue answers a read with a value, once. Until it is written it may be given up for want of memory, if that frees any.
 func (n *Node) replyValue(c *request, text []byte) {
-	c.droppable = !c.answered
+	c.droppable = !c.answered && len(text) > len(failedAnswer)
 	n.reply(c, text, served)
 }
 
