Trust the kernel's time of arrival for short requests that come just before a read

What callers saw: nothing yet.

The decision is one pure method, arrival.sentByArrival.

TestARequestThatComesAsTheProcessGoesOnHasItsTime failed before; with TestWhenTheKernelsTimeIsTrusted it passes now.

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -63,7 +63,7 @@
 	{name: "what stood unread on a paused connection counts from when it is read", blind: "the soak has no long writes at a server that hangs yet", edits: []sourceEdit{
 		{"internal/loop/backlog.go", "b.since = min(b.since, earliest)", "b.since = earliest"}}},
 	{name: "what the peer's machine held back counts from when it comes", blind: "the soak has no long writes at a server that hangs yet", edits: []sourceEdit{
-		{"internal/loop/backlog.go", "case b.size < minFullWindow || now-b.since <= maxUncountedWait:", "default:"},
+		{"internal/loop/backlog.go", "case a.few || now-b.since <= maxUncountedWait:", "default:"},
 		{"internal/loop/backlog.go", "	case b.drainedAt == 0 || b.lateSize >= minFullWindow:\n		b.drainedAt, b.lateSize = now, 0\n", ""}}},
 	{name: "a long write tells what was left before its connection came up", blind: "the soak has no long writes over connections that come up late yet", edits: []sourceEdit{
 		{"internal/node/serverconn.go", "		l.rewriteLongWrite(t)\n", ""}}},
--- a/internal/loop/backlog.go
+++ b/internal/loop/backlog.go
@@ -53,29 +53,38 @@
 	return b.drainedAt > 0 && now-b.drainedAt > 2*roundTrip+windowReopenMargin && b.lateSize < minFullWindow
 }
 
-// receivedBeforeReading reports whether bytes that arrived at this time, by the kernel's clock, stood in the node's machine before
-// reading them opened the receive window: no byte of the backlog before them was held back by the peer's machine.
-func receivedBeforeReading(at, readFrom time.Duration) bool { return at+arrivalTimeError < readFrom }
+// arrival tells what is known of when bytes were sent.
+type arrival struct {
+	earliest time.Duration // they cannot have been sent before
+	last     bool          // no more bytes stand in the node's machine
+	few      bool          // too few bytes were waiting to close the receive window
+	readFrom time.Duration // when reading the backlog that they are part of began
+}
+
+// sentByArrival reports whether the last of the bytes was sent at the time at which the kernel received it: the peer's machine cannot
+// have held it back, since the receive window stayed open, or since it came before reading opened the window.
+func (a arrival) sentByArrival(receivedAt time.Duration) bool {
+	return a.last && (a.few || receivedAt+arrivalTimeError < a.readFrom)
+}
 
-// read notes a read of so many bytes, and returns the earliest time at which they may have been sent, and when reading the backlog that
-// they are part of began. earliest is that time for bytes that have just arrived; drained reports that the read took all that stood in
-// the node's machine.
-func (b *backlog) read(bytes int, drained bool, now, earliest time.Duration) (sentAt, readFrom time.Duration) {
+// read notes a read of so many bytes, and returns what is known of when they were sent. earliest is the earliest time for bytes that have
+// just arrived; drained reports that the read took all that stood in the node's machine.
+func (b *backlog) read(bytes int, drained bool, now, earliest time.Duration) arrival {
 	b.begin(earliest)
 	b.since = min(b.since, earliest)
 	if b.readFrom == 0 {
 		b.readFrom = now
 	}
-	sentAt, readFrom = b.since, b.readFrom
 	b.size += bytes
+	a := arrival{earliest: b.since, last: drained, few: b.size < minFullWindow, readFrom: b.readFrom}
 	b.lateSize += bytes
 	switch {
 	case !drained:
 		b.drainedAt = 0
-	case b.size < minFullWindow || now-b.since <= maxUncountedWait:
+	case a.few || now-b.since <= maxUncountedWait:
 		*b = backlog{}
 	case b.drainedAt == 0 || b.lateSize >= minFullWindow:
 		b.drainedAt, b.lateSize = now, 0
 	}
-	return sentAt, readFrom
+	return a
 }
--- a/internal/loop/backlog_test.go
+++ b/internal/loop/backlog_test.go
@@ -12,8 +12,8 @@
 	var b backlog
 	for i, bytes := range []int{100, 64 << 10, 64 << 10, 10, 64 << 10} {
 		now := time.Duration(i+1) * 5 * ms
-		if sentAt, _ := b.read(bytes, true, now, now-ms); sentAt != now-ms {
-			t.Errorf("read %d: counts from %v", i, sentAt)
+		if a := b.read(bytes, true, now, now-ms); a.earliest != now-ms {
+			t.Errorf("read %d: counts from %v", i, a.earliest)
 		}
 	}
 }
@@ -22,8 +22,8 @@
 func TestBytesLeftUnreadCountFromTheEarliestArrival(t *testing.T) {
 	var b backlog
 	b.read(64<<10, false, 100*ms, 99*ms)
-	if sentAt, readFrom := b.read(100, true, 900*ms, 899*ms); sentAt != 99*ms || readFrom != 100*ms {
-		t.Errorf("counts from %v, reading began at %v", sentAt, readFrom)
+	if a := b.read(100, true, 900*ms, 899*ms); a.earliest != 99*ms || a.readFrom != 100*ms {
+		t.Errorf("counts from %v, reading began at %v", a.earliest, a.readFrom)
 	}
 }
 
@@ -33,8 +33,8 @@
 	b.begin(100 * ms)
 	b.resume(900*ms, false)
 	for at := 900 * ms; at < 1000*ms; at += 5 * ms {
-		if sentAt, _ := b.read(32<<10, true, at, at); sentAt != 100*ms {
-			t.Fatalf("at %v: counts from %v", at, sentAt)
+		if a := b.read(32<<10, true, at, at); a.earliest != 100*ms {
+			t.Fatalf("at %v: counts from %v", at, a.earliest)
 		}
 		b.begin(at)
 		b.resume(at, true) // pauses of the reader in between change nothing
@@ -68,8 +68,8 @@
 		var b backlog
 		b.begin(100 * ms)
 		b.resume(c.now, false)
-		if sentAt, _ := b.read(c.bytes, true, c.now, c.now); sentAt != 100*ms || b.possible {
-			t.Errorf("%s: counts from %v, more expected %t", name, sentAt, b.possible)
+		if a := b.read(c.bytes, true, c.now, c.now); a.earliest != 100*ms || b.possible {
+			t.Errorf("%s: counts from %v, more expected %t", name, a.earliest, b.possible)
 		}
 	}
 }
@@ -79,14 +79,32 @@
 	var b backlog
 	b.begin(100 * ms)
 	b.resume(900*ms, true)
-	if sentAt, _ := b.read(64<<10, true, 950*ms, 949*ms); sentAt != 949*ms {
-		t.Errorf("counts from %v", sentAt)
+	if a := b.read(64<<10, true, 950*ms, 949*ms); a.earliest != 949*ms {
+		t.Errorf("counts from %v", a.earliest)
 	}
 }
 
-// The kernel's times are trusted only for bytes that clearly came before reading began.
-func TestArrivalBeforeReading(t *testing.T) {
-	if receivedBeforeReading(895*ms, 900*ms) || receivedBeforeReading(905*ms, 900*ms) || !receivedBeforeReading(880*ms, 900*ms) {
-		t.Error("wrong")
+// The kernel's time of arrival tells when the last byte was sent, unless the peer's machine may have held it back. Guards against
+// refusing a short request that came just before the process went on.
+func TestWhenTheKernelsTimeIsTrusted(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes      int
+		drained    bool
+		receivedAt time.Duration
+		trusted    bool
+	}{
+		"few, just before reading":       {100, true, 899 * ms, true},
+		"many, long before reading":      {64 << 10, true, 880 * ms, true},
+		"many, just before reading":      {64 << 10, true, 895 * ms, false},
+		"many, after reading began":      {64 << 10, true, 905 * ms, false},
+		"not the last that has arrived":  {100, false, 880 * ms, false},
+		"many, of which some are unread": {64 << 10, false, 880 * ms, false},
+	} {
+		var b backlog
+		b.begin(100 * ms)
+		b.resume(900*ms, false)
+		if got := b.read(c.bytes, c.drained, 900*ms, 900*ms).sentByArrival(c.receivedAt); got != c.trusted {
+			t.Errorf("%s: trusted %t", name, got)
+		}
 	}
 }
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -45,10 +45,8 @@
 	endPending  bool // an error has occurred; the handler is notified once the running callback returns
 	readLimit   int  // bytes read at a time; 0: as many as the loop's buffer holds
 	backlog     backlog
-	readArrival time.Duration // the earliest time at which the bytes last read may have arrived
+	arrival     arrival       // of the bytes last read
 	acceptedAt  time.Duration // when the loop polled the connection's arrival, until the first read; 0: not known to have waited
-	readFrom    time.Duration // when reading what had been waiting began
-	drained     bool          // the last read took all that had arrived
 	lingerTimer *Timer        // set once the connection only waits for the peer to close
 	linger      linger
 	discarded   int    // bytes discarded since then
@@ -459,8 +457,7 @@
 		*b = backlog{}
 	}
 	c.acceptedAt = 0
-	c.drained = drained
-	c.readArrival, c.readFrom = c.backlog.read(bytes, drained, now, earliest)
+	c.arrival = c.backlog.read(bytes, drained, now, earliest)
 }
 
 // roundTrip returns the kernel's estimate of the round trip time, 0 if it has none.
@@ -474,14 +471,14 @@
 
 // EarliestArrival returns the earliest time at which the bytes last passed to Data may have arrived. It is clearly before now if they
 // waited: the process was suspended or busy, reading was paused, or more had arrived than is read at a time.
-func (c *Conn) EarliestArrival() time.Duration { return c.readArrival }
+func (c *Conn) EarliestArrival() time.Duration { return c.arrival.earliest }
 
 // LastArrival returns when the last of the bytes passed to Data arrived, if the kernel can tell and the peer's machine cannot have held
 // them back.
 func (c *Conn) LastArrival() (at time.Duration, known bool) {
 	ago, known := c.SinceLastData()
 	at = c.loop.Now() - ago
-	return at, known && c.drained && receivedBeforeReading(at, c.readFrom)
+	return at, known && c.arrival.sentByArrival(at)
 }
 
 // Listener accepts connections.
--- a/internal/node/holdup_test.go
+++ b/internal/node/holdup_test.go
@@ -121,3 +121,18 @@
 	}
 	return strings.Split(text, "\r\n")
 }
+
+// Guards against refusing a request that comes just before a stopped process goes on, as if it had come when the process was stopped.
+func TestARequestThatComesAsTheProcessGoesOnHasItsTime(t *testing.T) {
+	s := newFixture(t, false, answerHit)
+	conn := s.sendReads("first")
+	s.runUntil("the first is served", func() bool { return s.outcomes(policy.OK) == 1 })
+	for i := range 5 {
+		time.Sleep(stallTime)
+		id := fmt.Sprint("next-", i)
+		if _, err := fmt.Fprintf(conn, "mg key v O%s Pc=read,d=300\r\n", id); err != nil {
+			t.Fatal(err)
+		}
+		s.runUntil("it is served", func() bool { return s.outcomes(policy.OK) == int64(i+2) })
+	}
+}
