Count the wait of connections that a pause or shortage leaves in the listen queue

Cause: a stopped process goes on, accepts some of the connections that have waited, and runs out of descriptors, or its owner pauses the listener. Those left behind counted as arriving at that pause. The same after an interrupted accept or an aborted connection. Found with a trace of reads and polls: the requests came on connections accepted 50 ms later, with their arrival set to the pause.

Change: what is not accepted in a turn keeps the arrival time of that turn; only an empty queue forgets it. An interrupted accept goes on at once.

--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -578,6 +578,7 @@
 // acceptReady accepts the waiting connections, up to a limit per turn.
 func (ln *Listener) acceptReady() {
 	ln.updateEarliestArrival()
+	ln.mayHaveBacklog = true // what is not accepted in this turn keeps its arrival time, whatever ends the turn
 	for range maxAcceptsPerTurn {
 		if ln.closed || ln.source.events == 0 {
 			return
@@ -590,11 +591,12 @@
 			// Guards against a loop that spins on a connection for which there is no descriptor.
 			ln.pauseOnShortage()
 			return
+		case errors.Is(err, unix.EINTR), errors.Is(err, unix.ECONNABORTED): // others may wait
 		default:
-			return // nothing waits, or the waiting connection was aborted
+			ln.mayHaveBacklog = false
+			return
 		}
 	}
-	ln.mayHaveBacklog = true // connections beyond the limit keep their arrival time in the next turn
 }
 
 // EarliestArrival returns the earliest time at which a connection that is accepted now may have arrived.
@@ -627,8 +629,8 @@
 	var events uint32
 	if !ln.paused && !ln.resourceShortage {
 		events = unix.EPOLLIN
-	} else if !ln.mayHaveBacklog && ln.source.events != 0 { // connections that arrive from now on wait
-		ln.mayHaveBacklog, ln.earliestArrival = true, ln.loop.Now()
+	} else if !ln.mayHaveBacklog && ln.source.events != 0 { // what has arrived since the last poll waits
+		ln.mayHaveBacklog, ln.earliestArrival = true, ln.loop.earliestArrival
 	}
 	ln.loop.setEvents(ln.source, events)
 }
--- a/internal/loop/share_test.go
+++ b/internal/loop/share_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"golang.org/x/sys/unix"
 )
@@ -81,3 +82,37 @@
 	dial(20)
 	runUntil(t, l, "the previous listener has them again", func() bool { return accepted["fresh"] == 60 })
 }
+
+// Guards against counting the time of connections that waited in the listen queue only from a pause: of those that waited as long, one
+// was accepted, and its owner then paused the listener.
+func TestConnectionsLeftBehindByAPauseHaveWaitedAsLong(t *testing.T) {
+	const wait = 200 * time.Millisecond
+	l := newLoop(t)
+	var waited []time.Duration
+	var ln *Listener
+	ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(fd int) {
+		waited = append(waited, l.Now()-ln.EarliestArrival())
+		unix.Close(fd)
+		ln.SetPaused(len(waited) == 1)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	runUntil(t, l, "the loop has run", func() bool { return true })
+	for range 3 {
+		conn, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+	}
+	time.Sleep(wait) // as in a stopped process
+	runUntil(t, l, "one is accepted", func() bool { return len(waited) == 1 })
+	ln.SetPaused(false)
+	runUntil(t, l, "all are accepted", func() bool { return len(waited) == 3 })
+	for i, w := range waited {
+		if w < wait {
+			t.Errorf("connection %d counts as waiting for %v", i, w)
+		}
+	}
+}
