Soak: servers some way off, late copies, no length, hangs, long values, through mode

And the judge took a value that was cut off in its padding for whole: only its header was checked, and the padding is the same at any length.

--- a/lab/experiment/experiment.go
+++ b/lab/experiment/experiment.go
@@ -140,6 +140,7 @@
 	ReportEvery   Duration `toml:"report_every"`
 	ReportNoise   float64  `toml:"report_noise"`
 	Handshake     Duration
+	Way           Duration // that bytes take to a server of the group, and back
 	MaxConns      int      `toml:"max_conns"`
 	Coalesce      bool     // in through mode, concurrent fetches of a key share one origin request
 	Lease         Duration // after a miss, other misses of the key are reported as being fetched for this long; 0: never
@@ -157,8 +158,9 @@
 	FallMultiple  float64  `toml:"fall_multiple"`
 	FallFor       Duration `toml:"fall_for"`
 	Down          Duration
-	IgnoresCancel bool `toml:"keeps_work"`
-	None          bool // there is no origin
+	Way           Duration // that bytes take to the origin, and back
+	IgnoresCancel bool     `toml:"keeps_work"`
+	None          bool     // there is no origin
 }
 
 // List describes the source of the server list: the list service, or a registry.
@@ -570,6 +572,7 @@
 	set("report_every", func() { out.ReportEvery = g.ReportEvery })
 	set("report_noise", func() { out.ReportNoise = g.ReportNoise })
 	set("handshake", func() { out.Handshake = g.Handshake })
+	set("way", func() { out.Way = g.Way })
 	set("max_conns", func() { out.MaxConns = g.MaxConns })
 	set("coalesce", func() { out.Coalesce = g.Coalesce })
 	set("lease", func() { out.Lease = g.Lease })
--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -81,6 +81,7 @@
 	Reset           ActionKind = "reset"            // the fraction Value of the answers is cut off by a close of the connection
 	Garble          ActionKind = "garble"           // the fraction Value of the answers is corrupted
 	Surplus         ActionKind = "surplus"          // the fraction Value of the answers is followed by extra data
+	LateCopy        ActionKind = "late_copy"        // the fraction Value of the answers is sent once more, up to 50 ms later
 	AnswerBusy      ActionKind = "turn_away"        // rejects requests with a busy answer; Value 0: end
 	Slow            ActionKind = "slow"             // Value times slower; 1: normal
 	Steal           ActionKind = "steal"            // a neighbour takes the fraction Value of the machine
@@ -120,6 +121,8 @@
 	OriginStop      ActionKind = "origin_stop"      // refuses connections; Value 0: end
 	OriginPause     ActionKind = "origin_pause"     // the process stands still; Value 0: end
 	OriginGarble    ActionKind = "origin_spoil"     // the fraction Value of the answers is corrupted
+	OriginNoLength  ActionKind = "origin_no_length" // the fraction Value of the answers ends with the connection
+	OriginLateCopy  ActionKind = "origin_late_copy" // the fraction Value of the answers is sent once more, up to 50 ms later
 )
 
 // Action is one event of a timeline.
@@ -232,35 +235,38 @@
 	}
 	shape := func(k world.ShapeKind) func(x *expansion) { return func(x *expansion) { x.addShape(k) } }
 	kinds = map[string]kind{
-		"crash":         {target: "servers", expand: (*expansion).crash},
-		"silent":        {target: "servers", expand: onServers(Silent)},
-		"hang":          {target: "servers", expand: onServers(Hang)},
-		"refuse":        {target: "servers", expand: onServers(Refuse)},
-		"busy":          {target: "servers", expand: onServers(AnswerBusy)},
-		"reset":         {target: "servers", needsPart: true, expand: partOfAnswers(Reset)},
-		"garble":        {target: "servers", needsPart: true, expand: partOfAnswers(Garble)},
-		"surplus":       {target: "servers", needsPart: true, expand: partOfAnswers(Surplus)},
-		"slow":          {target: "servers", needsFactor: true, expand: (*expansion).slow},
-		"neighbour":     {target: "servers", needsPart: true, expand: (*expansion).neighbour},
-		"pause":         {target: "servers", expand: (*expansion).pause},
-		"flush":         {target: "servers", needsPart: true, expand: (*expansion).flush},
-		"drain":         {target: "servers", expand: (*expansion).drain},
-		"deploy":        {target: "servers", needsFor: true, expand: (*expansion).deploy},
-		"shrink":        {target: "servers", needsFor: true, expand: (*expansion).shrink},
-		"grow":          {target: "fleet", expand: (*expansion).grow},
-		"origin_slow":   {target: "origin", needsFactor: true, expand: global(OriginSlow, 1)},
-		"origin_stop":   {target: "origin", expand: global(OriginStop, 0)},
-		"origin_pause":  {target: "origin", expand: global(OriginPause, 0)},
-		"origin_garble": {target: "origin", needsPart: true, expand: global(OriginGarble, 0)},
-		"list_down":     {target: "list", expand: global(ListDown, 0)},
-		"list_garble":   {target: "list", expand: global(ListGarble, 0)},
-		"list_lag":      {target: "list", needsFactor: true, expand: global(ListLag, 0)},
-		"list_cut":      {target: "nodes", expand: nodes(ListCut, 1, 0)},
-		"node_kill":     {target: "nodes", expand: (*expansion).endNodes},
-		"node_term":     {target: "nodes", expand: (*expansion).endNodes},
-		"node_hup":      {target: "nodes", expand: (*expansion).nodeHup},
-		"node_freeze":   {target: "nodes", expand: nodes(NodeFreeze, 1, 0)},
-		"planner_kill":  {target: "planners", expand: (*expansion).plannerKill},
+		"crash":            {target: "servers", expand: (*expansion).crash},
+		"silent":           {target: "servers", expand: onServers(Silent)},
+		"hang":             {target: "servers", expand: onServers(Hang)},
+		"refuse":           {target: "servers", expand: onServers(Refuse)},
+		"busy":             {target: "servers", expand: onServers(AnswerBusy)},
+		"reset":            {target: "servers", needsPart: true, expand: partOfAnswers(Reset)},
+		"garble":           {target: "servers", needsPart: true, expand: partOfAnswers(Garble)},
+		"surplus":          {target: "servers", needsPart: true, expand: partOfAnswers(Surplus)},
+		"late_copy":        {target: "servers", needsPart: true, expand: partOfAnswers(LateCopy)},
+		"slow":             {target: "servers", needsFactor: true, expand: (*expansion).slow},
+		"neighbour":        {target: "servers", needsPart: true, expand: (*expansion).neighbour},
+		"pause":            {target: "servers", expand: (*expansion).pause},
+		"flush":            {target: "servers", needsPart: true, expand: (*expansion).flush},
+		"drain":            {target: "servers", expand: (*expansion).drain},
+		"deploy":           {target: "servers", needsFor: true, expand: (*expansion).deploy},
+		"shrink":           {target: "servers", needsFor: true, expand: (*expansion).shrink},
+		"grow":             {target: "fleet", expand: (*expansion).grow},
+		"origin_slow":      {target: "origin", needsFactor: true, expand: global(OriginSlow, 1)},
+		"origin_stop":      {target: "origin", expand: global(OriginStop, 0)},
+		"origin_pause":     {target: "origin", expand: global(OriginPause, 0)},
+		"origin_garble":    {target: "origin", needsPart: true, expand: global(OriginGarble, 0)},
+		"origin_no_length": {target: "origin", needsPart: true, expand: global(OriginNoLength, 0)},
+		"origin_late_copy": {target: "origin", needsPart: true, expand: global(OriginLateCopy, 0)},
+		"list_down":        {target: "list", expand: global(ListDown, 0)},
+		"list_garble":      {target: "list", expand: global(ListGarble, 0)},
+		"list_lag":         {target: "list", needsFactor: true, expand: global(ListLag, 0)},
+		"list_cut":         {target: "nodes", expand: nodes(ListCut, 1, 0)},
+		"node_kill":        {target: "nodes", expand: (*expansion).endNodes},
+		"node_term":        {target: "nodes", expand: (*expansion).endNodes},
+		"node_hup":         {target: "nodes", expand: (*expansion).nodeHup},
+		"node_freeze":      {target: "nodes", expand: nodes(NodeFreeze, 1, 0)},
+		"planner_kill":     {target: "planners", expand: (*expansion).plannerKill},
 		"planner_freeze": {target: "planners", expand: func(x *expansion) {
 			x.eachPlanner(func(p int) { x.addInterval(Action{Kind: PlannerFreeze, Node: -1, Planner: p, Value: 1}, 0) })
 		}},
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -31,6 +31,14 @@
 // end returns when the effects of the fault end, at least instantFaultSpan after its start.
 func (f Fault) end() time.Duration { return f.At + max(f.For, instantFaultSpan) }
 
+// Limits of deployments.
+const (
+	maxCacheWay  = 10 * time.Millisecond // between a node and a cache, one way
+	maxOriginWay = 25 * time.Millisecond // between a node and the origin, one way
+	smallValue   = 600                   // bytes of a value, on average
+	longValue    = 160 << 10             // bytes; a node does not keep a whole write of this size
+)
+
 // instantFaultSpan is the assumed duration of the effects of an instant fault, for the coverage.
 const instantFaultSpan = 500 * time.Millisecond
 
@@ -114,21 +122,37 @@
 	deadline := d.duration(400*time.Millisecond, 1500*time.Millisecond)
 	var b strings.Builder
 	fmt.Fprintf(&b, "name = \"soak-%d\"\nlength = %q\nseed = %d\n", seed, d.opt.Length, seed)
-	fmt.Fprintf(&b, "\n[service]\nconn_idle = %q\ncancel = %t\nparallel = false\n", d.duration(time.Second, 8*time.Second), d.rng.IntN(2) == 0)
+	mode := "aside"
+	if d.rng.IntN(3) == 0 { // caches fetch what they lack and forward writes, so that there is more than one server for a write
+		mode = "through"
+	}
+	fmt.Fprintf(&b, "\n[service]\nmode = %q\nconn_idle = %q\ncancel = %t\nparallel = false\n", mode, d.duration(time.Second, 8*time.Second), d.rng.IntN(2) == 0)
 	fmt.Fprintf(&b, "\n[nodes]\ncount = %d\nmemory_mb = %d\nsockets = %d\n", d.opt.Processes, 96+32*d.rng.IntN(4), 96+32*d.rng.IntN(8))
-	fmt.Fprintf(&b, "\n[fleet]\ncount = %d\nslots = 16\nroom = 32\n", d.cacheCount)
+	fmt.Fprintf(&b, "\n[fleet]\ncount = %d\nslots = 16\nroom = 32\nway = %q\n", d.cacheCount, d.way(maxCacheWay))
+	fmt.Fprintf(&b, "\n[origin]\nway = %q\n", d.way(maxOriginWay))
 	fmt.Fprintf(&b, "\n[list]\nkind = %q\n", d.listKind)
 	fmt.Fprintf(&b, "\n[clients]\nrate = %g\nkeys = 2000\nleaves = %g\nretries = 1\n", d.opt.Rate, 0.02+0.1*d.rng.Float64())
-	writeClass := func(name, effect string, share float64, write bool, extra string) {
-		fmt.Fprintf(&b, "\n[[class]]\nname = %q\neffect = %q\nshare = %g\nwork = \"4ms\"\nsigma = 0.3\nsize = 600\naim = %q\ndeadline = %q\nworth = 2\nwrite = %t\n%s",
-			name, effect, share, deadline/3, deadline, write, extra)
+	writeClass := func(name, effect string, share float64, size int, write bool, extra string) {
+		fmt.Fprintf(&b, "\n[[class]]\nname = %q\neffect = %q\nshare = %g\nwork = \"4ms\"\nsigma = 0.3\nsize = %d\naim = %q\ndeadline = %q\nworth = 2\nwrite = %t\n%s",
+			name, effect, share, size, deadline/3, deadline, write, extra)
 	}
-	writeClass("read", "safe", 0.8, false, "")
-	writeClass("keyed", "keyed", 0.12, true, fmt.Sprintf("window = %q\nscope = %q\n", d.duration(400*time.Millisecond, 1500*time.Millisecond), d.oneOf("all", "zone")))
-	writeClass("once", "unsafe", 0.08, true, "")
+	window := fmt.Sprintf("window = %q\nscope = %q\n", d.duration(400*time.Millisecond, 1500*time.Millisecond), d.oneOf("all", "zone"))
+	writeClass("read", "safe", 0.76, smallValue, false, "")
+	writeClass("keyed", "keyed", 0.12, smallValue, true, window)
+	writeClass("once", "unsafe", 0.08, smallValue, true, "")
+	writeClass("long_read", "safe", 0.02, longValue, false, "size_sigma = 0.6\n")
+	writeClass("long_once", "unsafe", 0.02, longValue, true, "size_sigma = 0.6\n")
 	return b.String()
 }
 
+// way draws the time that bytes take, one way; in one deployment of two there is none.
+func (d *planDrawer) way(upper time.Duration) time.Duration {
+	if d.rng.IntN(2) == 0 {
+		return 0
+	}
+	return d.duration(time.Millisecond, upper)
+}
+
 // servers draws up to maxServers caches and returns them as a line of a [[fault]] table.
 func (d *planDrawer) servers(maxServers int) string {
 	names := map[string]bool{}
@@ -162,8 +186,8 @@
 // FaultKinds returns the kinds of faults that a soak draws.
 func FaultKinds() []string {
 	return []string{"node_kill", "node_term", "node_freeze", "node_hup", "upgrade", "lameduck", "detach", "list_down", "list_garble", "list_lag", "list_cut",
-		"crash", "silent", "hang", "refuse", "busy", "reset", "garble", "surplus", "slow", "pause", "drain", "deploy",
-		"origin_slow", "origin_stop", "origin_garble", "rude", "surge"}
+		"crash", "silent", "hang", "refuse", "busy", "reset", "garble", "surplus", "late_copy", "slow", "pause", "drain", "deploy",
+		"origin_slow", "origin_stop", "origin_pause", "origin_garble", "origin_no_length", "origin_late_copy", "rude", "surge"}
 }
 
 // fault draws a fault. It returns false if the fault needs a node and none is free.
@@ -204,13 +228,15 @@
 		t.Detail = d.servers(2)
 	case "deploy":
 		t.Detail = "length = \"1s\"\ncount = 1\n" + d.servers(2)
-	case "reset", "garble", "surplus":
+	case "reset", "garble", "surplus", "late_copy":
 		t.Detail = partLine(0.05, 0.4) + d.servers(3)
 	case "slow":
 		t.Detail = fmt.Sprintf("factor = %d\n", 3+d.rng.IntN(8)) + d.servers(2)
 	case "origin_slow":
 		t.Detail = "factor = 4\n"
-	case "origin_garble":
+	case "origin_pause":
+		t.For = d.duration(d.opt.Length/10, d.opt.Length/4)
+	case "origin_garble", "origin_no_length", "origin_late_copy":
 		t.Detail = partLine(0.05, 0.3)
 	case "rude":
 		t.Detail = fmt.Sprintf("count = %d\n", 4+d.rng.IntN(20))
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -131,7 +131,7 @@
 		spec := x.OriginSpec()
 		var err error
 		d.origin, err = standin.NewOrigin(d.Common, standin.OriginOptions{ID: x.OriginID(), Name: "origin", Addr: d.netPrefix + "200:0",
-			Spec: &spec, OnRead: d.fillCaches, OnWrite: d.invalidateCopies})
+			Spec: &spec, Way: x.Origin.Way.D(), OnRead: d.fillCaches, OnWrite: d.invalidateCopies})
 		if err != nil {
 			return err
 		}
@@ -171,7 +171,7 @@
 	x := d.Experiment
 	spec := v.Spec
 	opt := standin.CacheOptions{ID: v.ID, Name: v.Name, Addr: fmt.Sprintf("%s%d:0", d.netPrefix, 1+len(d.caches)%199), Spec: &spec, Cold: cold,
-		ConnConcurrency: x.Service.PerConn, MaxConns: v.Group.MaxConns, ConnIdle: x.Service.ConnIdle.D(), ReportsHits: *x.Service.Hits,
+		ConnConcurrency: x.Service.PerConn, MaxConns: v.Group.MaxConns, Way: v.Group.Way.D(), ConnIdle: x.Service.ConnIdle.D(), ReportsHits: *x.Service.Hits,
 		ReportsLoad: *x.Service.Reports, OnMiss: d.recordMiss}
 	if spec.Through {
 		opt.AskOrigin = func(a world.OriginRequest, request, class string, answer func(world.Completion)) {
@@ -562,7 +562,11 @@
 		case fault.OriginPause:
 			d.origin.UpdateModel(func(now time.Duration, m *world.Origin) { m.Pause(now, on) })
 		case fault.OriginGarble:
-			d.origin.CorruptAnswers(a.Value)
+			d.origin.CorruptAnswers("garble", a.Value)
+		case fault.OriginNoLength:
+			d.origin.CorruptAnswers("no_length", a.Value)
+		case fault.OriginLateCopy:
+			d.origin.CorruptAnswers("late_copy", a.Value)
 		case fault.OriginStop:
 			return d.origin.SetDown(on)
 		}
@@ -675,7 +679,7 @@
 		return c.RefuseConns(on)
 	case fault.AnswerBusy:
 		c.SetBusy(on)
-	case fault.Reset, fault.Garble, fault.Surplus:
+	case fault.Reset, fault.Garble, fault.Surplus, fault.LateCopy:
 		c.CorruptAnswers(string(a.Kind), a.Value)
 	case fault.Slow:
 		c.UpdateModel(func(now time.Duration, m *world.Cache) { m.Slow(now, a.Value) })
--- a/lab/standin/cache.go
+++ b/lab/standin/cache.go
@@ -41,6 +41,7 @@
 	ConnConcurrency int           // commands of one connection that run concurrently; 0: one
 	MaxConns        int           // limit of open connections; 0: none
 	ConnIdle        time.Duration // timeout of idle connections; 0: none
+	Way             time.Duration // that bytes take between a node and the cache, one way
 	ReportsHits     bool          // answers say whether they are a hit or a miss
 	ReportsLoad     bool          // answers carry a load report
 	// OnMiss, unless it is nil, is called for each read that misses; store puts the value into the cache.
@@ -96,6 +97,7 @@
 	id          uint64
 	mu          sync.Mutex
 	queue       []*command
+	received    int // commands of which a byte has been received
 	answerReady chan struct{}
 	closed      bool
 	script      Script
@@ -113,7 +115,7 @@
 		}
 	}
 	var err error
-	if c.listener, err = listenFaulty(opt.Addr, c.serve); err != nil {
+	if c.listener, err = listenFaulty(opt.Addr, opt.Way, c.serve); err != nil {
 		return nil, err
 	}
 	c.recordStart(opt.Cold)
@@ -248,7 +250,7 @@
 }
 
 // CorruptAnswers corrupts a fraction of the answers: "reset" resets the connection within the answer, "garble" alters the
-// answer, and "surplus" sends more than one.
+// answer, "surplus" sends more than one, and "late_copy" sends an answer once more a little later.
 func (c *Cache) CorruptAnswers(kind string, fraction float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -518,7 +520,10 @@
 			}
 			return
 		}
-		firstByteAt := c.Log.Now()
+		firstByteAt := c.Log.Now() - c.opt.Way // when it was sent
+		k.mu.Lock()
+		k.received++
+		k.mu.Unlock()
 		k.conn.SetReadDeadline(time.Time{})
 		line, err := readLine(in)
 		if err != nil {
@@ -756,8 +761,33 @@
 		}
 		if k.script == nil {
 			c.mu.Lock()
+			k.maybeCopyLate(s.answer)
 			k.startCommands()
 			c.mu.Unlock()
 		}
 	}
 }
+
+// maybeCopyLate sends an answer once more, or noise, up to maxCopyDelay later, unless a byte of another command has been received by
+// then. It needs the lock of the cache.
+func (k *cacheConn) maybeCopyLate(answer []byte) {
+	c := k.cache
+	if c.rng.Float64() >= c.corruption["late_copy"] {
+		return
+	}
+	text, delay := lateCopy(c.rng, answer)
+	k.mu.Lock()
+	received, waiting := k.received, len(k.queue) > 0
+	k.mu.Unlock()
+	if waiting {
+		return
+	}
+	time.AfterFunc(delay, func() {
+		k.mu.Lock()
+		quiet := k.received == received && !k.closed
+		k.mu.Unlock()
+		if quiet {
+			k.conn.Write(text)
+		}
+	})
+}
--- a/lab/standin/origin.go
+++ b/lab/standin/origin.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lapisshelf/lab/seen"
@@ -21,6 +23,7 @@
 	Addr     string
 	Spec     *world.OriginSpec // nil with a script
 	Script   http.HandlerFunc
+	Way      time.Duration // that bytes take between a node and the origin, one way
 	// OnRead, unless it is nil, is called after each answered read, so that the cache where it missed can store the value.
 	OnRead func(request string, version, size int64)
 	// OnWrite, unless it is nil, is called after each write that took effect, so that cached copies can be invalidated.
@@ -42,8 +45,8 @@
 	waiters    map[uint64]chan world.Completion // closed without a value if the job is lost
 	requestIDs map[uint64]string                // by job token
 	rng        *rand.Rand
-	corruption float64
-	requests   []string // received with a script: method, path, Request-Id, Request-Info, body
+	corruption map[string]float64 // fraction of the answers, by kind of corruption
+	requests   []string           // received with a script: method, path, Request-Id, Request-Info, body
 	stopped    bool
 }
 
@@ -72,9 +75,9 @@
 func (l *chanListener) Addr() net.Addr { return l.addr }
 
 // serveHTTP runs an HTTP server behind a faultListener.
-func serveHTTP(addr string, server *http.Server) (*faultListener, error) {
+func serveHTTP(addr string, way time.Duration, server *http.Server) (*faultListener, error) {
 	l := &chanListener{conns: make(chan net.Conn), done: make(chan struct{})}
-	p, err := listenFaulty(addr, func(c net.Conn) {
+	p, err := listenFaulty(addr, way, func(c net.Conn) {
 		select {
 		case l.conns <- c:
 		case <-l.done:
@@ -92,14 +95,14 @@
 // NewOrigin starts an origin.
 func NewOrigin(common *Common, opt OriginOptions) (*Origin, error) {
 	o := &Origin{Common: common, opt: opt, waiters: map[uint64]chan world.Completion{}, requestIDs: map[uint64]string{},
-		rng: world.RandomStream(common.Seed, "standin", "origin")}
+		rng: world.RandomStream(common.Seed, "standin", "origin"), corruption: map[string]float64{}}
 	o.timer = time.AfterFunc(time.Hour, o.onTimer)
 	if opt.Spec != nil {
 		o.model = world.NewOrigin(*opt.Spec, common.Seed)
 	}
-	o.server = &http.Server{Handler: http.HandlerFunc(o.handle), ErrorLog: discardLog}
+	o.server = &http.Server{Handler: http.HandlerFunc(o.handle), ErrorLog: discardLog, ConnContext: withOriginConn, ConnState: noteRequest}
 	var err error
-	o.listener, err = serveHTTP(opt.Addr, o.server)
+	o.listener, err = serveHTTP(opt.Addr, opt.Way, o.server)
 	return o, err
 }
 
@@ -123,11 +126,19 @@
 	}
 }
 
-// CorruptAnswers sets the fraction of the answers that are corrupted.
-func (o *Origin) CorruptAnswers(fraction float64) {
+// CorruptAnswers corrupts a fraction of the answers: "garble" makes them invalid HTTP, "no_length" leaves out their length and ends them
+// with their connection, which is closed behind a whole answer or reset within it, and "late_copy" sends them once more a little later.
+func (o *Origin) CorruptAnswers(kind string, fraction float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.corruption = fraction
+	o.corruption[kind] = fraction
+}
+
+// draws reports whether an answer is corrupted in this way.
+func (o *Origin) draws(kind string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.rng.Float64() < o.corruption[kind]
 }
 
 // SetDown stops the origin, refusing new connections and losing the requests in flight, or starts it again.
@@ -247,7 +258,7 @@
 
 // handle handles one HTTP request.
 func (o *Origin) handle(w http.ResponseWriter, r *http.Request) {
-	firstByteAt := o.Log.Now()
+	firstByteAt := o.Log.Now() - o.opt.Way // when it was sent
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		return
@@ -289,6 +300,7 @@
 		w.Header().Set("Not-Started", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		o.recordAnswer(w, t, seen.Busy)
+		o.maybeCopyLate(r, "503 Service Unavailable\r\nNot-Started: 1", nil)
 		return
 	}
 	select {
@@ -297,7 +309,7 @@
 			o.resetConn(w, t)
 			return
 		}
-		o.answer(w, t, class, d)
+		o.answer(w, r, t, class, d)
 	case <-r.Context().Done():
 		o.UpdateModel(func(now time.Duration, m *world.Origin) {
 			m.Cancel(now, token)
@@ -312,33 +324,110 @@
 }
 
 // answer answers a request whose job has completed.
-func (o *Origin) answer(w http.ResponseWriter, t *seen.Attempt, class *world.Class, d world.Completion) {
-	o.mu.Lock()
-	corrupt := o.rng.Float64() < o.corruption
-	o.mu.Unlock()
-	if corrupt {
+func (o *Origin) answer(w http.ResponseWriter, r *http.Request, t *seen.Attempt, class *world.Class, d world.Completion) {
+	if o.draws("garble") {
 		o.Log.Update(func(*seen.Record) { t.Answer = seen.Corrupt })
 		o.writeGarbage(w)
 		o.recordClose(t)
 		return
 	}
-	if t.Write {
-		o.Log.Update(func(*seen.Record) { t.Receipt = d.Receipt })
-		io.WriteString(w, d.Receipt)
-		o.recordAnswer(w, t, seen.Receipt)
+	body, kind, size := []byte(d.Receipt), seen.Receipt, 0
+	o.Log.Update(func(*seen.Record) { t.Receipt = d.Receipt })
+	if !t.Write {
+		size = world.SizeOf(o.Seed, class, t.Key)
+		body, kind = MakeValue(t.Key, d.Version, t.Request, o.opt.ID, size), seen.Value
+		o.Log.Update(func(*seen.Record) { t.Receipt, t.Version = "", d.Version })
+	}
+	if o.draws("no_length") {
+		o.answerWithoutLength(w, t, body, kind)
 		return
 	}
-	size := world.SizeOf(o.Seed, class, t.Key)
-	v := MakeValue(t.Key, d.Version, t.Request, o.opt.ID, size)
-	o.Log.Update(func(*seen.Record) { t.Version = d.Version })
-	w.Header().Set("Content-Length", strconv.Itoa(len(v)))
-	w.Write(v)
-	o.recordAnswer(w, t, seen.Value)
-	if o.opt.OnRead != nil {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Write(body)
+	o.recordAnswer(w, t, kind)
+	o.maybeCopyLate(r, "200 OK", body)
+	if !t.Write && o.opt.OnRead != nil {
 		o.opt.OnRead(t.Request, d.Version, int64(size))
 	}
 }
 
+// answerWithoutLength sends an answer that ends with its connection. One in two is whole, and the connection is closed behind it; the
+// others are reset at a random byte.
+func (o *Origin) answerWithoutLength(w http.ResponseWriter, t *seen.Attempt, body []byte, kind seen.ServerAnswer) {
+	conn, writer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	o.mu.Lock()
+	whole, end := o.rng.IntN(2) == 0, o.rng.IntN(len(body))
+	o.mu.Unlock()
+	writer.WriteString("HTTP/1.1 200 OK\r\n\r\n")
+	if !whole {
+		o.Log.Update(func(*seen.Record) { t.Answer = seen.Corrupt })
+		writer.Write(body[:end])
+		writer.Flush()
+		resetConn(conn)
+		o.recordClose(t)
+		return
+	}
+	writer.Write(body)
+	writer.Flush()
+	conn.(*net.TCPConn).CloseWrite()
+	now := o.Log.Now()
+	o.Log.Update(func(*seen.Record) { t.Answer, t.AnsweredAt = kind, now })
+	conn.SetReadDeadline(time.Now().Add(writeTimeout))
+	discardAll(conn)
+	conn.Close()
+}
+
+// originConn is a connection of the origin.
+type originConn struct {
+	net.Conn
+	received atomic.Int64 // requests of which a byte has been received
+}
+
+// originConns holds the open connections of all origins.
+var originConns sync.Map // from net.Conn to *originConn
+
+type originConnKey struct{}
+
+// withOriginConn adds the connection to the context of its requests.
+func withOriginConn(ctx context.Context, conn net.Conn) context.Context {
+	c := &originConn{Conn: conn}
+	originConns.Store(conn, c)
+	return context.WithValue(ctx, originConnKey{}, c)
+}
+
+// noteRequest counts the requests of a connection as their first byte arrives.
+func noteRequest(conn net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateActive:
+		if c, known := originConns.Load(conn); known {
+			c.(*originConn).received.Add(1)
+		}
+	case http.StateClosed, http.StateHijacked:
+		originConns.Delete(conn)
+	}
+}
+
+// maybeCopyLate sends an answer once more, or noise, up to maxCopyDelay later, unless a byte of another request has been received by then.
+func (o *Origin) maybeCopyLate(r *http.Request, status string, body []byte) {
+	c, known := r.Context().Value(originConnKey{}).(*originConn)
+	if !known || !o.draws("late_copy") {
+		return
+	}
+	answer := fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	o.mu.Lock()
+	text, delay := lateCopy(o.rng, answer)
+	o.mu.Unlock()
+	received := c.received.Load()
+	time.AfterFunc(delay, func() {
+		if c.received.Load() == received {
+			c.Write(text)
+		}
+	})
+}
+
 // writeGarbage sends an invalid HTTP answer.
 func (o *Origin) writeGarbage(w http.ResponseWriter) {
 	conn, writer, err := http.NewResponseController(w).Hijack()
--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -24,15 +25,18 @@
 // Digest returns the hash by which records identify the value of a write.
 func Digest(value []byte) uint64 { return xxhash.Sum64(value) }
 
+// valueEnd is the last byte of a value. It occurs nowhere before, so that a value that is cut off is noticed.
+const valueEnd = '#'
+
 // MakeValue returns the value that a server sends for one request. Its header names the key, version, request and server, so
 // that no other value can be mistaken for it. It has size bytes, or more if the header needs more.
 func MakeValue(key string, version int64, request, server string, size int) []byte {
 	v := fmt.Appendf(make([]byte, 0, size+64), "%s %d %s %s|", key, version, request, server)
-	for len(v) < size {
-		n := min(len(padding), size-len(v))
+	for len(v) < size-1 {
+		n := min(len(padding), size-1-len(v))
 		v = append(v, padding[:n]...)
 	}
-	return v
+	return append(v, valueEnd)
 }
 
 // padding fills values up to their size.
@@ -100,12 +104,13 @@
 	resumed       chan struct{} // closed when a silence ends
 	acceptStopped chan struct{} // closed once the accept loop has stopped after a silence began
 	closed        bool
+	way           time.Duration // that bytes take between a client and the server, one way
 	handle        func(net.Conn)
 }
 
-// listenFaulty opens a listener that calls handle for each connection, on a goroutine of its own.
-func listenFaulty(addr string, handle func(net.Conn)) (*faultListener, error) {
-	p := &faultListener{addr: addr, handle: handle, resumed: make(chan struct{})}
+// listenFaulty opens a listener that calls handle for each connection, on a goroutine of its own. Its clients are this way off.
+func listenFaulty(addr string, way time.Duration, handle func(net.Conn)) (*faultListener, error) {
+	p := &faultListener{addr: addr, way: way, handle: handle, resumed: make(chan struct{})}
 	if err := p.listen(); err != nil {
 		return nil, err
 	}
@@ -136,7 +141,7 @@
 				p.mu.Unlock()
 				continue
 			}
-			go p.handle(conn)
+			go p.serve(conn)
 			continue
 		}
 		p.mu.Lock()
@@ -158,6 +163,19 @@
 	}
 }
 
+// serve handles an accepted connection.
+func (p *faultListener) serve(conn net.Conn) {
+	if p.way > 0 {
+		server, err := connectOverLink(conn, p.way)
+		if err != nil {
+			resetConn(conn)
+			return
+		}
+		conn = server
+	}
+	p.handle(conn)
+}
+
 // setRefusing closes the listener, so that connections are refused, or opens it again at the same address.
 func (p *faultListener) setRefusing(on bool) error {
 	p.mu.Lock()
@@ -278,6 +296,18 @@
 	p.setRefusing(true)
 }
 
+// maxCopyDelay is how long after an answer a second copy of it, or noise, is sent at most.
+const maxCopyDelay = 50 * time.Millisecond
+
+// lateCopy draws what is sent behind an answer, a second copy or at times noise, and how much later.
+func lateCopy(rng *rand.Rand, answer []byte) (text []byte, delay time.Duration) {
+	text = answer
+	if rng.IntN(4) == 0 {
+		text = []byte("\x00\xff\r\nEN\r\n")
+	}
+	return text, time.Duration(rng.Int64N(int64(maxCopyDelay)))
+}
+
 // resetConn closes a connection with a TCP reset, as the end of a process does.
 func resetConn(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
--- a/lab/standin/standin_test.go
+++ b/lab/standin/standin_test.go
@@ -117,15 +117,22 @@
 	if len(v) != 5000 || key != "k" || version != 3 || request != "r1" || server != "s-1" || !intact {
 		t.Errorf("%d bytes, %s %d %s %s %v", len(v), key, version, request, server, intact)
 	}
-	for i := range []int{0, 10, 4000} {
+	for _, i := range []int{0, 1, 2, 10, 4000, 4999} {
 		bad := append([]byte(nil), v...)
 		bad[i]++
 		if k, n, r, s, intact := ParseValue(bad); intact && k == "k" && n == 3 && r == "r1" && s == "s-1" {
 			t.Errorf("a value with byte %d changed is accepted as the same", i)
 		}
 	}
-	if _, _, _, _, intact := ParseValue(v[:4999]); !intact {
-		t.Error("a shorter value is rejected, although only the protocol carries the length")
+	for end := range v {
+		if _, _, _, _, intact := ParseValue(v[:end]); intact {
+			t.Errorf("a value that is cut off after %d bytes is accepted", end)
+		}
+	}
+	if short := MakeValue("k", 3, "r1", "s-1", 1); !strings.HasPrefix(string(short), "k 3 r1 s-1|") {
+		t.Errorf("%q", short)
+	} else if _, _, _, _, intact := ParseValue(short); !intact {
+		t.Error("a value that only holds its header is rejected")
 	}
 	if _, _, _, _, intact := ParseValue([]byte("nonsense")); intact {
 		t.Error("text that is no value is accepted")
