Refuse a long write whose client has stopped waiting while it stood unread

Cause: what is read too late is refused for requests that arrive whole; a long write goes to the policy when its beginning has been read, and its remaining time was then taken as 1 ms at least.

Change: the same check (safety.CheckStart) before it goes to the policy.

TestALongWriteThatIsReadTooLateIsRefused failed before: the cache was sent the write, for 80 KiB and 1 MiB.

--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"lapisshelf/decide/safety"
 	"lapisshelf/internal/loop"
 	"lapisshelf/internal/meta"
 )
@@ -92,9 +93,16 @@
 		c.reject(err)
 		return
 	}
+	now := n.loop.Now()
+	if safety.CheckStart(safety.Request{Remaining: u.timeout - (now - c.lastByteAt)}) != safety.Allowed {
+		n.count.tooLate++
+		u.request.answered = true
+		c.refuse(u.request.class)
+		return
+	}
 	n.registerID(u.request.command.ID)
 	c.requests = append(c.requests, u.request)
-	n.submit(u.request, n.loop.Now())
+	n.submit(u.request, now)
 }
 
 // dropLargeBuffer drops the buffer once the part written to an attempt is too large to be kept. From then on no other attempt is
--- a/internal/node/upload_time_test.go
+++ b/internal/node/upload_time_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -79,6 +80,26 @@
 	}
 }
 
+// Guards against sending a long write whose client has stopped waiting while it stood unread. What follows it is served.
+func TestALongWriteThatIsReadTooLateIsRefused(t *testing.T) {
+	for _, size := range []int{80 << 10, 1 << 20} {
+		s := newFixture(t, false, answerAny)
+		conn := s.sendReads("first")
+		s.runUntil("the first is served", func() bool { return s.outcomes(policy.OK) == 1 })
+		if err := conn.SetWriteBuffer(2 * size); err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "ms key %d Olate Pc=read,d=300\r\n%s\r\n", size, strings.Repeat("x", size))
+		time.Sleep(stallTime)
+		s.runUntil("it is refused", func() bool { return s.node.count.ended[refused] == 1 })
+		fmt.Fprintf(conn, "mg key v Onext Pc=read,d=25000\r\n")
+		s.runUntil("the next is served", func() bool { return s.outcomes(policy.OK) == 2 })
+		if got := s.idsAtCache(); !slices.Equal(got, []string{"first", "next"}) {
+			t.Errorf("%d bytes: the cache was sent %q", size, got)
+		}
+	}
+}
+
 // Guards against a long write whose deadline counts anew for the part that its client's machine holds, where the receive buffer of the
 // node was full.
 func TestALongWriteLargerThanTheReceiveBufferIsAnsweredInTime(t *testing.T) {
