Lab clients do not repeat a write that a killed node may have read

Trace: the client's connection ended with its node, which was killed; it sent the write once more, could not connect, and took that for the proof that it had never run, while the cache had passed the first on. The fault is the lab's client, no node's: of a try that was sent on an earlier connection a failed connect proves nothing.

--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -547,7 +547,7 @@
 
 // retryAfter reports whether the client tries again, and after which delay. Safe requests are retried after any
 // failure, keyed ones while all servers drop repeats within the window, and others only if the last try provably never
-// ran.
+// ran: its connection could not be opened, and it was not sent on an earlier one, whose node may have read it.
 func (x *try) retryAfter() (bool, time.Duration) {
 	t, class := x.record, &x.load.opt.Classes[x.arrival.Class]
 	if t.Answer == seen.Served || t.LeftAt > 0 || t.Number+1 >= x.arrival.MaxTries {
@@ -555,7 +555,7 @@
 	}
 	wait := max(x.load.opt.Spec.RetryDelay, t.RetryAfter)
 	now := x.load.opt.Log.Now()
-	repeatable := t.Answer == seen.Refused || t.ConnectFailed
+	repeatable := t.Answer == seen.Refused || t.ConnectFailed && !t.Resent
 	switch class.Effect {
 	case world.Keyed:
 		repeatable = repeatable || class.Scope == world.ScopeAll && now+wait < x.arrivalDue+class.Window
