--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -219,3 +219,14 @@
 		t.Errorf("%d send delays were recorded", l.SendDelays().TotalCount())
 	}
 }
+
+// An unsafe write is repeated if no connection could be opened, but not if it was sent on an earlier one, whose node may have read it.
+func TestAResentWriteIsNotRepeatedForWantOfAConnection(t *testing.T) {
+	l := New(Options{Log: seen.NewLog(), Classes: classes})
+	for _, resent := range []bool{false, true} {
+		x := &try{load: l, arrival: &world.Arrival{Class: 2, MaxTries: 3}, arrivalDue: l.opt.Log.Now(), record: &seen.Try{ConnectFailed: true, Resent: resent}}
+		if again, _ := x.retryAfter(); again == resent {
+			t.Errorf("sent before %t: repeated %t", resent, again)
+		}
+	}
+}
