Soak: some answers come late or without a length beside all faults; leaving clients send nothing

Change: one of late_copy, origin_late_copy and origin_no_length lasts for six tenths of each run. A client that has left closes a connection that comes up later; TestAClientThatLeavesBeforeItsConnectionIsOpenSendsNothing holds it.

--- a/lab/load/load.go
+++ b/lab/load/load.go
@@ -329,6 +329,10 @@
 	c.current = x
 	x.conn.Store(c)
 	c.mu.Unlock()
+	if x.hasEnded() { // its client has left meanwhile, and leaveEarly may not have seen the connection
+		x.closeConn()
+		return
+	}
 	c.netConn.SetWriteDeadline(time.Now().Add(3 * time.Second))
 	_, err := c.netConn.Write(x.request)
 	now := x.load.opt.Log.Now()
@@ -442,6 +446,12 @@
 	go x.load.pools[x.record.Node].dial(x)
 }
 
+// hasEnded reports whether the try has ended.
+func (x *try) hasEnded() (ended bool) {
+	x.load.opt.Log.Update(func(*seen.Record) { ended = x.ended })
+	return ended
+}
+
 // recordExtra records data received after the complete answer.
 func (x *try) recordExtra(line string) {
 	x.load.opt.Log.Update(func(*seen.Record) { x.record.ExtraLine = line })
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -230,3 +230,15 @@
 		}
 	}
 }
+
+// A client that leaves while its connection is being opened sends nothing on it.
+func TestAClientThatLeavesBeforeItsConnectionIsOpenSendsNothing(t *testing.T) {
+	addr, lines := server(t, func(int, string) string { return "EN\r\n" })
+	log := seen.NewLog()
+	l := New(Options{Log: log, Classes: classes, NodeAddrs: []string{addr}})
+	x := &try{load: l, record: &seen.Try{WaitsUntil: log.Now() + time.Second}, request: []byte("mg k v O1 Pc=read,d=100\r\n"), ended: true}
+	l.pools[0].dial(x)
+	if got := lines(); len(got) > 0 || x.record.SentAt > 0 {
+		t.Errorf("sent %q at %v", got, x.record.SentAt)
+	}
+}
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -109,9 +109,20 @@
 	if opt.SystemFaults && d.rng.IntN(3) > 0 {
 		p.SystemFaults = d.systemFaults(seed)
 	}
+	p.Faults = append(p.Faults, d.background())
 	return p
 }
 
+// background draws a fault of some answers that lasts beside all others.
+func (d *planDrawer) background() Fault {
+	t := Fault{Kind: d.oneOf("late_copy", "origin_late_copy", "origin_no_length"), At: d.opt.Length / 10, For: d.opt.Length * 6 / 10}
+	t.Detail = fmt.Sprintf("part = %.2f\n", 0.05+0.25*d.rng.Float64())
+	if t.Kind == "late_copy" {
+		t.Detail += d.servers(d.cacheCount)
+	}
+	return t
+}
+
 // deployment draws the limits, the classes and the source of the server list.
 func (d *planDrawer) deployment(seed uint64) string {
 	d.cacheCount = 5 + d.rng.IntN(4)
