One piece of code for late copies and for the tests of queued connections

The origin's connections were a variable of the package and belong to it now; its answer set a receipt for reads and took it back. - Two tests of connections left in the listen queue, and two of long writes at an occupied server, stood twice; they share queueConnections, expectQueuedTime and newOccupiedFixture.

--- a/internal/loop/faults_test.go
+++ b/internal/loop/faults_test.go
@@ -169,30 +169,13 @@
 
 // Guards against counting the time of connections that waited in the listen queue only from a shortage that kept them there.
 func TestConnectionsLeftBehindByAShortageHaveWaitedAsLong(t *testing.T) {
-	const wait = 200 * time.Millisecond
 	for _, errno := range []unix.Errno{unix.ENFILE, unix.ECONNABORTED, unix.EINTR} {
-		l := newLoop(t)
-		var waited []time.Duration
-		var ln *Listener
-		ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(fd int) {
-			waited = append(waited, l.Now()-ln.EarliestArrival())
-			unix.Close(fd)
+		t.Run(errno.Error(), func(t *testing.T) {
+			l := newLoop(t)
+			_, waited := queueConnections(t, l, func(int) {})
+			failCalls(t, system.CallAccept, 1, 1, errno)
+			expectQueuedTime(t, l, waited)
 		})
-		if err != nil {
-			t.Fatal(err)
-		}
-		runUntil(t, l, "the loop has run", func() bool { return true })
-		for range 3 {
-			dialAndSend(t, ln)
-		}
-		time.Sleep(wait) // as in a stopped process
-		failCalls(t, system.CallAccept, 1, 1, errno)
-		runUntil(t, l, "all are accepted", func() bool { return len(waited) == 3 })
-		for i, w := range waited {
-			if w < wait {
-				t.Errorf("%v: connection %d counts as waiting for %v", errno, i, w)
-			}
-		}
 	}
 }
 
--- a/internal/loop/share_test.go
+++ b/internal/loop/share_test.go
@@ -86,32 +86,54 @@
 // Guards against counting the time of connections that waited in the listen queue only from a pause: of those that waited as long, one
 // was accepted, and its owner then paused the listener.
 func TestConnectionsLeftBehindByAPauseHaveWaitedAsLong(t *testing.T) {
-	const wait = 200 * time.Millisecond
 	l := newLoop(t)
-	var waited []time.Duration
 	var ln *Listener
+	ln, waited := queueConnections(t, l, func(count int) { ln.SetPaused(count == 1) })
+	runUntil(t, l, "one is accepted", func() bool { return len(*waited) == 1 })
+	ln.SetPaused(false)
+	expectQueuedTime(t, l, waited)
+}
+
+// Connections that wait in the listen queue in some tests, and for how long.
+const (
+	queuedConnections = 3
+	queuedTime        = 200 * time.Millisecond
+)
+
+// queueConnections lets connections wait in a listen queue, as in a stopped process. waited tells how long each that the loop accepts
+// counts as waiting; onAccept is called with their number.
+func queueConnections(t *testing.T, l *Loop, onAccept func(count int)) (ln *Listener, waited *[]time.Duration) {
+	t.Helper()
+	waited = &[]time.Duration{}
 	ln, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(fd int) {
-		waited = append(waited, l.Now()-ln.EarliestArrival())
+		*waited = append(*waited, l.Now()-ln.EarliestArrival())
 		unix.Close(fd)
-		ln.SetPaused(len(waited) == 1)
+		onAccept(len(*waited))
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	runUntil(t, l, "the loop has run", func() bool { return true })
-	for range 3 {
+	for range queuedConnections {
 		conn, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer conn.Close()
+		t.Cleanup(func() { conn.Close() })
+		if _, err := conn.Write([]byte("request")); err != nil {
+			t.Fatal(err)
+		}
 	}
-	time.Sleep(wait) // as in a stopped process
-	runUntil(t, l, "one is accepted", func() bool { return len(waited) == 1 })
-	ln.SetPaused(false)
-	runUntil(t, l, "all are accepted", func() bool { return len(waited) == 3 })
-	for i, w := range waited {
-		if w < wait {
+	time.Sleep(queuedTime)
+	return ln, waited
+}
+
+// expectQueuedTime runs the loop until all queued connections are accepted, and checks that each counts as waiting for queuedTime.
+func expectQueuedTime(t *testing.T, l *Loop, waited *[]time.Duration) {
+	t.Helper()
+	runUntil(t, l, "all are accepted", func() bool { return len(*waited) == queuedConnections })
+	for i, w := range *waited {
+		if w < queuedTime {
 			t.Errorf("connection %d counts as waiting for %v", i, w)
 		}
 	}
--- a/internal/node/unread_test.go
+++ b/internal/node/unread_test.go
@@ -16,21 +16,29 @@
 	s.runUntil("the time has passed", func() bool { return s.node.loop.Now() >= end })
 }
 
+// newOccupiedFixture returns a fixture whose cache server works for the request "first" until gate is closed. It answers the request
+// "long" only once hold is closed, too.
+func newOccupiedFixture(t *testing.T) (s *fixture, gate, hold chan struct{}) {
+	t.Helper()
+	gate, hold = make(chan struct{}), make(chan struct{})
+	s = newFixture(t, false, func(line string, v []byte) string {
+		if strings.Contains(line, "Olong") {
+			<-hold
+		}
+		<-gate
+		return answerAny(line, v)
+	})
+	s.sendReads("first")
+	s.waitTaken(1)
+	return s, gate, hold
+}
+
 // Guards against counting a long write's time from when it is read: while it waits for room at its server its client is not read, and
 // the rest of the value stands in the node's machine.
 func TestALongWriteThatWaitedUnreadIsAnsweredInTime(t *testing.T) {
 	const size, timeout = 160 << 10, 25 * time.Second
 	for _, followed := range []bool{false, true} {
-		gate, hold := make(chan struct{}), make(chan struct{})
-		s := newFixture(t, false, func(line string, v []byte) string {
-			if strings.Contains(line, "Olong") {
-				<-hold
-			}
-			<-gate
-			return answerHit(line, v)
-		})
-		s.sendReads("first")
-		s.waitTaken(1)
+		s, gate, hold := newOccupiedFixture(t)
 		conn := s.sendReads()
 		text := fmt.Sprintf("ms key %d Olong Pc=read,d=%d\r\n%s\r\n", size, timeout.Milliseconds(), strings.Repeat("x", size))
 		if followed {
--- a/internal/node/upload_time_test.go
+++ b/internal/node/upload_time_test.go
@@ -103,16 +103,7 @@
 // Guards against a long write whose deadline counts anew for the part that its client's machine holds, where the receive buffer of the
 // node was full.
 func TestALongWriteLargerThanTheReceiveBufferIsAnsweredInTime(t *testing.T) {
-	gate, hold := make(chan struct{}), make(chan struct{})
-	s := newFixture(t, false, func(line string, v []byte) string {
-		if strings.Contains(line, "Olong") {
-			<-hold
-		}
-		<-gate
-		return answerAny(line, v)
-	})
-	s.sendReads("first")
-	s.waitTaken(1)
+	s, gate, hold := newOccupiedFixture(t)
 	s.sendLongWrite("long", 2<<20)
 	sentAt := s.node.loop.Now()
 	s.waitTaken(2)
--- a/lab/standin/cache.go
+++ b/lab/standin/cache.go
@@ -768,26 +768,22 @@
 	}
 }
 
-// maybeCopyLate sends an answer once more, or noise, up to maxCopyDelay later, unless a byte of another command has been received by
-// then. It needs the lock of the cache.
+// maybeCopyLate sends an answer once more, or noise, a little later, unless a byte of another command has been received by then. It
+// needs the lock of the cache.
 func (k *cacheConn) maybeCopyLate(answer []byte) {
 	c := k.cache
 	if c.rng.Float64() >= c.corruption["late_copy"] {
 		return
 	}
-	text, delay := lateCopy(c.rng, answer)
 	k.mu.Lock()
 	received, waiting := k.received, len(k.queue) > 0
 	k.mu.Unlock()
 	if waiting {
 		return
 	}
-	time.AfterFunc(delay, func() {
+	copyLate(c.rng, k.conn, answer, func() bool {
 		k.mu.Lock()
-		quiet := k.received == received && !k.closed
-		k.mu.Unlock()
-		if quiet {
-			k.conn.Write(text)
-		}
+		defer k.mu.Unlock()
+		return k.received == received && !k.closed
 	})
 }
--- a/lab/standin/origin.go
+++ b/lab/standin/origin.go
@@ -36,6 +36,7 @@
 	opt      OriginOptions
 	listener *faultListener
 	server   *http.Server
+	conns    sync.Map // open connections, from net.Conn to *originConn
 
 	mu         sync.Mutex
 	model      *world.Origin
@@ -100,7 +101,7 @@
 	if opt.Spec != nil {
 		o.model = world.NewOrigin(*opt.Spec, common.Seed)
 	}
-	o.server = &http.Server{Handler: http.HandlerFunc(o.handle), ErrorLog: discardLog, ConnContext: withOriginConn, ConnState: noteRequest}
+	o.server = &http.Server{Handler: http.HandlerFunc(o.handle), ErrorLog: discardLog, ConnContext: o.withConn, ConnState: o.noteRequest}
 	var err error
 	o.listener, err = serveHTTP(opt.Addr, opt.Way, o.server)
 	return o, err
@@ -331,12 +332,14 @@
 		o.recordClose(t)
 		return
 	}
-	body, kind, size := []byte(d.Receipt), seen.Receipt, 0
-	o.Log.Update(func(*seen.Record) { t.Receipt = d.Receipt })
-	if !t.Write {
-		size = world.SizeOf(o.Seed, class, t.Key)
-		body, kind = MakeValue(t.Key, d.Version, t.Request, o.opt.ID, size), seen.Value
-		o.Log.Update(func(*seen.Record) { t.Receipt, t.Version = "", d.Version })
+	var body []byte
+	kind, size := seen.Receipt, world.SizeOf(o.Seed, class, t.Key)
+	if t.Write {
+		body = []byte(d.Receipt)
+		o.Log.Update(func(*seen.Record) { t.Receipt = d.Receipt })
+	} else {
+		kind, body = seen.Value, MakeValue(t.Key, d.Version, t.Request, o.opt.ID, size)
+		o.Log.Update(func(*seen.Record) { t.Version = d.Version })
 	}
 	if o.draws("no_length") {
 		o.answerWithoutLength(w, t, body, kind)
@@ -386,46 +389,38 @@
 	received atomic.Int64 // requests of which a byte has been received
 }
 
-// originConns holds the open connections of all origins.
-var originConns sync.Map // from net.Conn to *originConn
-
 type originConnKey struct{}
 
-// withOriginConn adds the connection to the context of its requests.
-func withOriginConn(ctx context.Context, conn net.Conn) context.Context {
+// withConn adds the connection to the context of its requests.
+func (o *Origin) withConn(ctx context.Context, conn net.Conn) context.Context {
 	c := &originConn{Conn: conn}
-	originConns.Store(conn, c)
+	o.conns.Store(conn, c)
 	return context.WithValue(ctx, originConnKey{}, c)
 }
 
 // noteRequest counts the requests of a connection as their first byte arrives.
-func noteRequest(conn net.Conn, state http.ConnState) {
+func (o *Origin) noteRequest(conn net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateActive:
-		if c, known := originConns.Load(conn); known {
+		if c, known := o.conns.Load(conn); known {
 			c.(*originConn).received.Add(1)
 		}
 	case http.StateClosed, http.StateHijacked:
-		originConns.Delete(conn)
+		o.conns.Delete(conn)
 	}
 }
 
-// maybeCopyLate sends an answer once more, or noise, up to maxCopyDelay later, unless a byte of another request has been received by then.
+// maybeCopyLate sends an answer once more, or noise, a little later, unless a byte of another request has been received by then.
 func (o *Origin) maybeCopyLate(r *http.Request, status string, body []byte) {
 	c, known := r.Context().Value(originConnKey{}).(*originConn)
 	if !known || !o.draws("late_copy") {
 		return
 	}
 	answer := fmt.Appendf(nil, "HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
-	o.mu.Lock()
-	text, delay := lateCopy(o.rng, answer)
-	o.mu.Unlock()
 	received := c.received.Load()
-	time.AfterFunc(delay, func() {
-		if c.received.Load() == received {
-			c.Write(text)
-		}
-	})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	copyLate(o.rng, c, answer, func() bool { return c.received.Load() == received })
 }
 
 // writeGarbage sends an invalid HTTP answer.
--- a/lab/standin/standin.go
+++ b/lab/standin/standin.go
@@ -299,13 +299,17 @@
 // maxCopyDelay is how long after an answer a second copy of it, or noise, is sent at most.
 const maxCopyDelay = 50 * time.Millisecond
 
-// lateCopy draws what is sent behind an answer, a second copy or at times noise, and how much later.
-func lateCopy(rng *rand.Rand, answer []byte) (text []byte, delay time.Duration) {
-	text = answer
+// copyLate sends an answer once more on its connection, or at times noise, up to maxCopyDelay later, if the connection is quiet then.
+func copyLate(rng *rand.Rand, conn io.Writer, answer []byte, quiet func() bool) {
+	text := answer
 	if rng.IntN(4) == 0 {
 		text = []byte("\x00\xff\r\nEN\r\n")
 	}
-	return text, time.Duration(rng.Int64N(int64(maxCopyDelay)))
+	time.AfterFunc(time.Duration(rng.Int64N(int64(maxCopyDelay))), func() {
+		if quiet() {
+			conn.Write(text)
+		}
+	})
 }
 
 // resetConn closes a connection with a TCP reset, as the end of a process does.
