Answer the requests behind a long value that breaks off

What callers saw: a client that sent further requests behind a read of a long value lost all of them when the value broke off, or stopped, in its middle.

Cause: a long value was streamed from its 4,096th byte on. From then the request was bound to its attempt, and once a byte had gone to the client nothing could complete the answer but that attempt; without it only closing the connection told the client, and everything behind it went with it.

A value with other requests behind it is held until it is whole, where both memory budgets admit it (admit.Memory.MayHold), for at most 1.75 s and as long as patience has it (decide/patience). A value that breaks off is a failed attempt like any other: the policy sends the request on along the ranking, within its time and its attempts. A value that has stopped for a quarter of its time is asked of another server once its patience ends, if others wait behind it. The states of a value have names. An answer that the kernel does not take at once is buffered without a copy.

--- a/decide/admit/memory.go
+++ b/decide/admit/memory.go
@@ -40,6 +40,9 @@
 	return m.Held+bytes <= limit
 }
 
+// MayHold decides whether a long value of so many bytes may be buffered whole before its client gets any of it.
+func (m Memory) MayHold(bytes int) bool { return m.Held+bytes <= m.Limit/scarceDivisor }
+
 // PieceSize returns how many bytes may be read from a connection at a time.
 func (m Memory) PieceSize() int {
 	if m.Scarce() {
--- a/decide/admit/memory_test.go
+++ b/decide/admit/memory_test.go
@@ -17,6 +17,9 @@
 		if got := m.Admit(bytes, true); got != (m.Held+bytes <= m.Limit/2) || got && m.Scarce() {
 			t.Fatalf("%+v admits %d behind others: %t", m, bytes, got)
 		}
+		if got := m.MayHold(bytes); got != (m.Held+bytes <= m.Limit/2) || got && m.Scarce() {
+			t.Fatalf("%+v holds a value of %d: %t", m, bytes, got)
+		}
 		if got := m.MayReadAhead(); got != (m.Held <= m.Limit/4) || got && m.Scarce() && m.Limit >= 4 {
 			t.Fatalf("%+v reads ahead: %t", m, got)
 		}
--- a/decide/patience/patience.go
+++ b/decide/patience/patience.go
@@ -10,6 +10,16 @@
 // maxReserveDivisor bounds the time that is kept back for another attempt to this part of the time left.
 const maxReserveDivisor = 4
 
+// MaxHold bounds the time for which the beginning of a long value may be kept from its client. The wire protocol has a request lost whose
+// value is held back for 2 s.
+const MaxHold = 1750 * time.Millisecond
+
+// stoppedDivisor is the part of its time after which a long value counts as stopped if nothing more of it has come.
+const stoppedDivisor = 4
+
+// Stopped reports whether a long value that began to arrive this long ago has stopped, if its server has sent nothing for so long.
+func Stopped(silence, since time.Duration) bool { return silence >= since/stoppedDivisor }
+
 // Answer describes an answer that has begun.
 type Answer struct {
 	Remaining  time.Duration // until attempts of the request must have ended
--- a/decide/patience/patience_test.go
+++ b/decide/patience/patience_test.go
@@ -25,3 +25,21 @@
 		}
 	})
 }
+
+// A value has stopped once nothing has come for a quarter of its time, and one that comes steadily never has.
+func TestStopped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		since := time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(10*time.Second)).Draw(t, "since"))
+		silence := time.Duration(rapid.Int64Range(0, int64(since)).Draw(t, "silence"))
+		if got := Stopped(silence, since); got != (silence >= since/4) {
+			t.Fatalf("silent for %v of %v: stopped %t", silence, since, got)
+		}
+	})
+}
+
+// The beginning of a value is not kept back for the 2 s after which its request would be lost.
+func TestMaxHoldLeavesTimeToWrite(t *testing.T) {
+	if lost := 2 * time.Second; MaxHold > lost-100*time.Millisecond {
+		t.Errorf("%v of %v", MaxHold, lost)
+	}
+}
--- a/internal/loop/conn.go
+++ b/internal/loop/conn.go
@@ -148,24 +148,34 @@
 
 // Write passes bytes to the kernel, and buffers a copy of those that it does not take yet.
 func (c *Conn) Write(data []byte) {
+	if sent, open := c.trySend(data); open && sent < len(data) {
+		c.writeBuffer.append(data[sent:])
+		c.updateEvents()
+	}
+}
+
+// WriteOwned is Write for bytes that the caller gives away: what the kernel does not take yet need not be copied.
+func (c *Conn) WriteOwned(data []byte) {
+	if sent, open := c.trySend(data); open && sent < len(data) {
+		c.writeBuffer.appendOwned(data, sent)
+		c.updateEvents()
+	}
+}
+
+// trySend passes bytes to the kernel unless earlier ones wait. It returns how many the kernel took, and whether the connection is open.
+func (c *Conn) trySend(data []byte) (sent int, open bool) {
 	if c.closed || c.endPending || c.closing {
-		return
+		return 0, false
 	}
 	if c.Pending() > 0 || !c.connected {
-		c.writeBuffer.append(data)
-		c.updateEvents()
-		return
+		return 0, true
 	}
-	n, err := send(c.source.fd, data)
-	c.written += int64(n)
+	sent, err := send(c.source.fd, data)
+	c.written += int64(sent)
 	if err != nil {
 		c.fail(err)
-		return
-	}
-	if n < len(data) {
-		c.writeBuffer.append(data[n:])
-		c.updateEvents()
 	}
+	return sent, err == nil
 }
 
 // CancelWrite removes what was written between two offsets, as returned by WriteOffset, unless any of it has been passed to the
--- a/internal/loop/outbuffer.go
+++ b/internal/loop/outbuffer.go
@@ -18,6 +18,16 @@
 // append adds a copy of data at the end.
 func (b *outBuffer) append(data []byte) { b.data = append(b.data, data...) }
 
+// appendOwned adds what follows the first sent bytes of data at the end. Nobody else uses data any more: it becomes the buffer if that is
+// empty and most of it has yet to be sent.
+func (b *outBuffer) appendOwned(data []byte, sent int) {
+	if b.size() > 0 || sent >= len(data)-sent {
+		b.append(data[sent:])
+		return
+	}
+	b.data, b.head = data, sent
+}
+
 // replace replaces the bytes between two positions by data.
 func (b *outBuffer) replace(from, to int, data []byte) {
 	b.data = slices.Replace(b.data, b.head+from, b.head+to, data...)
--- a/internal/loop/outbuffer_test.go
+++ b/internal/loop/outbuffer_test.go
@@ -13,12 +13,20 @@
 		var b outBuffer
 		var want []byte
 		for range rapid.IntRange(1, 50).Draw(t, "steps") {
-			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				data := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "data")
 				b.append(data)
 				want = append(want, data...)
 			case 1:
+				data := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "owned")
+				sent := rapid.IntRange(0, len(data)).Draw(t, "sent")
+				b.appendOwned(data, sent)
+				want = append(want, data[sent:]...)
+				if len(data) > sent && len(b.data) > 2*len(want) {
+					t.Fatalf("%d bytes are held for %d", len(b.data), len(want))
+				}
+			case 2:
 				count := rapid.IntRange(0, len(want)).Draw(t, "count")
 				b.discard(count)
 				want = want[count:]
--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -58,14 +58,14 @@
 // Refuse implements policy.Actions.
 func (a actions) Refuse(id string, retryAfter time.Duration) {
 	if c := a.n.requests[id]; c != nil && c.client != nil {
-		a.n.reply(c, meta.AppendBusy(nil, retryAfter.Milliseconds()), refused)
+		a.n.endUnserved(c, meta.AppendBusy(nil, retryAfter.Milliseconds()), refused)
 	}
 }
 
 // Fail implements policy.Actions.
 func (a actions) Fail(id string) {
 	if c := a.n.requests[id]; c != nil && c.client != nil {
-		a.n.reply(c, []byte(failedAnswer), failed)
+		a.n.endUnserved(c, []byte(failedAnswer), failed)
 	}
 }
 
@@ -76,7 +76,7 @@
 		return
 	}
 	if b := c.body; b != nil && b.attempt == c.attempts[number] {
-		return // its value is being streamed to the client
+		return // its value is being received for the client
 	}
 	t := c.attempts[number]
 	a.n.loop.Defer(func() { t.pool.cancel(t) })
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -180,7 +180,7 @@
 func (l *serverConn) finishBody(last bool) {
 	b := l.body
 	l.body = nil
-	b.timer.Stop()
+	b.stallTimer.Stop()
 	l.conn.SetPaused(false)
 	l.conn.SetReadLimit(admit.LargePiece)
 	l.readPaused = false
@@ -191,7 +191,7 @@
 		l.markIdle()
 	}
 	if t != nil {
-		l.finishAttempt(t, response{outcome: policy.OK})
+		l.finishAttempt(t, response{outcome: policy.OK, discarded: b.state == bodyDiscarded})
 	}
 	if b.close {
 		l.closeAndFail()
--- a/internal/node/connection.go
+++ b/internal/node/connection.go
@@ -15,16 +15,11 @@
 	if c.closed {
 		return
 	}
-	for len(c.requests) > 0 && c.requests[0].answered && c.conn.Pending() == 0 {
+	for len(c.requests) > 0 && c.requests[0].hasWholeAnswer() && c.conn.Pending() == 0 {
 		c.writeAnswer()
 	}
-	if len(c.requests) > 0 && c.requests[0].body != nil && (c.conn.Pending() == 0 || c.requests[0].body.started) {
-		if b := c.requests[0].body; b.started {
-			b.updatePaused()
-		} else {
-			b.startAnswer(c)
-		}
-		c.lastActive = c.node.loop.Now()
+	if len(c.requests) > 0 && c.requests[0].body != nil {
+		c.flushBody(c.requests[0].body)
 	}
 	c.updateHeldBytes()
 	c.watchSlowReader()
@@ -63,6 +58,22 @@
 	c.conn.SetPaused(blocked || c.parseScheduled || closing && len(c.requests) > 0)
 }
 
+// flushBody continues the answer that is next in order and a long value, or begins it.
+func (c *client) flushBody(b *body) {
+	switch {
+	case b.state != bodyBuffered:
+		b.updatePaused()
+	case c.conn.Pending() == 0 && b.mayStart():
+		b.startAnswer(c)
+	default:
+		return
+	}
+	c.lastActive = c.node.loop.Now()
+}
+
+// hasWholeAnswer reports whether all of the answer, or all of its rest, may be written.
+func (k *request) hasWholeAnswer() bool { return k.answered && k.partial == nil }
+
 // writeAnswer writes the answer that is next in order.
 func (c *client) writeAnswer() {
 	n, k := c.node, c.requests[0]
@@ -78,7 +89,7 @@
 	if k.class != nil {
 		n.countEnding(k.class, k.how)
 	}
-	c.conn.Write(k.answer)
+	c.conn.WriteOwned(k.answer)
 	k.answer, k.client, k.droppable = nil, nil, false
 }
 
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -18,6 +18,7 @@
 	surplusAnswers, reloads, reloadsFailed                                  int64
 	longValues, brokenOff, longWrites, longWritesRefused, linesLeftOut      int64
 	clientsBad, clientsIdle, duplicateIDs                                   int64
+	valuesInterrupted, valuesResumed                                        int64
 	violations, tooLate, answersDropped                                     int64
 	outcomes                                                                [policy.NotSent + 1]int64
 	sendsRefused, violated                                                  [safety.NumReasons]int64
@@ -81,6 +82,8 @@
 	put("bad_answers", c.badAnswers)
 	put("surplus_answers", c.surplusAnswers)
 	put("long_values", c.longValues)
+	put("values_interrupted", c.valuesInterrupted)
+	put("values_resumed", c.valuesResumed)
 	put("broken_off", c.brokenOff)
 	put("long_writes", c.longWrites)
 	put("long_writes_refused", c.longWritesRefused)
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -189,7 +189,7 @@
 		if worst == nil || worst.accountedBytes == 0 {
 			return
 		}
-		if b := worst.body; b != nil && b.attempt != nil && !b.started {
+		if b := worst.body; b != nil && b.attempt != nil && b.state == bodyBuffered {
 			b.giveUp()
 		} else {
 			worst.closeMalformed("too many bytes of incomplete answers")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,13 +101,14 @@
 	class         *class
 	client        *client // nil once the client has gone
 	command       meta.Command
-	deadline      time.Duration // the client's
-	attemptsUntil time.Duration // attempts may run until then
-	answer        []byte        // complete; waits for its turn on the connection
-	body          *body         // the long value that is streamed as its answer
-	upload        *upload       // the long value of a write
-	received      bool          // it has arrived whole, and its deadline counts
-	idSlot        int           // of its id in Node.effectIDs, if idKept
+	deadline      time.Duration  // the client's
+	attemptsUntil time.Duration  // attempts may run until then
+	answer        []byte         // complete; waits for its turn on the connection
+	body          *body          // the long value that is received as its answer
+	partial       *partialAnswer // what its client has had of an answer that is not complete
+	upload        *upload        // the long value of a write
+	received      bool           // it has arrived whole, and its deadline counts
+	idSlot        int            // of its id in Node.effectIDs, if idKept
 	idKept        bool
 	answered      bool
 	how           ending // how it ended, once it is answered
@@ -149,6 +150,7 @@
 	longSize    int    // size of a long value that follows
 	announced   int    // of an incomplete answer: size of its value; 0: not known
 	trailer     string // what must follow the long value
+	discarded   bool   // its long value was not kept
 	close       bool   // the server closes the connection after it
 	named       bool   // it carries the id of its request
 	reusedConn  bool   // with Reset: the connection had carried a response before
@@ -289,7 +291,7 @@
 		n.logRequest("event=overdue id=%s attempts=%d", c.id, len(c.attempts))
 		n.logHistory(c.id)
 	}
-	n.reply(c, []byte(failedAnswer), failed)
+	n.endUnserved(c, []byte(failedAnswer), failed)
 	n.guard("abandoned", func() { n.policy.Abandoned(n.loop.Now(), c.id) })
 }
 
@@ -383,7 +385,7 @@
 	}
 	if b := c.body; b != nil && b.attempt == t {
 		b.finish(c, a.outcome == policy.OK)
-	} else if a.outcome == policy.OK && !c.answered && b == nil {
+	} else if a.outcome == policy.OK && !a.discarded && !c.answered && b == nil && c.partial == nil {
 		if id := c.command.ID; a.stored {
 			n.reply(c, meta.AppendStored(nil, id, a.receipt), served)
 		} else {
--- a/internal/node/pool_test.go
+++ b/internal/node/pool_test.go
@@ -369,7 +369,7 @@
 	_, c := b.connectClient()
 	first.request.client = c
 	l := b.pool.conns[0]
-	l.body = &body{link: l, attempt: first, remaining: 1 << 20, started: true}
+	l.body = &body{link: l, attempt: first, remaining: 1 << 20, state: bodyStreamed}
 	first.request.body, c.requests = l.body, []*request{first.request}
 	b.pool.drain()
 	if c.sendBufferBytes != 0 {
--- a/internal/node/serverconn.go
+++ b/internal/node/serverconn.go
@@ -182,7 +182,8 @@
 	l.input = nil
 	if l.body != nil {
 		l.body.buffered = nil
-		l.body.timer.Stop()
+		l.body.stallTimer.Stop()
+		l.body.holdTimer.Stop()
 	}
 	l.updateBuffered()
 	p := l.pool
--- a/lab/standin/paced.go
+++ b/lab/standin/paced.go
@@ -17,8 +17,9 @@
 
 // Piece is a part of an answer.
 type Piece struct {
-	Rest time.Duration // before it is written
-	Data string
+	Rest  time.Duration // before it is written
+	Data  string
+	Reset bool // the connection is reset behind it
 }
 
 // PacedRequest is a request that a paced server has read: its head, and its whole body unless the reading stops.
@@ -133,6 +134,10 @@
 		if _, err := io.WriteString(conn, piece.Data); err != nil {
 			return false
 		}
+		if piece.Reset {
+			resetConn(conn)
+			return false
+		}
 	}
 	return true
 }
--- a/policy/begun_test.go
+++ b/policy/begun_test.go
@@ -38,3 +38,23 @@
 		t.Errorf("at its end: %d in flight, %d open, limit %v", w.b.outstanding, len(w.b.open), w.b.origin.limit)
 	}
 }
+
+// A started answer that breaks off leaves its request open: it is sent to the next server, and refused once no server is left.
+func TestABegunAnswerThatBreaksOffIsSentAgain(t *testing.T) {
+	set := settings()
+	set.Mode = Through
+	w := newFixture(t, set, 2)
+	w.request("a", "read", "k")
+	for attempt := range 2 {
+		if len(w.sends) != attempt+1 {
+			t.Fatalf("%d attempts, want %d", len(w.sends), attempt+1)
+		}
+		send := w.last()
+		w.b.ResponseStarted(w.now, "a", send.n)
+		w.now += 10 * ms
+		w.b.Result(w.now, Result{ID: "a", N: send.n, Server: send.server, Outcome: Reset})
+	}
+	if len(w.sends) != 2 || w.sends[0].server == w.sends[1].server || w.ended["a"] == "" || len(w.b.open) != 0 {
+		t.Errorf("%d attempts, ended %q, %d open", len(w.sends), w.ended["a"], len(w.b.open))
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -597,8 +597,8 @@
 	return !r.bodyDiscarded && safety.CheckRepeat(r.class.Effect.safetyEffect(), r.class.Window, ended) == safety.Allowed
 }
 
-// ResponseStarted notes that the first bytes of an answer have arrived. The request is bound to the attempt: it gets no other one
-// and no timeout. The slot at the server and the reads that wait for the fetch are released, since the time that a client takes
+// ResponseStarted notes that the first bytes of an answer have arrived. The request is bound to the attempt while that lasts: it gets no
+// other one and no timeout. The slot at the server and the reads that wait for the fetch are released, since the time that a client takes
 // to read a large value is not the server's.
 func (b *Balancer) ResponseStarted(now time.Duration, id string, n int) {
 	b.now = now
