Accept bans of every listed server, however large the fleet

Cause: what the list names now was looked up in a table of all ids that were ever listed, of 32 for each megabyte, which dropped the id that had been added first, in force or not.

Change: the servers that the list names are known from the list itself (listed.go). Once some have been forgotten, the answer to an unknown id says just that. `listed` of earlier builds is still read; a build before this one does not read `departed`.

Why it works: a server leaves the table of listed ones only when the list says that it has left.

--- a/cmd/lapisshelf/operate_test.go
+++ b/cmd/lapisshelf/operate_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/prometheus/common/model"
 
 	"lapisshelf/lab/load"
+	"lapisshelf/lab/world"
 )
 
 // startNodeWithControl starts a node with a control address.
@@ -300,3 +302,32 @@
 		t.Error("not used within 5 s of being attached")
 	}
 }
+
+// A listed server of a fleet of 3,200 could not be taken out at a node of 32 MB, and got requests until the ban was given up.
+func TestAListedServerOfALargeFleetIsTakenOut(t *testing.T) {
+	used := startCache(t, answerValue("v"))
+	list := []world.Member{servingEntry("s-0000", used.Addr(), "m2")}
+	for i := 1; i < 3200; i++ {
+		list = append(list, servingEntry(fmt.Sprintf("s-%04d", i), fmt.Sprintf("127.1.%d.%d:9", i/250, 1+i%250), "m2"))
+	}
+	n, control := startNodeWithControl(t, startDiscovery(t, list...), func(config map[string]any) {
+		config["limits"] = map[string]any{"memory_mb": 32, "sockets": 256}
+	})
+	eventually(t, "the list is known", func() bool { return readMetrics(t, control)["app_cache_servers_known"] == 3200 })
+	if status, text := callControl(t, control, "POST", "/_cache-servers/detach/s-0000"); status != 200 {
+		t.Errorf("%d %s", status, text)
+	}
+	if status, text := callControl(t, control, "POST", "/_cache-servers/detach/s-4000"); status != 404 {
+		t.Errorf("one that was never listed: %d %s", status, text)
+	}
+	_, nextControl := n.startSuccessor(nil)
+	eventually(t, "the next process is ready", isReady(t, nextControl))
+	if got := readMetrics(t, nextControl)["app_cache_servers_excluded"]; got != 1 {
+		t.Errorf("%v servers are taken out at the next process", got)
+	}
+	n.signal(syscall.SIGTERM)
+	n.waitExit()
+	if status, text := callControl(t, nextControl, "POST", "/_cache-servers/attach/s-0000"); status != 200 {
+		t.Errorf("called back at the next process: %d %s", status, text)
+	}
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -58,7 +58,10 @@
 	Source   string   `json:"source,omitempty"` // the registry; revisions of different registries are not comparable
 	Revision int64    `json:"revision"`
 	Leaving  []string `json:"leaving,omitempty"` // ids of servers that are draining or were removed recently
-	Listed   []string `json:"listed,omitempty"`  // ids of servers that were ever listed
+	Listed   []string `json:"listed,omitempty"`  // ids of servers that were ever listed; written by earlier builds only
+
+	Departed     []byte `json:"departed,omitempty"`      // hashes of servers that have left the list, the latest first
+	DepartedMore bool   `json:"departed_more,omitempty"` // there were more of them
 }
 
 // Options configure a member. Name and Listen identify the node in the shared directory Dir.
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -110,12 +110,12 @@
 			e.State = policy.Gone
 		}
 		n.updatePool(e.Server, addr)
-		n.everListed.add(e.ID)
 		n.succession.recordServerState(e.ID, e.State)
 		servers[i], readyByID[e.ID] = e.Server, e.State == policy.Ready
 	}
-	n.guard("members", func() { n.policy.Members(n.loop.Now(), kind, servers) })
 	complete := kind == policy.ListComplete || kind == policy.ListSaved
+	n.everListed.update(complete, entries)
+	n.guard("members", func() { n.policy.Members(n.loop.Now(), kind, servers) })
 	for _, id := range slices.Sorted(maps.Keys(n.pools)) {
 		if ready, listed := readyByID[id]; listed && !ready || !listed && complete {
 			n.succession.recordServerState(id, policy.Gone)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,7 +63,7 @@
 	classes           map[string]*class
 	requests          map[string]*request
 	inFlight          int // requests that have arrived whole and are not answered
-	everListed        serverHistory
+	everListed        listedServers
 	bans              map[string]bool  // by server id; whether an operator has banned the server
 	pools             map[string]*pool // by server id
 	clients           clients
@@ -168,7 +168,7 @@
 		}
 	}
 	n.clients.node = n
-	n.everListed = newServerHistory(cfg.MemoryMB)
+	n.everListed = newListedServers(cfg.MemoryMB)
 	n.clients.init()
 	n.succession.join(n)
 	n.shareIDs()
--- a/internal/node/operate.go
+++ b/internal/node/operate.go
@@ -62,10 +62,24 @@
 // isBanned reports whether an operator has banned a server, listed or not.
 func (n *Node) isBanned(id string) bool { return n.bans[id] }
 
+// knowsServer reports whether a server is listed, was listed as far as that is remembered, or has been banned.
+func (n *Node) knowsServer(id string) bool {
+	_, overridden := n.bans[id]
+	return overridden || n.pools[id] != nil || n.everListed.known(id)
+}
+
+// unknownServer says what is certain of a server that is not known.
+func (n *Node) unknownServer() string {
+	if n.everListed.departed.forgot {
+		return "no cache server of this id is listed, or was among those that left the list last; earlier ones are not remembered"
+	}
+	return "no cache server of this id was ever listed"
+}
+
 // setBan bans a server from getting attempts, or lifts a ban. The change is in force when the call is answered.
 func (n *Node) setBan(id string, on bool) control.Reply {
-	if !n.everListed.known[id] && !n.bans[id] {
-		return control.TextReply(404, "no cache server of this id was ever listed")
+	if !n.knowsServer(id) {
+		return control.TextReply(404, n.unknownServer())
 	}
 	n.succession.refreshPeers() // another process may hold a later override of this server
 	n.guard("ban", func() { n.policy.Ban(n.loop.Now(), id, on) })
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -21,7 +21,7 @@
 	maxDrainNewsAge    = 250 * time.Millisecond // assumed age of another process's drain call when this one learns of it
 	predecessorTimeout = time.Second            // how long a process that is ready waits for its predecessors to make room
 	departedTTL        = 10 * time.Second       // how long servers that left the list are reported to other processes
-	maxDeparted        = 256                    // maximum number of these, and of reported servers that are no longer listed
+	maxDeparted        = 256                    // maximum number of these
 	bindRetryInterval  = 20 * time.Millisecond  // while the listen address is in use
 )
 
@@ -106,6 +106,7 @@
 		for _, id := range p.List.Listed {
 			n.everListed.add(id)
 		}
+		n.everListed.adopt(p.List.Departed, p.List.DepartedMore)
 	}
 	if overridden {
 		n.applyOverrides()
@@ -288,11 +289,7 @@
 		}
 	}
 	slices.Sort(l.Leaving)
-	for _, id := range slices.Backward(n.everListed.order) {
-		if n.pools[id] == nil && len(l.Listed) < maxDeparted {
-			l.Listed = append(l.Listed, id)
-		}
-	}
+	l.Departed, l.DepartedMore = n.everListed.share()
 	return l
 }
 
