Tell other processes of the node of all servers that leave

In an upgrade, a process whose list is older may send new requests to a server that the other process knows to be draining.

Cause: the servers that leave are told through the state file for 10 s, 256 of them at most. Of a mass that leaves at once, a thousand of 3,200 for instance, the others were not told.

Change: the limit is 4,096, more than the servers of the largest fleet; some 60 KB of the state file while that many leave.

Evidence: TestAllServersThatLeaveAreToldToOtherProcesses, before: 256 of 3200 servers are told; now all.

--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -21,7 +21,7 @@
 	maxDrainNewsAge    = 250 * time.Millisecond // assumed age of another process's drain call when this one learns of it
 	predecessorTimeout = time.Second            // how long a process that is ready waits for its predecessors to make room
 	departedTTL        = 10 * time.Second       // how long servers that left the list are reported to other processes
-	maxDeparted        = 256                    // maximum number of these
+	maxDeparted        = 4096                   // maximum number of these, more than the servers of the largest fleet
 	bindRetryInterval  = 20 * time.Millisecond  // while the listen address is in use
 )
 
--- a/internal/node/succession_test.go
+++ b/internal/node/succession_test.go
@@ -7,6 +7,7 @@
 
 	decide "lapisshelf/decide/handover"
 	"lapisshelf/internal/handover"
+	"lapisshelf/policy"
 )
 
 // The list of another process is used if it is newer and comes from the same registry: revisions of different registries cannot be
@@ -93,3 +94,15 @@
 		t.Errorf("publishes %+v, with %d descriptors open and a limit of %d", p, n.loop.OpenSockets(), s.fdLimit)
 	}
 }
+
+// Of more than 256 servers that left within ten seconds, the node's other processes learned of the first ones only.
+func TestAllServersThatLeaveAreToldToOtherProcesses(t *testing.T) {
+	n := newHarness(t).node
+	const servers = 3200
+	for _, id := range idsOf("s", servers) {
+		n.succession.recordServerState(id, policy.Draining)
+	}
+	if got := len(n.succession.publishedList().Leaving); got != servers {
+		t.Errorf("%d of %d servers are told", got, servers)
+	}
+}
