Remember the starts of a whole fleet that leaves the list and returns

After a list that was empty or wrong for a moment, most servers of a large fleet would have counted as cold.

Cause: the start times of servers off the list were remembered for 1,024 servers; one of the others that came back with the same start counted as started at that moment, and its weight and its budget were cut for the whole warm-up.

Change: 4,096 are remembered, more than the servers of the largest fleet, some 0.5 MB if that many are off the list.

Evidence: TestALargeFleetThatReturnsKeepsItsStarts, before: "server 0 returned with the same start: 1h0m0s"; now all keep theirs.

--- a/decide/starts/starts.go
+++ b/decide/starts/starts.go
@@ -5,8 +5,8 @@
 
 import "time"
 
-// MaxDeparted bounds the servers off the list whose start times are remembered.
-const MaxDeparted = 1024
+// MaxDeparted bounds the servers off the list whose start times are remembered. It is more than the servers of the largest fleet.
+const MaxDeparted = 4096
 
 // startTimes holds a server's start time as the list reported it and as it counts locally.
 type startTimes struct {
--- a/decide/starts/starts_test.go
+++ b/decide/starts/starts_test.go
@@ -53,3 +53,18 @@
 		t.Errorf("the most recently departed server: %v", got)
 	}
 }
+
+// Of a fleet of 3,200 that left the list and came back unchanged, all but the last 1,024 counted as started just then.
+func TestALargeFleetThatReturnsKeepsItsStarts(t *testing.T) {
+	const servers = 3200
+	var h History
+	h.MarkWatched()
+	for i := range servers {
+		h.RecordDeparture(fmt.Sprint(i), 7, 9)
+	}
+	for i := range servers {
+		if got := h.StartTime(time.Hour, fmt.Sprint(i), 7); got != 9 {
+			t.Fatalf("server %d returned with the same start: %v", i, got)
+		}
+	}
+}
