Soak and lab: clients that send many reads at once, long ones among them

The judge gives a request the time for which it waits for the answers before it, as the protocol does.

--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -82,6 +82,8 @@
 		{"internal/loop/loop.go", "return l.longWait || l.afterLongWait", "return false && (l.longWait || l.afterLongWait)"}}},
 	{name: "all commands of a connection are handled in one turn", blind: "its clients wait for 0.4 s and more, and a flood of a few thousand commands takes less", edits: []sourceEdit{
 		{"internal/node/connection.go", "c.node.loop.NextTurn(c.parseBuffered)", "c.node.loop.Defer(c.parseBuffered)"}}},
+	{name: "a long value is passed on at once though others stand behind it", seeds: 20, edits: []sourceEdit{
+		{"internal/node/body.go", "return !b.held && !b.hold()", "return true"}}},
 	{name: "a lost process is never replaced by one that is ready", seeds: 4, edits: []sourceEdit{
 		{"internal/node/members.go", "readyTimeout       = 2 * time.Second", "readyTimeout       = 200 * time.Second"},
 		{"internal/node/members.go", "n.registry.OnAnswer = n.onListAnswer", "n.registry.OnAnswer = nil"}}},
--- a/lab/fault/fault.go
+++ b/lab/fault/fault.go
@@ -119,6 +119,7 @@
 	PlannerFreeze   ActionKind = "planner_freeze"   // SIGSTOP; Value 0: SIGCONT
 	PlannerCut      ActionKind = "planner_cut"      // nothing passes between a node and a planner; Value 0: end; only in the fleet simulation
 	Rude            ActionKind = "rude"             // Value clients send invalid data; 0: end
+	Pipeline        ActionKind = "pipeline"         // Value clients send a read of a long value and others behind it at once; 0: end
 	OriginSlow      ActionKind = "origin_slow"      // Value times slower; 1: normal
 	OriginStop      ActionKind = "origin_stop"      // refuses connections; Value 0: end
 	OriginPause     ActionKind = "origin_pause"     // the process stands still; Value 0: end
@@ -296,7 +297,8 @@
 		"registry_restore": {target: "registry", expand: once(RegistryRestore)},
 		"registry_twice":   {target: "registry", expand: global(RegistryTwice, 0)},
 		"registry_drip":    {target: "registry", needsFactor: true, expand: global(RegistryDrip, 0)},
-		"rude":             {target: "load", expand: (*expansion).rude},
+		"rude":             {target: "load", expand: clients(Rude)},
+		"pipeline":         {target: "load", expand: clients(Pipeline)},
 		"surge":            {target: "load", needsFactor: true, expand: shape(world.Surge)},
 		"hot_key":          {target: "load", needsPart: true, expand: shape(world.HotKeys)},
 		"hot_tenant":       {target: "load", needsPart: true, expand: shape(world.HotTenant)},
@@ -634,8 +636,11 @@
 	})
 }
 
-func (x *expansion) rude() {
-	x.addInterval(Action{Kind: Rude, Node: -1, Value: float64(max(1, x.Count))}, 0)
+// clients returns the expansion of a fault of so many clients beside the load.
+func clients(kind ActionKind) func(x *expansion) {
+	return func(x *expansion) {
+		x.addInterval(Action{Kind: kind, Node: -1, Value: float64(max(1, x.Count))}, 0)
+	}
 }
 
 // addShape adds a traffic shape for a fault of the load.
--- a/lab/judge/judge_test.go
+++ b/lab/judge/judge_test.go
@@ -122,6 +122,14 @@
 			x, _ := r.addRequest("read")
 			x.Answer, x.AnsweredAt, x.LongValueAt = seen.None, 0, 200*ms
 		}, ""},
+		{"answered late", func(r *scenario) {
+			x, _ := r.addRequest("read")
+			x.AnsweredAt = 1700 * ms
+		}, "one_answer late"},
+		{"answered late, but it waited for the answers before it", func(r *scenario) {
+			x, _ := r.addRequest("read")
+			x.AnsweredAt, x.TurnAt = 1700*ms, 1600*ms
+		}, ""},
 		{"a long value begins late", func(r *scenario) {
 			x, _ := r.addRequest("read")
 			x.Answer, x.AnsweredAt, x.LongValueAt = seen.None, 0, 1300*ms
--- a/lab/load/load_test.go
+++ b/lab/load/load_test.go
@@ -242,3 +242,33 @@
 		t.Errorf("sent %q at %v", got, x.record.SentAt)
 	}
 }
+
+// A pipelining client records which of a batch's requests are answered, when each one's turn came, and which are lost with the connection.
+func TestPipeliningClients(t *testing.T) {
+	addr, _ := server(t, func(n int, line string) string {
+		switch {
+		case !strings.Contains(line, "pipelined-"):
+			return "MN\r\n"
+		case strings.HasSuffix(id(line), ".2"):
+			return ""
+		}
+		return "SERVER_ERROR busy\r\n"
+	})
+	log := seen.NewLog()
+	l := New(Options{Log: log, Seed: 1, Classes: classes, NodeAddrs: []string{addr}, Generation: func(int) int { return 0 }})
+	l.SetPipeliningClients(1)
+	time.Sleep(3 * maxBatchPause)
+	l.SetPipeliningClients(0)
+	l.Run(context.Background(), log.Now(), nil)
+	log.Update(func(r *seen.Record) {
+		if len(r.Tries) < 1+readsBehind {
+			t.Fatalf("%d requests", len(r.Tries))
+		}
+		for i, x := range r.Tries[:1+readsBehind] {
+			answered, lost := i < 2, i >= 2
+			if answered != (x.Answer == seen.Refused) || lost != (x.ConnEndedAt > 0) || x.SentAt == 0 || x.ArrivalNumber >= 0 || (x.TurnAt > 0) != (i == 1 || i == 2) || x.Truncated || x.FirstOnConn {
+				t.Errorf("request %d: %+v", i, x)
+			}
+		}
+	})
+}
--- a/lab/seen/seen.go
+++ b/lab/seen/seen.go
@@ -32,7 +32,7 @@
 // Try is one try of a client, as that client observed it. A time of 0 means that the event did not happen.
 type Try struct {
 	ID            string
-	ArrivalNumber int // Arrival.N of the arrival that it belongs to
+	ArrivalNumber int // Arrival.N of the arrival that it belongs to; negative: none
 	Number        int // 0 for the first try of the arrival
 	Class         string
 	Tenant        string
@@ -49,6 +49,7 @@
 	AnsweredAt    time.Duration // the last byte of the answer arrived
 	AnswerLine    string        // first line of the answer
 	LongValueAt   time.Duration // the first line of a value over LongValueSize arrived
+	TurnAt        time.Duration // the answer before it on its connection was complete; 0: none came before it
 	RetryAfter    time.Duration // delay that a refusal asked for
 	Correct       bool          // the value was made for this request and key
 	Server        string        // that produced the value
--- a/lab/soak/draw.go
+++ b/lab/soak/draw.go
@@ -41,6 +41,8 @@
 
 	maxRestingCaches = 3 // whose answers rest beside all other faults
 
+	maxPipelining = 3 // clients that send many reads at once
+
 	minCrowd       = fewDescriptors / 2      // misbehaving clients; each connects several times a second
 	fewDescriptors = 64                      // of a node that many clients come to
 	maxTermination = 2500 * time.Millisecond // from SIGTERM until a new process starts
@@ -126,9 +128,21 @@
 	if d.crowded {
 		p.Faults = append(p.Faults, d.crowd())
 	}
+	for range d.rng.IntN(3) {
+		p.Faults = append(p.Faults, d.pipeliningClients()...)
+	}
 	return p
 }
 
+// pipeliningClients draws clients that send a read of a long value and others behind it at once, and servers whose answers break off
+// meanwhile.
+func (d *planDrawer) pipeliningClients() []Fault {
+	at, length := d.opt.Length/10+d.duration(0, d.opt.Length/10), d.opt.Length/2
+	clients := Fault{Kind: "pipeline", At: at, For: length, Detail: fmt.Sprintf("count = %d\n", 1+d.rng.IntN(maxPipelining))}
+	resets := Fault{Kind: "reset", At: at, For: length, Detail: fmt.Sprintf("part = %.2f\n", 0.05+0.15*d.rng.Float64()) + d.servers(3)}
+	return []Fault{clients, resets}
+}
+
 // background draws a fault of some answers that lasts beside all others.
 func (d *planDrawer) background() Fault {
 	t := Fault{Kind: d.oneOf("late_copy", "origin_late_copy", "origin_no_length", "rest", "origin_rest"), At: d.opt.Length / 10, For: d.opt.Length * 6 / 10}
@@ -252,7 +266,10 @@
 }
 
 // FaultKinds returns the kinds of faults that a soak draws.
-func FaultKinds() []string {
+func FaultKinds() []string { return append(scheduledKinds(), "pipeline") }
+
+// scheduledKinds returns the kinds of faults that are drawn in groups that overlap.
+func scheduledKinds() []string {
 	return []string{"node_kill", "node_term", "node_freeze", "node_hup", "upgrade", "lameduck", "detach", "list_down", "list_garble", "list_lag", "list_cut",
 		"crash", "silent", "hang", "refuse", "busy", "reset", "garble", "surplus", "late_copy", "rest", "slow", "slow_read", "pause", "drain", "deploy",
 		"origin_slow", "origin_slow_read", "origin_stop", "origin_pause", "origin_garble", "origin_no_length", "origin_late_copy", "origin_rest", "rude", "surge"}
@@ -260,7 +277,7 @@
 
 // fault draws a fault. It returns false if the fault needs a node and none is free.
 func (d *planDrawer) fault(at, length time.Duration) (Fault, bool) {
-	kinds := FaultKinds()
+	kinds := scheduledKinds()
 	t := Fault{Kind: kinds[d.rng.IntN(len(kinds))], At: at, For: length}
 	if !d.windows { // a server's machine would take what the server does not read
 		t.Kind = strings.Replace(t.Kind, "slow_read", "slow", 1)
--- a/lab/stage/stage.go
+++ b/lab/stage/stage.go
@@ -552,6 +552,8 @@
 		d.list.Lag(time.Duration(a.Value * float64(time.Second)))
 	case fault.Rude:
 		d.load.SetRudeClients(int(a.Value))
+	case fault.Pipeline:
+		d.load.SetPipeliningClients(int(a.Value))
 	default:
 		if d.origin == nil {
 			return fmt.Errorf("the deployment has no origin")
