Close the connection of a read whose refusal may be the copy of an earlier one

Cause: a refusal names no request. Its second copy, some milliseconds late, was taken for the refusal of the next read on the connection; that one was running there and went on to another server. Only writes were kept off such connections.

Change: an unnamed answer behind another unnamed one, on a connection that had not settled as the request was written or at a server that was lately met sending more than it was asked for, is no proof that its attempt has ended (safety.ProvesEnd). The connection is closed before the request goes on, unless parallel attempts are allowed to a safe request. Reads take a connection that has settled if there is one. Counted (answers_unproven) and logged (event=answer_unproven).

Why it works: an attempt is out on an open connection; a closed one ends it, and a copy can only come on a connection that has had an unnamed answer.

Evidence: TestAReadWhoseRefusalMayBeACopyIsNotLeftRunning and TestAReadPrefersASettledConnection, before: one connection is open behind the second refusal, in both cases that want none; the read takes the connection of the refusal.

--- a/decide/safety/reuse.go
+++ b/decide/safety/reuse.go
@@ -26,7 +26,7 @@
 	switch {
 	case r.LastNamed:
 		return Allowed
-	case r.ServerNames && r.Effect == Safe: // another request's refusal costs a read one attempt
+	case r.ServerNames && r.Effect == Safe: // another request's refusal costs a read one attempt and the connection, see ProvesEnd
 		return Allowed
 	case r.SurplusSeen && r.SinceSurplus < SurplusMemory:
 		return SurplusExpected
@@ -42,3 +42,10 @@
 func TrustRefusal(effect Effect, earlierUnnamed bool, sinceEarlier, settleTime time.Duration) bool {
 	return effect == Safe || !earlierUnnamed || sinceEarlier >= settleTime
 }
+
+// ProvesEnd decides whether an answer that does not name its request proves that the request's attempt has ended. It does not if it may be
+// a second copy of an earlier answer on the connection that did not name its request either: the server sends copies, or the connection had
+// not settled when the request was written. The attempt may then be running still.
+func ProvesEnd(earlierUnnamed, surplusSeen bool, sinceEarlier, settleTime time.Duration) bool {
+	return !earlierUnnamed || !surplusSeen && sinceEarlier >= settleTime
+}
--- a/decide/safety/reuse_test.go
+++ b/decide/safety/reuse_test.go
@@ -47,3 +47,17 @@
 		}
 	})
 }
+
+// An unnamed answer proves the end of its attempt unless an earlier one may still be copied: for as long as the connection settles, and
+// without end at a server that sends copies.
+func TestAPossibleCopyProvesNoEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settle := time.Duration(rapid.IntRange(1, 1000).Draw(t, "settle")) * ms
+		since := time.Duration(rapid.IntRange(-500, 1500).Draw(t, "since")) * ms
+		earlier, surplus := rapid.Bool().Draw(t, "earlier"), rapid.Bool().Draw(t, "surplus")
+		mayBeCopy := earlier && (surplus || since < settle)
+		if got := ProvesEnd(earlier, surplus, since, settle); got == mayBeCopy {
+			t.Fatalf("earlier %t, surplus %t, %v of %v: %t", earlier, surplus, since, settle, got)
+		}
+	})
+}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -103,6 +103,10 @@
 		}
 		data = data[used:]
 		a = l.checkRefusal(t, a)
+		if !l.provesEnd(t, a) {
+			l.closeUnproven(t, a)
+			return
+		}
 		l.noteAnswer(t, a)
 		begins = true
 		if a.longSize > 0 {
@@ -167,6 +171,27 @@
 	return a
 }
 
+// provesEnd reports whether the attempt has ended whose answer has been received. Guards against an attempt at another server beside one
+// that is still running here: closing the connection ends that.
+func (l *serverConn) provesEnd(t *attempt, a response) bool {
+	p := l.pool
+	if t == nil || a.named || !p.proto.namesRequests() || t.request.class.effect == safety.Safe && p.node.cfg.Settings.Parallel {
+		return true
+	}
+	return safety.ProvesEnd(l.unnamedSeen, p.sendsSurplus(), t.startedAt-l.unnamedAt, p.node.settleTime())
+}
+
+// closeUnproven closes the connection after an answer that may be a copy of an earlier one, and then ends the attempt with that answer.
+func (l *serverConn) closeUnproven(t *attempt, a response) {
+	n := l.pool.node
+	now := n.loop.Now()
+	n.count.answersUnproven++
+	n.logRequest("event=answer_unproven id=%s server=%s attempt=%d after=%s earlier=%s", t.request.id, l.pool.id, t.number, now-t.startedAt, t.startedAt-l.unnamedAt)
+	l.attempts = l.attempts[1:]
+	l.closeAndFail()
+	l.finishAttempt(t, a)
+}
+
 // noteAnswer notes whether an answer named its request. That to an aborted attempt is not compared with the request's id.
 func (l *serverConn) noteAnswer(t *attempt, a response) {
 	l.hasAnswered = true
--- a/internal/node/counters.go
+++ b/internal/node/counters.go
@@ -18,7 +18,7 @@
 	surplusAnswers, reloads, reloadsFailed                                  int64
 	longValues, brokenOff, longWrites, longWritesRefused, linesLeftOut      int64
 	clientsBad, clientsIdle, duplicateIDs                                   int64
-	valuesInterrupted, valuesResumed                                        int64
+	valuesInterrupted, valuesResumed, answersUnproven                       int64
 	violations, tooLate, answersDropped                                     int64
 	outcomes                                                                [policy.NotSent + 1]int64
 	sendsRefused, violated                                                  [safety.NumReasons]int64
@@ -85,6 +85,7 @@
 	put("values_interrupted", c.valuesInterrupted)
 	put("values_resumed", c.valuesResumed)
 	put("broken_off", c.brokenOff)
+	put("answers_unproven", c.answersUnproven)
 	put("long_writes", c.longWrites)
 	put("long_writes_refused", c.longWritesRefused)
 	put("lines_left_out", c.linesLeftOut)
--- a/internal/node/idle.go
+++ b/internal/node/idle.go
@@ -15,8 +15,8 @@
 const maxSettleTime = 250 * time.Millisecond
 
 // takeIdle returns an idle connection on which an attempt may be written, and removes it from the idle ones; nil if there is none. It
-// takes the one used last, since the server may be about to close the others; for an unsafe request the one that has been quiet longest.
-// It closes the stale ones it finds.
+// takes the one used last, since the server may be about to close the others, of those that have settled if there are any; for an unsafe
+// request the one that has been quiet longest. It closes the stale ones it finds.
 func (p *pool) takeIdle(t *attempt) *serverConn {
 	for l := p.nextIdle(t.request.class.effect); l != nil; l = p.nextIdle(t.request.class.effect) {
 		if !l.conn.Stale() {
@@ -37,12 +37,17 @@
 		}
 		return nil
 	}
+	var unsettled *serverConn
 	for _, l := range slices.Backward(p.idle) {
-		if mayCarry(l) {
+		switch {
+		case !mayCarry(l):
+		case l.mayCarry(safety.Unsafe) == safety.Allowed: // no copy of an answer can come on it
 			return l
+		case unsettled == nil:
+			unsettled = l
 		}
 	}
-	return nil
+	return unsettled
 }
 
 // closeStale closes an idle connection that the server has closed, or on which it has sent bytes that nobody asked for. Guards against
@@ -74,6 +79,11 @@
 	return l.pool.proto.namesRequests() || l.mayCarry(safety.Safe) != safety.SurplusExpected
 }
 
+// sendsSurplus reports whether the server has lately sent more than it was asked for.
+func (p *pool) sendsSurplus() bool {
+	return p.surplusSeen && p.node.loop.Now()-p.surplusAt < safety.SurplusMemory
+}
+
 // noteSurplus notes that the server has sent bytes that nobody asked for.
 func (p *pool) noteSurplus() {
 	p.node.count.surplusAnswers++
--- a/internal/node/reuse_test.go
+++ b/internal/node/reuse_test.go
@@ -183,3 +183,53 @@
 		}
 	}
 }
+
+// The copy of a refusal was taken for that of the next read on the connection, which went on to another server while it ran at this one.
+func TestAReadWhoseRefusalMayBeACopyIsNotLeftRunning(t *testing.T) {
+	const busy = "SERVER_ERROR busy\r\n"
+	for _, c := range []struct {
+		name       string
+		settleTime time.Duration
+		surplus    bool // the server has sent more than it was asked for
+		parallel   bool // a second attempt may run beside the first
+		effect     safety.Effect
+		closed     bool
+	}{
+		{"unsettled", time.Minute, false, false, safety.Safe, true},
+		{"settled", time.Nanosecond, false, false, safety.Safe, false},
+		{"settled, at a server that sends copies", time.Nanosecond, true, false, safety.Safe, true},
+		{"unsettled, with parallel attempts", time.Minute, false, true, safety.Safe, false},
+		{"settled, a write", time.Nanosecond, false, true, safety.Keyed, false},
+	} {
+		b := newHarness(t)
+		b.node.cfg.Transport.ConnectTimeout, b.node.cfg.Settings.Parallel = c.settleTime, c.parallel
+		first := b.sendFor("1", c.effect)
+		conn := b.accept(1)
+		io.WriteString(conn, busy)
+		b.answered(first)
+		b.pool.surplusSeen, b.pool.surplusAt = c.surplus, b.node.loop.Now()
+		second := b.sendFor("2", c.effect)
+		if second.link == nil || b.node.count.serverConns != 1 {
+			t.Fatalf("%s: the second did not go out on the first connection", c.name)
+		}
+		io.WriteString(conn, busy)
+		if b.answered(second); b.outcomes(policy.Full) != 2 || (len(b.pool.conns) == 0) != c.closed {
+			t.Errorf("%s: %d connections are open behind the second refusal, %v", c.name, len(b.pool.conns), b.node.count.outcomes)
+		}
+	}
+}
+
+// A read takes a connection on which no copy of an answer can come, if there is one.
+func TestAReadPrefersASettledConnection(t *testing.T) {
+	b := newHarness(t)
+	b.node.cfg.Transport.ConnectTimeout = time.Minute
+	first, second := b.send("1"), b.send("2")
+	named, refused := b.accept(1), b.accept(1)
+	io.WriteString(named, "EN O1\r\n")
+	b.answered(first)
+	io.WriteString(refused, "SERVER_ERROR busy\r\n")
+	b.answered(second)
+	if third := b.send("3"); third.link == nil || !third.link.lastNamed {
+		t.Error("it took the one that a refusal came on last")
+	}
+}
