Split the loop over a server's answers into steps

serverConn.Data was one loop of ninety lines. It is now the loop alone, with a function each for a long value's next bytes, for one answer, for what is accepted of it, for a long write that is answered early, and for the input that is kept. Behaviour as before.

Measured: internal/node, and the tests of cmd/lapisshelf about long values, breaks, rests, copies, spoilt answers: passed.

--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -40,102 +40,127 @@
 func (l *serverConn) Data(data []byte) {
 	l.lastReceived = l.pool.node.loop.Now()
 	l.pool.lastReceived = l.lastReceived
-	maxValue, buffered := l.pool.node.maxResponseSize(), len(l.input) > 0
-	if buffered {
+	begins := len(l.input) == 0 // data begins an answer
+	if !begins {
 		l.input = append(l.input, data...)
 		data = l.input
 	}
-	begins := !buffered // data begins an answer
-	for len(data) > 0 && !l.closed {
+	for more := true; more && len(data) > 0 && !l.closed; begins = true {
 		if l.body != nil {
-			used, ok := l.body.consume(data)
-			if l.closed { // passing the value on has closed the client's connection and cancelled the attempt
-				return
-			}
-			if !ok {
-				l.closeMalformed("long value does not end where it should")
-				return
-			}
-			if data = data[used:]; l.body.complete() {
-				l.finishBody(len(data) == 0)
-			}
-			continue
-		}
-		if len(l.attempts) == 0 {
-			// Bytes after a valid answer do not invalidate it, but must never be taken as the answer to the next request.
-			l.pool.noteSurplus()
-			l.closeAndFail()
-			return
-		}
-		t := l.attempts[0]
-		a, used, err := l.pool.proto.parseAnswer(data, t, maxValue, false)
-		if err != nil || used == 0 && len(data) > maxValue+maxAnswerOverhead {
-			l.closeMalformed("malformed answer")
-			return
-		}
-		if a.longSize > 0 && t != nil && len(data)-used < minBodyPrefix {
-			used = 0 // wait for more before the request is bound to this value
-		}
-		if used > 0 && l.upload != nil { // the server answers before it has the whole value, so nothing has run
-			if a.outcome != policy.Full {
-				a.outcome = policy.ConnectFailed
-			}
-			l.attempts = l.attempts[1:]
-			l.close()
-			l.finishAttempt(t, response{outcome: a.outcome})
-			return
-		}
-		if begins && !a.named && l.precedesRequest(t) {
-			l.pool.noteSurplus()
-			l.pool.node.reportViolation("reuse", safety.Unsettled, t.request.id, l.pool.id)
-			l.closeMalformed("answer before its request")
-			return
-		}
-		if used > 0 && t != nil && t.endOffset > l.conn.Written() {
-			l.closeMalformed("answer before the end of its request")
-			return
-		}
-		if used == 0 {
-			if t != nil {
-				t.announced = max(a.announced, a.longSize)
-			}
-			break
-		}
-		data = data[used:]
-		a = l.checkRefusal(t, a)
-		if !l.provesEnd(t, a) {
-			l.closeUnproven(t, a)
-			return
-		}
-		l.noteAnswer(t, a)
-		begins = true
-		if a.longSize > 0 {
-			l.input, buffered = nil, false
-			l.receiveBody(t, a)
-			continue
-		}
-		l.attempts = l.attempts[1:]
-		l.retiring = l.retiring || a.close
-		if len(data) == 0 {
-			l.input = nil
-			if !a.close { // before the policy is notified of the answer, so that the next attempt can use the connection
-				l.markIdle()
-			}
+			data = l.continueBody(data)
+		} else {
+			data, more = l.handleAnswer(data, begins)
 		}
+	}
+	if !l.closed {
+		l.keepInput(data)
+	}
+}
+
+// continueBody handles the part of data that belongs to a long value, and returns the rest.
+func (l *serverConn) continueBody(data []byte) (rest []byte) {
+	used, ok := l.body.consume(data)
+	switch {
+	case l.closed: // passing the value on has closed the client's connection and cancelled the attempt
+		return nil
+	case !ok:
+		l.closeMalformed("long value does not end where it should")
+		return nil
+	}
+	if rest = data[used:]; l.body.complete() {
+		l.finishBody(len(rest) == 0)
+	}
+	return rest
+}
+
+// handleAnswer handles the answer at the beginning of data, and returns the rest. more is false if the answer is incomplete, or if the
+// connection has been closed. begins reports that nothing of the answer was received before.
+func (l *serverConn) handleAnswer(data []byte, begins bool) (rest []byte, more bool) {
+	if len(l.attempts) == 0 {
+		// Bytes after a valid answer do not invalidate it, but must never be taken as the answer to the next request.
+		l.pool.noteSurplus()
+		l.closeAndFail()
+		return nil, false
+	}
+	t, maxValue := l.attempts[0], l.pool.node.maxResponseSize()
+	a, used, err := l.pool.proto.parseAnswer(data, t, maxValue, false)
+	if err != nil || used == 0 && len(data) > maxValue+maxAnswerOverhead {
+		l.closeMalformed("malformed answer")
+		return nil, false
+	}
+	if a.longSize > 0 && t != nil && len(data)-used < minBodyPrefix {
+		used = 0 // wait for more before the request is bound to this value
+	}
+	if used > 0 && l.upload != nil {
+		l.finishUnreadUpload(t, a)
+		return nil, false
+	}
+	if begins && !a.named && l.precedesRequest(t) {
+		l.pool.noteSurplus()
+		l.pool.node.reportViolation("reuse", safety.Unsettled, t.request.id, l.pool.id)
+		l.closeMalformed("answer before its request")
+		return nil, false
+	}
+	if used > 0 && t != nil && t.endOffset > l.conn.Written() {
+		l.closeMalformed("answer before the end of its request")
+		return nil, false
+	}
+	if used == 0 {
 		if t != nil {
-			l.finishAttempt(t, a)
+			t.announced = max(a.announced, a.longSize)
 		}
-		if a.close {
-			l.closeAndFail()
+		return data, false
+	}
+	return data[used:], l.acceptAnswer(t, a, len(data) == used)
+}
+
+// finishUnreadUpload ends the attempt of a long write that is answered before the server has the whole value, so that nothing has run.
+func (l *serverConn) finishUnreadUpload(t *attempt, a response) {
+	if a.outcome != policy.Full {
+		a.outcome = policy.ConnectFailed
+	}
+	l.attempts = l.attempts[1:]
+	l.close()
+	l.finishAttempt(t, response{outcome: a.outcome})
+}
+
+// acceptAnswer handles the answer to an attempt, or the beginning of one that brings a long value. last reports that no bytes follow. It
+// reports whether the connection is open.
+func (l *serverConn) acceptAnswer(t *attempt, a response, last bool) bool {
+	a = l.checkRefusal(t, a)
+	if !l.provesEnd(t, a) {
+		l.closeUnproven(t, a)
+		return false
+	}
+	l.noteAnswer(t, a)
+	if a.longSize > 0 {
+		l.input = nil
+		l.receiveBody(t, a)
+		return !l.closed
+	}
+	l.attempts = l.attempts[1:]
+	l.retiring = l.retiring || a.close
+	if last {
+		l.input = nil
+		if !a.close { // before the policy is notified of the answer, so that the next attempt can use the connection
+			l.markIdle()
 		}
 	}
-	if l.closed {
-		return
+	if t != nil {
+		l.finishAttempt(t, a)
+	}
+	if a.close {
+		l.closeAndFail()
 	}
+	return !l.closed
+}
+
+// keepInput keeps the beginning of an answer that is not complete, and settles what becomes of the connection until more arrives.
+func (l *serverConn) keepInput(data []byte) {
 	switch {
 	case len(data) == 0:
 		l.input = nil
-	case buffered:
+	case len(l.input) > 0:
 		l.input = l.input[:copy(l.input, data)]
 	default:
 		l.input = append([]byte(nil), data...)
