A value that breaks off under a planned end ends with what the process can still wait

Cause: a planned end shortens the deadlines of open requests, but not of one that is receiving a long value.

Change: its deadline and its attempts are cut to what the process can still wait for as it goes on (resumeClock).

Measured: internal/node passes; no test forces the case, found by reading.

--- a/internal/node/body.go
+++ b/internal/node/body.go
@@ -178,11 +178,11 @@
 
 // detach separates the value from its request, which may get another answer until its deadline.
 func (b *body) detach() {
-	c, n := b.attempt.request, b.link.pool.node
+	c := b.attempt.request
 	c.body = nil
 	b.holdTimer.Stop()
 	if !c.answered {
-		c.timer = n.loop.After(max(0, c.deadline-overdueMargin-n.loop.Now()), func() { n.failOverdue(c) })
+		b.link.pool.node.resumeClock(c)
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -241,6 +241,14 @@
 	c.timer = n.loop.After(c.deadline-margin-now, func() { n.failOverdue(c) })
 }
 
+// resumeClock has a request whose long value has broken off end at its deadline, or sooner if this process can't wait for so long.
+func (n *Node) resumeClock(c *request) {
+	now := n.loop.Now()
+	c.deadline = min(c.deadline, now+n.capTimeout(c.deadline-now, now))
+	c.attemptsUntil = min(c.attemptsUntil, c.deadline-deadlineMargin)
+	c.timer = n.loop.After(max(0, c.deadline-overdueMargin-now), func() { n.failOverdue(c) })
+}
+
 // stopClock marks a request as answered and ends its time budget.
 func (n *Node) stopClock(c *request) {
 	c.answered = true
