--- a/internal/node/capacity.go
+++ b/internal/node/capacity.go
@@ -52,7 +52,7 @@
 	}
 	if s.full() {
 		// A connection used a moment ago is not idle: clients open another one only when all of theirs are busy, so its next
-		// request is likely on its way and would be lost by closing (787 of 19119 requests in an overload with 80 descriptors).
+		// request is likely on its way and would be lost by closing.
 		if oldest := s.oldestQuiet(); oldest != nil {
 			s.node.count.clientsShed++
 			oldest.closeGracefully(closedForCapacity)
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -26,8 +26,7 @@
 }
 
 // maxResponseSize is the limit on a response that is buffered whole because its length is not announced; it leaves room for many
-// at once. Values above the usual size do occur: some of up to 360 KB were taken for malformed responses, and their servers were
-// skipped.
+// at once. Guards against taking values above the usual size for malformed responses, for which their servers would be skipped.
 func (n *Node) maxResponseSize() int {
 	return max(meta.MaxValue, n.cfg.MemoryMB<<20/responseMemoryDivisor)
 }
