--- a/cmd/lapislab/lapislab_test.go
+++ b/cmd/lapislab/lapislab_test.go
@@ -177,7 +177,7 @@
 	for _, c := range []struct {
 		name, file, from, to, with, rule, what string
 	}{
-		{"an answer twice", "internal/node/connection.go", "	c.conn.Write(k.answer)\n",
+		{"an answer twice", "internal/node/connection.go", "	c.conn.WriteOwned(k.answer)\n",
 			"	c.conn.Write(k.answer)\n	if k.id != \"\" && k.id[0] == '7' {\n		c.conn.Write(k.answer)\n	}\n", calm, "one_answer", "twice"},
 		{"no answer", "internal/node/node.go", "	n.stopClock(c)\n	c.answer = text\n",
 			"	n.stopClock(c)\n	if c.id != \"\" && c.id[0] == '7' {\n		return\n	}\n	c.answer = text\n", calm, "one_answer", "lost"},
--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -38,7 +38,7 @@
 	{name: "what stood unread counts from when it is read", seeds: 20, edits: []sourceEdit{
 		{"internal/loop/loop.go", "func (l *Loop) EarliestArrival() time.Duration { return l.earliestArrival }", "func (l *Loop) EarliestArrival() time.Duration { return l.Now() }"}}},
 	{name: "bans are not taken over", seeds: 12, edits: []sourceEdit{
-		{"internal/node/succession.go", "n.guard(\"hand\", func() { n.policy.Override(now, h) })", "_ = now"}}},
+		{"internal/node/adopt.go", "n.guard(\"hand\", func() { n.policy.Override(now, h) })", "_ = now"}}},
 	{name: "requests are not failed as their time ends", seeds: 20, edits: []sourceEdit{
 		{"internal/node/node.go", "c.timer = n.loop.After(c.deadline-margin-now, func() { n.failOverdue(c) })", "c.timer = n.loop.After(c.deadline+5*time.Second+0*margin-now, func() { n.failOverdue(c) })"}}},
 	{name: "a planned end closes over open requests", seeds: 6, edits: []sourceEdit{
--- a/internal/node/succession.go
+++ b/internal/node/succession.go
@@ -8,7 +8,6 @@
 	decide "lapisshelf/decide/handover"
 	"lapisshelf/internal/handover"
 	"lapisshelf/internal/loop"
-	"lapisshelf/policy"
 )
 
 // In an upgrade a successor process of this node starts beside this one and replaces it. decide/handover decides how they share
@@ -93,70 +92,6 @@
 	s.node.acceptClients()
 }
 
-// adoptPeerState takes over the operators' overrides that other processes hold or held before they ended, and drains and newer lists
-// of running ones.
-func (s *succession) adoptPeerState() {
-	n, now, overridden := s.node, s.node.loop.Now(), false
-	for _, p := range slices.Concat(s.member.Ended(), s.member.Peers()) {
-		for _, h := range p.Overrides {
-			n.everListed.add(h.ID)
-			n.guard("hand", func() { n.policy.Override(now, h) })
-			overridden = true
-		}
-		for _, id := range p.List.Listed {
-			n.everListed.add(id)
-		}
-		n.everListed.adopt(p.List.Departed, p.List.DepartedMore)
-	}
-	if overridden {
-		n.applyOverrides()
-	}
-	for _, p := range s.member.Peers() { // draining applies to the whole node, but ends with the process that got the call
-		if p.LameDuck.Version > n.drainVersion {
-			n.setDraining(p.LameDuck.On, p.LameDuck.Version, maxDrainNewsAge)
-		}
-	}
-	s.adoptPeerLists()
-}
-
-// adoptPeerLists drains servers that are leaving by the list of another process if that list is newer than this process's own.
-func (s *succession) adoptPeerLists() {
-	n := s.node
-	if n.registry == nil {
-		return
-	}
-	own := s.listSource()
-	own.Revision, _, _ = n.registry.ListStatus()
-	for _, p := range s.peers() {
-		if !newer(p.List, own) {
-			continue
-		}
-		for _, id := range p.List.Leaving {
-			if pool := n.pools[id]; pool != nil && pool.ready {
-				n.guard("drains", func() { n.policy.MarkDraining(n.loop.Now(), id) })
-				pool.ready = false
-				pool.drain()
-			}
-		}
-	}
-}
-
-// newer reports whether list l is newer than this process's own. Guards against comparing revisions of different registries, if
-// discovery was moved between the starts of two processes: servers that are ready by the own list would never get attempts.
-func newer(l, own handover.ServerList) bool {
-	return l.Revision > own.Revision && (l.Source == "" || own.Source == "" || l.Source == own.Source)
-}
-
-// listSource returns a list with only its Source set: the registry that this process follows.
-func (s *succession) listSource() (l handover.ServerList) {
-	r := &s.node.cfg.Registry
-	for _, e := range r.Endpoints {
-		l.Source += e.String() + " "
-	}
-	l.Source += r.Prefix
-	return l
-}
-
 // refreshPeers reads the current states of the other processes.
 func (s *succession) refreshPeers() {
 	if s.member != nil {
@@ -192,62 +127,6 @@
 	}
 }
 
-// publish publishes the state of this process. Overrides, drains and what settles which process serves are published at once.
-// Frequently changing values are published at most every publishInterval; otherwise two processes would trigger each other endlessly.
-func (s *succession) publish(self decide.Process) {
-	n := s.node
-	state := s.member.Self()
-	previous := state
-	// Guards against rewriting the file every 50 ms, on the event loop, for a number that no other process uses. If the directory is
-	// on a busy disk, one such write took up to 0.15 s.
-	openFDs := self.OpenFDs
-	if self.OpenFDs = previous.Process.OpenFDs; self != previous.Process {
-		self.OpenFDs = openFDs
-	}
-	state.Process, state.Overrides, state.List = self, n.policy.Overrides(), s.publishedList()
-	state.LameDuck = handover.LameDuck{On: n.draining, Version: n.drainVersion}
-	if now := n.loop.Now(); s.member.PublishErr() == nil && now-s.publishedAt < publishInterval && self.Stage == previous.Process.Stage && self.SettledFor == previous.Process.SettledFor &&
-		slices.Equal(state.Overrides, previous.Overrides) && state.LameDuck == previous.LameDuck && slices.Equal(state.List.Leaving, previous.List.Leaving) {
-		return
-	} else {
-		s.publishedAt = now
-	}
-	s.handlePublishResult(s.member.Publish(state))
-}
-
-// handlePublishResult schedules another attempt, with exponential backoff, if the state could not be written.
-func (s *succession) handlePublishResult(err error) {
-	if err == nil {
-		if s.retryDelay > 0 {
-			log.Printf("event=handover_saved")
-		}
-		s.retryDelay = 0
-		s.retryTimer.Stop()
-		s.retryTimer = nil
-		return
-	}
-	if s.retryDelay == 0 {
-		log.Printf("event=handover_failed why=%q", err)
-	}
-	if s.retryTimer != nil {
-		return // already scheduled
-	}
-	s.retryDelay = min(max(2*s.retryDelay, minRetryDelay), maxRetryDelay)
-	s.retryTimer = s.node.loop.After(s.retryDelay, func() {
-		s.retryTimer = nil
-		s.update()
-	})
-}
-
-// saveError returns why the operators' overrides would be lost with this process. It is nil if they are saved, or if there is no state
-// directory to save them in.
-func (s *succession) saveError() error {
-	if s.member == nil {
-		return s.joinErr
-	}
-	return s.member.PublishErr()
-}
-
 // updateMemoryLimit reports a changed memory limit to the OnMemoryLimit callback.
 func (n *Node) updateMemoryLimit() {
 	if mb := n.memoryMB(); n.setMemoryLimit != nil && mb != n.succession.memoryMB {
@@ -272,36 +151,6 @@
 	return decide.Starting
 }
 
-// publishedList returns what other processes need to know about this process's list.
-func (s *succession) publishedList() (l handover.ServerList) {
-	n := s.node
-	if n.registry == nil {
-		return l
-	}
-	l = s.listSource()
-	l.Revision, _, _ = n.registry.ListStatus()
-	now := n.loop.Now()
-	for id, at := range s.departed {
-		if now-at > departedTTL {
-			delete(s.departed, id)
-		} else {
-			l.Leaving = append(l.Leaving, id)
-		}
-	}
-	slices.Sort(l.Leaving)
-	l.Departed, l.DepartedMore = n.everListed.share()
-	return l
-}
-
-// recordServerState records whether a server is draining or gone by the list.
-func (s *succession) recordServerState(id string, state policy.State) {
-	if state == policy.Ready {
-		delete(s.departed, id)
-	} else if _, known := s.departed[id]; !known && len(s.departed) < maxDeparted {
-		s.departed[id] = s.node.loop.Now()
-	}
-}
-
 // acceptClients opens the listener for clients once the node is ready and, in an upgrade, its predecessors have made room.
 func (n *Node) acceptClients() {
 	s := &n.succession
