Count a long write from when it may have been sent also behind a second pause

Cause: a trial build logged, of each write received, the earliest time at which its last byte may have been sent and the kernel's time of its arrival. In all ten late writes looked at the former was 1.8 to 2.4 s ago and right, and the latter, 0.02 to 1.36 s ago, was trusted in its place. It is trusted for bytes that came before reading opened the receive window (sentByArrival); but when reading went on after a further pause, its beginning was set anew, so that what an earlier read had let in counted as having come before any reading.

Change: the beginning of reading is set by a pause only if nothing of the backlog has been read.

Why it works: bytes that come after the first read of a backlog may have been held back by the peer's machine until then.

--- a/internal/loop/backlog.go
+++ b/internal/loop/backlog.go
@@ -23,7 +23,7 @@
 type backlog struct {
 	possible  bool          // bytes may be waiting
 	since     time.Duration // the earliest time at which they may have been sent
-	readFrom  time.Duration // when reading it began, or went on after a pause
+	readFrom  time.Duration // when reading it began
 	size      int           // bytes of it that have been read
 	drainedAt time.Duration // when the node's machine first held no more of it, so that the window was open again; 0: it holds some
 	lateSize  int           // bytes read since then
@@ -38,7 +38,9 @@
 
 // resume notes that reading goes on after a pause, and whether bytes stand in the node's machine.
 func (b *backlog) resume(now time.Duration, empty bool) {
-	b.readFrom = now
+	if b.size == 0 { // otherwise an earlier read has opened the receive window
+		b.readFrom = now
+	}
 	switch {
 	case !empty:
 		b.drainedAt = 0
--- a/internal/loop/backlog_test.go
+++ b/internal/loop/backlog_test.go
@@ -108,3 +108,20 @@
 		}
 	}
 }
+
+// What the peer's machine held back until an earlier part was read, and what then waited through another pause, was taken to have been sent
+// as it came: a long write read in turns had its time counted from its last part, seconds late.
+func TestWhatWaitedThroughTwoPausesWasNotSentAsItCame(t *testing.T) {
+	var b backlog
+	b.begin(100 * ms)
+	b.resume(900*ms, false)
+	b.read(64<<10, false, 900*ms, 900*ms) // the window opens, and the peer's machine sends more of what it holds
+	b.resume(2000*ms, false)
+	a := b.read(64<<10, true, 2000*ms, 2000*ms)
+	if a.earliest != 100*ms || a.sentByArrival(1500*ms) {
+		t.Errorf("counts from %v, trusts the time of arrival %t", a.earliest, a.sentByArrival(1500*ms))
+	}
+	if !a.sentByArrival(800 * ms) {
+		t.Error("does not trust what came before any of it was read")
+	}
+}
