Tests wait for their own connections, not for others to the same port

ROADMAP had it as known: the wait for the connection to be up looked in the system's table for its port alone, at any address, and ended at once where another program had a connection to that port of another loopback address; usually it takes a second.

Change: the table's address is compared whole. What the tests want is unchanged.

--- a/internal/node/leave_turn_test.go
+++ b/internal/node/leave_turn_test.go
@@ -21,14 +21,18 @@
 // before or behind the event that would start an attempt for them. No attempt may begin, however long this lasts. The loop stands
 // still between two calls of run.
 
-// established reports whether the system has an established connection between two ports; 0 stands for any port.
+// loopbackHex is the address 127.0.0.1 in the system's table of connections.
+const loopbackHex = "0100007F"
+
+// established reports whether the system has an established connection between two ports of 127.0.0.1; 0 stands for any local port. Other
+// programs' connections to the same port of another address do not count.
 func established(t *testing.T, local, remote int) bool {
 	t.Helper()
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		t.Fatal(err)
 	}
-	is := func(at string, port int) bool { return port == 0 || strings.HasSuffix(at, fmt.Sprintf(":%04X", port)) }
+	is := func(at string, port int) bool { return port == 0 || at == fmt.Sprintf("%s:%04X", loopbackHex, port) }
 	for line := range strings.Lines(string(table)) {
 		if w := strings.Fields(line); is(w[1], local) && is(w[2], remote) && w[3] == "01" {
 			return true
