Test of a replaced origin: the new process listens before the node hears of the old one's end

Cause: the test reset the old origin's connections and opened the new one's address after that. In between the address refuses, and the node's three further attempts of the write may all fall there.

Change: the old one stops listening, the new one listens, then the old one's connections are reset. What the test wants is unchanged.

--- a/cmd/lapisshelf/swapped_test.go
+++ b/cmd/lapisshelf/swapped_test.go
@@ -37,8 +37,9 @@
 			client := n.dial()
 			client.send(fmt.Sprintf("ms k 5 Owrite Pc=%s,d=2500,k=1\r\nhello\r\n", c.class))
 			ran(t, first, "write")
-			first.Close()
+			first.StopListening() // the other one listens before the node hears of the end
 			second := startPacedAt(t, first.Addr(), standin.PacedOptions{HTTP: true, Answer: receipt})
+			first.Close()
 			client.expect(c.answer, "")
 			if got := second.Runs("write"); got != c.again {
 				t.Errorf("the new process was sent it %d times, want %d", got, c.again)
--- a/lab/standin/paced.go
+++ b/lab/standin/paced.go
@@ -79,6 +79,9 @@
 	return s.ids[id]
 }
 
+// StopListening closes the address for new connections. A server that takes its place there may start before this one ends.
+func (s *PacedServer) StopListening() { s.listener.Close() }
+
 // Close ends the server and resets its connections, as the end of a process does.
 func (s *PacedServer) Close() {
 	s.closeOnce.Do(func() { close(s.done) })
