--- a/cmd/lapislab/planted_test.go
+++ b/cmd/lapislab/planted_test.go
@@ -160,8 +160,15 @@
 
 // Service returns after an origin that stood still, where caches fetch what they lack; an origin that refuses connections and answers that
 // are reset overlap with it.
-func TestSoakServiceReturnsAfterAnOriginStandsStill(t *testing.T) {
-	out, err := exec.Command(filepath.Join(binDir, "lapislab"), "soak", "--seed", "509", "--for", "8s", "--processes", "4", "--rate", "120", "--shrink", "0", "--files", t.TempDir()).CombinedOutput()
+func TestSoakServiceReturnsAfterAnOriginStandsStill(t *testing.T) { playSoakSeed(t, "509") }
+
+// Requests to a node that is full of misbehaving clients are answered in time while it is upgraded and ended.
+func TestSoakAFullNodeAnswersInTimeDuringUpgrades(t *testing.T) { playSoakSeed(t, "620") }
+
+// playSoakSeed plays a short seed with few processes, which has to hold.
+func playSoakSeed(t *testing.T, seed string) {
+	t.Helper()
+	out, err := exec.Command(filepath.Join(binDir, "lapislab"), "soak", "--seed", seed, "--for", "8s", "--processes", "4", "--rate", "120", "--shrink", "0", "--files", t.TempDir()).CombinedOutput()
 	if err != nil {
 		t.Errorf("%v: %s", err, out)
 	}
